--- /dev/null
+++ b/dev/fleet.ts
@@ -0,0 +1,188 @@
+/**
+ * Starts a fleet of real processes on 127.0.0.1 for the demo, the benches and the tests with processes.
+ *
+ * @module
+ */
+import type {Buffer} from 'node:buffer';
+import {type ChildProcess, spawn} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import net from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import type {Peer, Settings} from '../src/generated/types.js';
+
+const DIST = path.resolve(import.meta.dirname, '..');
+const DAEMON = path.join(DIST, 'src/daemon/carawayhoistd.js');
+const FAKE = path.join(DIST, 'fakes/main.js');
+const READY_TIMEOUT_MS = 20_000;
+const POLL_MS = 50;
+
+export type ProcessRecord = {
+	readonly name: string;
+	readonly role: string;
+	readonly url: string;
+	readonly child: ChildProcess;
+	readonly settingsFile?: string;
+	readonly settings?: Settings;
+};
+
+export type FleetPlan = {
+	readonly controls: number;
+	readonly entries: number;
+	readonly engines: number;
+	readonly plains: number;
+	/** Port of the first entry host; 0 takes a free one. */
+	readonly firstPort?: number;
+	readonly engineArguments?: readonly string[];
+	readonly plainArguments?: readonly string[];
+	readonly logLevel?: Settings['logLevel'];
+};
+
+/** A running fleet. Whoever started it stops it. */
+export class ProcessFleet {
+	readonly hosts: ProcessRecord[] = [];
+	readonly backends: ProcessRecord[] = [];
+	readonly folder: string;
+	#isStopped = false;
+
+	private constructor(folder: string) {
+		this.folder = folder;
+	}
+
+	/** Starts every process and waits until the entry hosts are ready. */
+	static async start(plan: FleetPlan): Promise<ProcessFleet> {
+		const fleet = new ProcessFleet(await mkdtemp(path.join(os.tmpdir(), 'carawayhoist-')));
+		const settings = await createSettings(fleet.folder, plan);
+		for (const one of settings) {
+			fleet.hosts.push(await fleet.startHost(one));
+		}
+
+		const entries = fleet.hosts.map(host => host.url);
+		for (let index = 1; index <= plan.engines; index++) {
+			fleet.backends.push(fleet.startBackend({
+				kind: 'engine', name: `engine-${index}`, port: await findPort(), entries, extra: plan.engineArguments ?? [],
+			}));
+		}
+
+		for (let index = 1; index <= plan.plains; index++) {
+			fleet.backends.push(fleet.startBackend({
+				kind: 'plain', name: `plain-${index}`, port: await findPort(), entries, extra: plan.plainArguments ?? [],
+			}));
+		}
+
+		await Promise.all(fleet.hosts.map(async host => waitUntil(async () => (await fetch(`${host.url}/readyz`)).status === 200, `${host.name} ready`)));
+		await Promise.all(fleet.hosts.map(async host => waitUntil(async () => fleet.#knowsBackends(host), `${host.name} knows the backend servers`)));
+		return fleet;
+	}
+
+	async startHost(settings: Settings): Promise<ProcessRecord> {
+		const settingsFile = path.join(this.folder, `${settings.host}.json`);
+		await writeFile(settingsFile, JSON.stringify(settings, undefined, '\t'));
+		const child = this.#spawn(settings.host, [DAEMON, '--settings', settingsFile]);
+		return {
+			name: settings.host, role: settings.roles.join('+'), url: `http://127.0.0.1:${settings.http.port}`, child, settingsFile, settings,
+		};
+	}
+
+	startBackend(options: {kind: string; name: string; port: number; entries: readonly string[]; extra: readonly string[]}): ProcessRecord {
+		const {kind, name, port, entries, extra} = options;
+		const own = ['--kind', kind, '--name', name, '--port', String(port)];
+		const child = this.#spawn(name, [FAKE, ...own, ...entries.flatMap(entry => ['--entry', entry]), ...extra]);
+		return {
+			name, role: kind, url: `http://127.0.0.1:${port}`, child,
+		};
+	}
+
+	/** Ends every process of the fleet, by its id. */
+	async stop(): Promise<void> {
+		if (this.#isStopped) {
+			return;
+		}
+
+		this.#isStopped = true;
+		const all = [...this.hosts, ...this.backends].filter(({child}) => child.exitCode === null && child.signalCode === null);
+		await Promise.all(all.map(async ({child}) => new Promise<void>(resolve => {
+			child.once('exit', () => {
+				resolve();
+			});
+			child.kill('SIGKILL');
+		})));
+		await rm(this.folder, {recursive: true, force: true});
+	}
+
+	async #knowsBackends(host: ProcessRecord): Promise<boolean> {
+		const status = await (await fetch(`${host.url}/api/v1/status`)).json() as {servers: unknown[]};
+		return status.servers.length >= this.backends.length;
+	}
+
+	#spawn(name: string, commandLine: readonly string[]): ChildProcess {
+		const log = path.join(this.folder, `${name}.log`);
+		const child = spawn(process.execPath, commandLine, {stdio: ['ignore', 'pipe', 'pipe']});
+		const append = (chunk: Buffer) => {
+			void writeFile(log, chunk, {flag: 'a'}).catch(() => undefined);
+		};
+
+		child.stdout.on('data', append);
+		child.stderr.on('data', append);
+		return child;
+	}
+}
+
+/** Waits for a condition; a failed check counts as not yet. */
+export async function waitUntil(condition: () => Promise<boolean>, what: string, withinMs = READY_TIMEOUT_MS): Promise<void> {
+	const untilMs = performance.now() + withinMs;
+	for (;;) {
+		if (await condition().catch(() => false)) {
+			return;
+		}
+
+		if (performance.now() > untilMs) {
+			throw new Error(`Not within ${withinMs} ms: ${what}`);
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, POLL_MS);
+		});
+	}
+}
+
+/** Finds a free port. */
+export async function findPort(): Promise<number> {
+	return new Promise((resolve, reject) => {
+		const server = net.createServer();
+		server.once('error', reject);
+		server.listen(0, '127.0.0.1', () => {
+			const {port} = server.address() as net.AddressInfo;
+			server.close(() => {
+				resolve(port);
+			});
+		});
+	});
+}
+
+async function createSettings(folder: string, plan: FleetPlan): Promise<Settings[]> {
+	const count = plan.controls + plan.entries;
+	const dataCentres = ['a', 'b', 'c'];
+	const hosts: Array<{host: string; dataCentre: string; httpPort: number; peerPort: number}> = [];
+	for (let index = 0; index < count; index++) {
+		const httpPort = index === 0 && plan.firstPort ? plan.firstPort : await findPort();
+		const peerPort = await findPort();
+		hosts.push({
+			host: `host-${index + 1}`, dataCentre: dataCentres[index % 3]!, httpPort, peerPort,
+		});
+	}
+
+	const peers: Peer[] = hosts.map(({host, peerPort}) => ({host, address: '127.0.0.1', port: peerPort}));
+	return hosts.map(({host, dataCentre, httpPort, peerPort}, index) => ({
+		host,
+		dataCentre,
+		roles: index < plan.controls ? ['control', 'entry'] : ['entry'],
+		http: {address: '127.0.0.1', port: httpPort},
+		peer: {address: '127.0.0.1', port: peerPort},
+		...(index < plan.controls ? {dataFolder: path.join(folder, host)} : {}),
+		control: peers.slice(0, plan.controls),
+		peers,
+		logLevel: plan.logLevel ?? 'info',
+	}));
+}
--- /dev/null
+++ b/fakes/engine.ts
@@ -0,0 +1,217 @@
+/**
+ * A fake model engine: known answers, a simple clock of prefill and decode, orders, counters.
+ *
+ * @module
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import process from 'node:process';
+import type {Announcement} from '../src/generated/types.js';
+import {ANSWER_TOKENS, answerToken} from './answer.js';
+import {Backend, replyJson, type BackendOptions} from './backend.js';
+
+export type EngineOptions = BackendOptions & {
+	readonly models?: readonly string[];
+	readonly role?: 'prefill' | 'decode' | 'mixed';
+	readonly checksFence?: boolean;
+	/** Time of one decode step, milliseconds. */
+	readonly stepMs?: number;
+	readonly prefillTokensPerMs?: number;
+	/** Time that a role change or a load takes, milliseconds. */
+	readonly awayMs?: number;
+	/** What to do with a request that crashes engines; by default the process dies. */
+	readonly onPoison?: () => void;
+};
+
+type Order = {
+	readonly order: number;
+	readonly type: string;
+	readonly role?: 'prefill' | 'decode' | 'mixed';
+	readonly model?: string;
+};
+
+type CompletionBody = {
+	readonly model: string;
+	readonly messages?: ReadonlyArray<{readonly role: string; readonly content: string}>;
+	readonly prompt?: string;
+	readonly max_tokens?: number;
+	readonly max_completion_tokens?: number;
+	readonly resume?: {readonly offset: number};
+};
+
+/** A prompt with this word crashes every engine that runs it. */
+export const POISON_WORD = 'CRASH-THE-ENGINE';
+const EXIT_CRASHED = 70;
+
+/** A fake engine. */
+export class FakeEngine extends Backend {
+	readonly #options: EngineOptions;
+	readonly #runs = new Map<string, number>();
+	readonly #streams = new Set<ServerResponse>();
+	readonly #orders: Order[] = [];
+	#models: string[];
+	#role: 'prefill' | 'decode' | 'mixed';
+	#highest = 0;
+	#orderState = 'done';
+	#isAway = false;
+	#cutByOrder = 0;
+	#cancelled = 0;
+	#refused = 0;
+
+	constructor(options: EngineOptions) {
+		super(options);
+		this.#options = options;
+		this.#models = [...options.models ?? Object.keys(ANSWER_TOKENS)];
+		this.#role = options.role ?? 'mixed';
+	}
+
+	/** Streams that run now. */
+	get runningCount(): number {
+		return this.#streams.size;
+	}
+
+	protected override describe(): Pick<Announcement, 'kind'> & Partial<Announcement> {
+		return {
+			kind: 'engine',
+			models: this.#models,
+			role: this.#role,
+			capacity: 1000,
+			checksFence: this.#options.checksFence ?? true,
+			load: {
+				running: this.#streams.size, waiting: 0, prefillTokens: 0, decodeTokens: this.#streams.size * 200, freePieces: 1000,
+			},
+		};
+	}
+
+	protected override handle(request: IncomingMessage, response: ServerResponse, body: string): void {
+		const route = `${request.method} ${request.url}`;
+		switch (route) {
+			case 'GET /runs': {
+				replyJson(response, 200, {
+					requests: Object.fromEntries(this.#runs), orders: this.#orders, cutByOrder: this.#cutByOrder, cancelled: this.#cancelled, refused: this.#refused, role: this.#role, running: this.#streams.size,
+				});
+				break;
+			}
+
+			case 'GET /orders': {
+				replyJson(response, 200, {order: this.#highest, state: this.#orderState});
+				break;
+			}
+
+			case 'POST /orders': {
+				this.#takeOrder(response, JSON.parse(body) as Order);
+				break;
+			}
+
+			case 'POST /v1/chat/completions':
+			case 'POST /v1/completions': {
+				this.#complete(request, response, JSON.parse(body) as CompletionBody);
+				break;
+			}
+
+			default: {
+				replyJson(response, 404, {error: 'not found'});
+			}
+		}
+	}
+
+	#takeOrder(response: ServerResponse, order: Order): void {
+		if (this.#options.checksFence !== false && order.order < this.#highest) {
+			replyJson(response, 409, {order: this.#highest, state: this.#orderState, note: 'old fencing number'});
+			return;
+		}
+
+		if (order.order === this.#highest) {
+			replyJson(response, 200, {order: this.#highest, state: this.#orderState});
+			return;
+		}
+
+		this.#orders.push(order);
+		this.#highest = order.order;
+		this.#orderState = 'running';
+		this.#isAway = true;
+		for (const stream of this.#streams) {
+			this.#cutByOrder++;
+			stream.destroy();
+		}
+
+		setTimeout(() => {
+			this.#finishOrder(order);
+		}, this.#options.awayMs ?? 300);
+		replyJson(response, 200, {order: this.#highest, state: this.#orderState});
+	}
+
+	#finishOrder(order: Order): void {
+		if (order.order !== this.#highest) {
+			return;
+		}
+
+		this.#role = order.type === 'role' ? order.role ?? this.#role : this.#role;
+		if (order.type === 'load' && order.model !== undefined && !this.#models.includes(order.model)) {
+			this.#models = [...this.#models, order.model];
+		}
+
+		this.#isAway = order.type === 'withdraw';
+		this.#orderState = 'done';
+		this.announce();
+	}
+
+	#complete(request: IncomingMessage, response: ServerResponse, body: CompletionBody): void {
+		if (this.#isAway || !this.#models.includes(body.model)) {
+			this.#refused++;
+			replyJson(response, 503, {error: 'not serving'}, {'carawayhoist-outcome': 'not-run'});
+			return;
+		}
+
+		const prompt = body.messages ? body.messages.map(({role, content}) => `${role}: ${content}`).join('\n') : body.prompt ?? '';
+		this.#runs.set(prompt.slice(0, 80), (this.#runs.get(prompt.slice(0, 80)) ?? 0) + 1);
+		const id = String(request.headers['x-request-id']);
+		const total = Math.min(body.max_completion_tokens ?? body.max_tokens ?? Number.POSITIVE_INFINITY, ANSWER_TOKENS[body.model] ?? 50);
+		const promptTokens = Math.ceil(prompt.length / 4);
+		const prefillMs = promptTokens / (this.#options.prefillTokensPerMs ?? 20);
+		this.#streams.add(response);
+		const timer = setTimeout(() => {
+			if (prompt.includes(POISON_WORD)) {
+				(this.#options.onPoison ?? (() => process.exit(EXIT_CRASHED)))();
+				return;
+			}
+
+			this.#stream(response, {
+				id, prompt, total, offset: body.resume?.offset ?? 0, isChat: body.messages !== undefined, promptTokens,
+			});
+		}, prefillMs);
+		response.once('close', () => {
+			clearTimeout(timer);
+			this.#streams.delete(response);
+			if (!response.writableFinished) {
+				this.#cancelled++;
+			}
+		});
+	}
+
+	#stream(response: ServerResponse, options: {id: string; prompt: string; total: number; offset: number; isChat: boolean; promptTokens: number}): void {
+		const {id, prompt, total, isChat, promptTokens} = options;
+		let {offset} = options;
+		response.writeHead(200, {'content-type': 'text/event-stream', 'carawayhoist-load': `${this.#streams.size},0,0,${this.#streams.size * 200}`});
+		const write = (choice: unknown, rest: Record<string, unknown>) => {
+			response.write(`data: ${JSON.stringify({id, choices: choice === undefined ? [] : [choice], ...rest})}\n\n`);
+		};
+
+		const timer = setInterval(() => {
+			if (offset < total) {
+				const text = answerToken(prompt, offset);
+				write({index: 0, ...(isChat ? {delta: {content: text}} : {text}), finish_reason: null}, {offset});
+				offset++;
+				return;
+			}
+
+			clearInterval(timer);
+			const reason = total < (ANSWER_TOKENS['chat-1'] ?? 0) ? 'length' : 'stop';
+			write({index: 0, ...(isChat ? {delta: {}} : {text: ''}), finish_reason: reason}, {});
+			write(undefined, {usage: {prompt_tokens: promptTokens, completion_tokens: total, total_tokens: promptTokens + total}});
+			response.end('data: [DONE]\n\n');
+		}, this.#options.stepMs ?? 10);
+		response.once('close', () => {
+			clearInterval(timer);
+		});
+	}
+}
--- /dev/null
+++ b/fakes/plain.ts
@@ -0,0 +1,97 @@
+/**
+ * A fake plain server: bookings, the agenda, leap-second insertions; counts how often each key ran.
+ *
+ * @module
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Announcement} from '../src/generated/types.js';
+import {Backend, replyJson, type BackendOptions} from './backend.js';
+
+export type PlainOptions = BackendOptions & {
+	readonly services?: readonly string[];
+	/** Time from taking a call to answering it, milliseconds. */
+	readonly workMs?: number;
+};
+
+type Run = {
+	readonly route: string;
+	readonly key: string;
+	readonly body: string;
+};
+
+/** A fake plain server. */
+export class FakePlain extends Backend {
+	readonly #options: PlainOptions;
+	readonly #runs: Run[] = [];
+
+	constructor(options: PlainOptions) {
+		super(options);
+		this.#options = options;
+	}
+
+	/** How often each key ran here. */
+	countByKey(): Record<string, number> {
+		const counts: Record<string, number> = {};
+		for (const {key} of this.#runs) {
+			counts[key] = (counts[key] ?? 0) + 1;
+		}
+
+		return counts;
+	}
+
+	protected override describe(): Pick<Announcement, 'kind'> & Partial<Announcement> {
+		return {
+			kind: 'plain', services: [...this.#options.services ?? ['booking', 'signal']], capacity: 64, load: {running: 0, waiting: 0},
+		};
+	}
+
+	protected override async handle(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+		const route = `${request.method} ${request.url}`;
+		if (route === 'GET /runs') {
+			replyJson(response, 200, {keys: this.countByKey(), requests: this.#runs});
+			return;
+		}
+
+		const key = String(request.headers['idempotency-key'] ?? '');
+		const requestId = String(request.headers['x-request-id'] ?? '');
+		const answer = this.#run(route, key, body);
+		if (this.#options.workMs !== undefined) {
+			await new Promise(resolve => {
+				setTimeout(resolve, this.#options.workMs);
+			});
+		}
+
+		if (answer) {
+			replyJson(response, 200, answer, {'x-request-id': requestId});
+		} else {
+			replyJson(response, 404, {error: 'not found'}, {'x-request-id': requestId});
+		}
+	}
+
+	#run(route: string, key: string, body: string): Record<string, unknown> | undefined {
+		const number = this.#runs.length + 1;
+		switch (route) {
+			case 'POST /booking/seats': {
+				this.#runs.push({route, key, body});
+				const {seat, delegate} = JSON.parse(body) as {seat: string; delegate: string};
+				return {
+					booking: `${this.options.name}-${number}`, seat, delegate,
+				};
+			}
+
+			case 'POST /signal/leap': {
+				this.#runs.push({route, key, body});
+				return {insertion: `${this.options.name}-${number}`};
+			}
+
+			case 'GET /booking/agenda': {
+				this.#runs.push({route, key: 'agenda', body});
+				return {agenda: ['09:00 Barley diseases', '10:30 Herd health']};
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/base/clock.ts
@@ -0,0 +1,29 @@
+/**
+ * Time. Tasks read it here and hand it to the cores as a number.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+
+export interface Clock {
+	/** Monotonic time of this process, milliseconds. */
+	monotonicMs(): number;
+	/** Wall clock, milliseconds since 1970. */
+	wallMs(): number;
+}
+
+/**
+ * Creates the clock of the machine.
+ *
+ * @example
+ * ```ts
+ * const clock = createClock();
+ * clock.monotonicMs() <= clock.monotonicMs(); // true
+ * ```
+ */
+export function createClock(): Clock {
+	return {
+		monotonicMs: () => performance.now(),
+		wallMs: () => Date.now(),
+	};
+}
--- /dev/null
+++ b/src/base/validate.ts
@@ -0,0 +1,94 @@
+/**
+ * Checks values against the generated schemas.
+ *
+ * @module
+ */
+import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
+import * as Either from 'fp-ts/lib/Either.js';
+import {SCHEMAS} from '../generated/schemas.js';
+import type {
+	Announcement, Message, Settings, Specification,
+} from '../generated/types.js';
+
+/** A fault in a value: where it stands and what would be allowed. */
+export type Fault = {
+	/** JSON pointer. */
+	readonly pointer: string;
+	readonly text: string;
+};
+
+type Checkable = {
+	readonly Settings: Settings;
+	readonly Specification: Specification;
+	readonly Announcement: Announcement;
+	readonly Message: Message;
+};
+
+const ajv = new Ajv({
+	allErrors: true, discriminator: true, strict: false, useDefaults: true,
+});
+const messageAjv = new Ajv({discriminator: true, strict: false});
+const checkers = new Map<keyof Checkable, ValidateFunction>();
+
+/**
+ * Checks a value of unknown shape and fills in defaults.
+ *
+ * @param name - The schema's name.
+ * @example
+ * ```ts
+ * validate('Announcement', {server: 'a'}); // Either.left([{pointer: '/kind', text: 'is required'}, …])
+ * ```
+ */
+export function validate<Name extends keyof Checkable>(name: Name, value: unknown): Either.Either<Fault[], Checkable[Name]> {
+	const checker = findChecker(name);
+	return checker(value)
+		? Either.right(value as Checkable[Name])
+		: Either.left((checker.errors ?? []).map(error => describeFault(error)));
+}
+
+/**
+ * Writes faults as one line.
+ *
+ * @example
+ * ```ts
+ * formatFaults([{pointer: '/host', text: 'is required'}]); // '/host is required'
+ * ```
+ */
+export function formatFaults(faults: readonly Fault[]): string {
+	return faults.map(fault => `${fault.pointer} ${fault.text}`).join('; ');
+}
+
+function findChecker(name: keyof Checkable): ValidateFunction {
+	const known = checkers.get(name);
+	if (known) {
+		return known;
+	}
+
+	// Messages between our own processes stop at the first fault: a valid one costs less to check.
+	const compiler = name === 'Message' ? messageAjv : ajv;
+	const checker = compiler.compile({definitions: SCHEMAS.definitions, $ref: `#/definitions/${name}`});
+	checkers.set(name, checker);
+	return checker;
+}
+
+function describeFault(error: ErrorObject): Fault {
+	const parameters = error.params as {
+		missingProperty?: string;
+		additionalProperty?: string;
+		allowedValues?: unknown[];
+		allowedValue?: unknown;
+	};
+	const own = parameters.missingProperty ?? parameters.additionalProperty;
+	const pointer = own === undefined ? error.instancePath : `${error.instancePath}/${own}`;
+	if (parameters.missingProperty !== undefined) {
+		return {pointer, text: 'is required'};
+	}
+
+	if (parameters.additionalProperty !== undefined) {
+		return {pointer, text: 'is unknown'};
+	}
+
+	const allowed = parameters.allowedValues ?? (parameters.allowedValue === undefined ? undefined : [parameters.allowedValue]);
+	const text = allowed === undefined ? error.message ?? 'is wrong' : `must be one of ${allowed.map(value => JSON.stringify(value)).join(', ')}`;
+	return {pointer: pointer === '' ? '/' : pointer, text};
+}
--- /dev/null
+++ b/src/consensus/mechanisms.ts
@@ -0,0 +1,26 @@
+/**
+ * The mechanisms that safety rests on. The daemon always runs with all of them; the fuzzer switches one off
+ * to show that its checks would notice.
+ *
+ * @module
+ */
+export const ALL_MECHANISMS = {
+	/** A reply that a peer relies on waits until what it promises is synced. */
+	syncBeforeReply: true,
+	/** A vote is kept on disk. */
+	voteKept: true,
+	/** Only entries of the leader's own term are committed by counting replicas. */
+	ownTermCommit: true,
+	/** A replica that came back without its disk gets a new identity. */
+	identityOnDisk: true,
+	/** A read waits until a majority has confirmed the leader after it came in. */
+	readIndex: true,
+	/** A new leader and a restarted follower respect the lease of the leader before. */
+	leaseRespected: true,
+	/** Voters change through a joint configuration. */
+	jointConfiguration: true,
+	/** An append whose previous entry does not match is refused. */
+	logMatching: true,
+} as const satisfies Record<string, boolean>;
+
+export type Mechanisms = Readonly<Record<keyof typeof ALL_MECHANISMS, boolean>>;
--- /dev/null
+++ b/src/control/controller.ts
@@ -0,0 +1,441 @@
+/**
+ * What the leader does beyond keeping the log: carries planned changes forward, sends orders to engines, and closes
+ * claims whose host is gone. A step machine; authority, time and state are handed in.
+ *
+ * @module
+ */
+import type {
+	Action, Announcement, Change, Command, Renew, Resource,
+} from '../generated/types.js';
+import {QUARANTINE_PREFIX} from './ledger.js';
+import {PHASES, type ControlState, type OpenOrder} from './state.js';
+
+export type ControllerTiming = {
+	/** Length of an entry host's view lease. */
+	readonly viewLeaseMs: number;
+	/** Longest time between the write of an order and its arrival. */
+	readonly orderTransitMs: number;
+	/** Length of a leader's authority, with clock drift. */
+	readonly authorityMs: number;
+	/** How long a claim outlives the lease of the host that holds it. */
+	readonly claimGraceMs: number;
+	/** Pause between two tries at the same order. */
+	readonly orderRetryMs: number;
+	/** After this silence a server counts as gone. */
+	readonly serverSilenceMs: number;
+};
+
+export const DEFAULT_CONTROLLER_TIMING: ControllerTiming = {
+	viewLeaseMs: 1500,
+	orderTransitMs: 1000,
+	authorityMs: 700,
+	claimGraceMs: 2000,
+	orderRetryMs: 1000,
+	serverSilenceMs: 5000,
+};
+
+/** An order as it goes to a backend server. */
+export type OrderSend = {
+	readonly type: 'send-order';
+	readonly server: Announcement;
+	readonly order: OpenOrder;
+	/** Monotonic time after which the order must not be written; infinite for servers that check fences. */
+	readonly notAfterMs: number;
+};
+
+export type ControllerEffect
+	= | {readonly type: 'propose'; readonly command: Command}
+		| OrderSend
+		| {readonly type: 'read-back'; readonly server: Announcement; readonly order: OpenOrder};
+
+/** What became of an order. */
+export type OrderReport
+	= | {readonly type: 'done'; readonly server: string; readonly order: number; readonly note: string}
+		| {readonly type: 'failed'; readonly server: string; readonly order: number; readonly note: string}
+	/** The server holds no sign of the order. */
+		| {readonly type: 'absent'; readonly server: string; readonly order: number}
+	/** The server works on it. */
+		| {readonly type: 'running'; readonly server: string; readonly order: number}
+	/** Nobody knows: no answer came. */
+		| {readonly type: 'lost'; readonly server: string; readonly order: number};
+
+type Session = {
+	readonly boot: string;
+	readonly version: number;
+	readonly running: ReadonlyMap<string, number>;
+	readonly leaseUntilMs: number;
+};
+
+type Sighting = {
+	readonly announcement: Announcement;
+	readonly atMs: number;
+};
+
+type Attempt = {
+	order: number;
+	state: 'unsent' | 'sent' | 'unresolved';
+	triedMs: number;
+};
+
+export type Authority = {
+	readonly nowMs: number;
+	readonly wallMs: number;
+	/** Until when this process is surely the only leader. */
+	readonly leaseUntilMs: number;
+};
+
+/** Which safeguards of orders are on; the daemon has all of them. */
+export type OrderMechanisms = {
+	readonly waitOutLease: boolean;
+	readonly awaitViews: boolean;
+	readonly readBack: boolean;
+};
+
+export const ALL_ORDER_MECHANISMS: OrderMechanisms = {waitOutLease: true, awaitViews: true, readBack: true};
+
+/** The duties of one term of leadership; created when a replica becomes leader, dropped when it stops. */
+export class Controller {
+	readonly #timing: ControllerTiming;
+	readonly #mechanisms: OrderMechanisms;
+	readonly #electedMs: number;
+	readonly #sessions = new Map<string, Session>();
+	readonly #sightings = new Map<string, Sighting>();
+	readonly #attempts = new Map<string, Attempt>();
+	readonly #quiet = new Map<string, {readonly sequence: number; readonly incarnation: number}>();
+	readonly #proposed = new Map<string, number>();
+	readonly #loads: TokenBucket;
+
+	constructor(electedMs: number, timing = DEFAULT_CONTROLLER_TIMING, mechanisms = ALL_ORDER_MECHANISMS) {
+		this.#electedMs = electedMs;
+		this.#timing = timing;
+		this.#mechanisms = mechanisms;
+		this.#loads = new TokenBucket({perSecond: 1, burst: 2}, electedMs);
+	}
+
+	/** Entry hosts with a view lease now. */
+	countSessions(nowMs: number): number {
+		return [...this.#sessions.values()].filter(session => session.leaseUntilMs > nowMs).length;
+	}
+
+	/** Renews an entry host's view lease and returns its length in milliseconds. */
+	renew(message: Renew, nowMs: number): number {
+		for (const announcement of message.announcements ?? []) {
+			this.#see(announcement, nowMs);
+		}
+
+		if (message.leaving) {
+			this.#sessions.delete(message.host);
+			return 0;
+		}
+
+		this.#sessions.set(message.host, {
+			boot: message.boot,
+			version: message.version,
+			running: new Map(message.running.map(({server, count}) => [server, count])),
+			leaseUntilMs: nowMs + this.#timing.viewLeaseMs,
+		});
+		return this.#timing.viewLeaseMs;
+	}
+
+	/** Notes what became of an order; what follows from it comes with the next tick. */
+	report(report: OrderReport, authority: Authority): ControllerEffect[] {
+		const attempt = this.#attempts.get(report.server);
+		if (attempt?.order !== report.order) {
+			return [];
+		}
+
+		switch (report.type) {
+			case 'done':
+			case 'failed': {
+				this.#attempts.delete(report.server);
+				return [{
+					type: 'propose',
+					command: {
+						type: 'settle-order', at: authority.wallMs, server: report.server, order: report.order, outcome: report.type, note: report.note,
+					},
+				}];
+			}
+
+			case 'absent': {
+				attempt.state = 'unsent';
+				break;
+			}
+
+			case 'running':
+			case 'lost': {
+				attempt.state = 'unresolved';
+				break;
+			}
+		}
+
+		return [];
+	}
+
+	/** Looks at everything once and returns what is due. */
+	tick(state: ControlState, authority: Authority): ControllerEffect[] {
+		return [
+			...this.#tickChanges(state, authority),
+			...this.#tickOrders(state, authority),
+			...this.#tickClaims(state, authority),
+		];
+	}
+
+	#tickChanges(state: ControlState, authority: Authority): ControllerEffect[] {
+		const effects: ControllerEffect[] = [];
+		for (const resource of state.listOpenChanges()) {
+			const command = this.#advance(resource, state, authority);
+			if (command && this.#mayPropose(`${resource.name}@${resource.version}`, authority.nowMs)) {
+				effects.push({type: 'propose', command});
+			}
+		}
+
+		return effects;
+	}
+
+	#advance(resource: Resource, state: ControlState, authority: Authority): Command | undefined {
+		const change = resource.specification as Change;
+		if (resource.status?.phase === PHASES.draining) {
+			const note = this.#describeDrained(resource, change, authority.nowMs);
+			return note === undefined
+				? undefined
+				: {
+					type: 'advance', at: authority.wallMs, change: resource.name, from: PHASES.draining, phase: PHASES.drained, note,
+				};
+		}
+
+		if (resource.status?.phase !== PHASES.drained || change.action === 'drain') {
+			return undefined;
+		}
+
+		const {server, action} = planOrder(change);
+		const isBusy = state.listOpenOrders().some(order => order.server === server);
+		if (isBusy || (action.type === 'load' && !this.#loads.take(authority.nowMs))) {
+			return undefined;
+		}
+
+		return {
+			type: 'issue-order', at: authority.wallMs, change: resource.name, server, action,
+		};
+	}
+
+	/** Returns the story's next sentence once nothing runs at the server and nobody can send there any more. */
+	#describeDrained(resource: Resource, change: Change, nowMs: number): string | undefined {
+		const isSettled = nowMs - this.#electedMs >= this.#timing.viewLeaseMs || !this.#mechanisms.awaitViews;
+		if (!isSettled) {
+			return undefined;
+		}
+
+		const live = [...this.#sessions.values()].filter(session => session.leaseUntilMs > nowMs);
+		const isUnseen = live.some(session => session.version < resource.version || (session.running.get(change.server) ?? 0) > 0);
+		if (isUnseen && this.#mechanisms.awaitViews) {
+			return undefined;
+		}
+
+		if (!this.#isQuiet(resource.name, change.server, nowMs)) {
+			return undefined;
+		}
+
+		this.#quiet.delete(resource.name);
+		return `All ${live.length} entry hosts have stopped sending to ${change.server}, and nothing runs there any more.`;
+	}
+
+	/** Load reports lag: only reports made after the last entry host stopped count. */
+	#isQuiet(name: string, server: string, nowMs: number): boolean {
+		const sighting = this.#sightings.get(server);
+		if (!sighting || nowMs - sighting.atMs > this.#timing.serverSilenceMs) {
+			// A server that has been silent for long runs nothing that could be cut by waiting less.
+			return nowMs - this.#electedMs >= this.#timing.serverSilenceMs;
+		}
+
+		const {sequence, incarnation, load} = sighting.announcement;
+		const noted = this.#quiet.get(name);
+		if (noted?.incarnation !== incarnation) {
+			this.#quiet.set(name, {sequence, incarnation});
+			return false;
+		}
+
+		const isLate = sequence >= noted.sequence + 2;
+		return isLate && (load?.running ?? 0) === 0 && (load?.waiting ?? 0) === 0;
+	}
+
+	#tickOrders(state: ControlState, authority: Authority): ControllerEffect[] {
+		const effects: ControllerEffect[] = [];
+		for (const order of state.listOpenOrders()) {
+			const effect = this.#driveOrder(order, authority);
+			if (effect) {
+				effects.push(effect);
+			}
+		}
+
+		return effects;
+	}
+
+	#driveOrder(order: OpenOrder, {nowMs, leaseUntilMs}: Authority): ControllerEffect | undefined {
+		const sighting = this.#sightings.get(order.server);
+		if (!sighting) {
+			return undefined;
+		}
+
+		const server = sighting.announcement;
+		const attempt = this.#attemptOf(order);
+		if (nowMs - attempt.triedMs < this.#timing.orderRetryMs) {
+			return undefined;
+		}
+
+		// An order whose sending is not remembered may have gone out: from another leader, or without an answer.
+		if (attempt.state !== 'unsent' && this.#mechanisms.readBack) {
+			attempt.triedMs = nowMs;
+			return {type: 'read-back', server, order};
+		}
+
+		const checksFence = server.checksFence === true;
+		if (!checksFence && !this.#hasWaitedOut(nowMs)) {
+			return undefined;
+		}
+
+		const notAfterMs = checksFence ? Number.POSITIVE_INFINITY : leaseUntilMs - (this.#timing.orderTransitMs / 4);
+		if (this.#mechanisms.waitOutLease && nowMs >= notAfterMs) {
+			return undefined;
+		}
+
+		attempt.state = 'sent';
+		attempt.triedMs = nowMs;
+		return {
+			type: 'send-order', server, order, notAfterMs,
+		};
+	}
+
+	/** The predecessor's authority, and any order it wrote at the end of it, are over. */
+	#hasWaitedOut(nowMs: number): boolean {
+		const waitMs = this.#timing.authorityMs + this.#timing.orderTransitMs;
+		return !this.#mechanisms.waitOutLease || nowMs - this.#electedMs >= waitMs;
+	}
+
+	#attemptOf(order: OpenOrder): Attempt {
+		const known = this.#attempts.get(order.server);
+		if (known?.order === order.order) {
+			return known;
+		}
+
+		const attempt: Attempt = {order: order.order, state: 'unresolved', triedMs: Number.NEGATIVE_INFINITY};
+		this.#attempts.set(order.server, attempt);
+		return attempt;
+	}
+
+	#tickClaims(state: ControlState, {nowMs, wallMs}: Authority): ControllerEffect[] {
+		const graceMs = this.#timing.viewLeaseMs + this.#timing.claimGraceMs;
+		if (nowMs - this.#electedMs < graceMs) {
+			return [];
+		}
+
+		const effects: ControllerEffect[] = [];
+		for (const record of state.ledger.listOpen()) {
+			const session = this.#sessions.get(record.host);
+			const isHeld = session !== undefined && record.attempt.startsWith(session.boot)
+				&& session.leaseUntilMs + this.#timing.claimGraceMs > nowMs;
+			if (!isHeld && this.#mayPropose(`claim ${record.attempt}`, nowMs)) {
+				const outcome = record.key.startsWith(QUARANTINE_PREFIX) ? 'not-run' : 'unknown';
+				effects.push({
+					type: 'propose',
+					command: {
+						type: 'settle', at: wallMs, key: record.key, attempt: record.attempt, outcome,
+					},
+				});
+			}
+		}
+
+		return effects;
+	}
+
+	#see(announcement: Announcement, nowMs: number): void {
+		const known = this.#sightings.get(announcement.server)?.announcement;
+		if (!known || isNewer(announcement, known)) {
+			this.#sightings.set(announcement.server, {announcement, atMs: nowMs});
+		}
+	}
+
+	/** Keeps a proposal from being made again while it is on its way. */
+	#mayPropose(key: string, nowMs: number): boolean {
+		const lastMs = this.#proposed.get(key) ?? Number.NEGATIVE_INFINITY;
+		if (nowMs - lastMs < this.#timing.orderRetryMs) {
+			return false;
+		}
+
+		this.#proposed.set(key, nowMs);
+		for (const [other, atMs] of this.#proposed) {
+			if (nowMs - atMs > this.#timing.orderRetryMs * 10) {
+				this.#proposed.delete(other);
+			}
+		}
+
+		return true;
+	}
+}
+
+/** Limits a rate, with a burst. */
+export class TokenBucket {
+	readonly #perMs: number;
+	readonly #burst: number;
+	#tokens: number;
+	#atMs: number;
+
+	constructor(rate: {readonly perSecond: number; readonly burst: number}, nowMs: number) {
+		this.#perMs = rate.perSecond / 1000;
+		this.#burst = rate.burst;
+		this.#tokens = rate.burst;
+		this.#atMs = nowMs;
+	}
+
+	/** Takes one token if there is one. */
+	take(nowMs: number): boolean {
+		this.#tokens = Math.min(this.#burst, this.#tokens + ((nowMs - this.#atMs) * this.#perMs));
+		this.#atMs = nowMs;
+		if (this.#tokens < 1) {
+			return false;
+		}
+
+		this.#tokens--;
+		return true;
+	}
+}
+
+/**
+ * Tells whether an announcement came later than another of the same server.
+ *
+ * @example
+ * ```ts
+ * isNewer({...announcement, sequence: 8}, {...announcement, sequence: 7}); // true
+ * ```
+ */
+export function isNewer(candidate: Announcement, known: Announcement): boolean {
+	if (candidate.incarnation !== known.incarnation) {
+		return candidate.incarnation > known.incarnation;
+	}
+
+	return candidate.sequence > known.sequence;
+}
+
+function planOrder(change: Change): {readonly server: string; readonly action: Action} {
+	switch (change.action) {
+		case 'role': {
+			return {server: change.server, action: {type: 'role', role: change.role ?? 'mixed'}};
+		}
+
+		case 'load': {
+			return {server: change.server, action: {type: 'load', model: change.model, modelVersion: change.modelVersion}};
+		}
+
+		case 'replace': {
+			const server = change.replacement ?? change.server;
+			const action: Action = change.model === undefined
+				? {type: 'resume'}
+				: {type: 'load', model: change.model, modelVersion: change.modelVersion};
+			return {server, action};
+		}
+
+		case 'drain':
+		case 'withdraw': {
+			return {server: change.server, action: {type: 'withdraw'}};
+		}
+	}
+}
--- /dev/null
+++ b/src/control/order.ts
@@ -0,0 +1,173 @@
+/**
+ * Sends orders to backend servers and reads back what became of them.
+ *
+ * Every order goes out on a connection opened for it. For a server that does not check fencing numbers the authority
+ * is checked after the connection stands, right before the bytes are written.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import net from 'node:net';
+import type {Clock} from '../base/clock.js';
+import type {Announcement} from '../generated/types.js';
+import type {OrderReport, OrderSend} from './controller.js';
+import type {OpenOrder} from './state.js';
+
+const ORDER_TIMEOUT_MS = 800;
+const MAX_REPLY_BYTES = 65_536;
+const HTTP_CONFLICT = 409;
+
+type Reply = {
+	readonly status: number;
+	readonly body: {
+		readonly order?: number;
+		readonly state?: string;
+		readonly note?: string;
+	};
+};
+
+type OrderRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly body: string;
+	/** Whether the bytes may still be written, asked once the connection stands. */
+	readonly mayWrite: () => boolean;
+};
+
+/**
+ * Sends an order and reports what the server said; the read-back tells when it is done.
+ *
+ * @example
+ * ```ts
+ * const report = await sendOrder(effect, clock);
+ * ```
+ */
+export async function sendOrder(effect: OrderSend, clock: Clock): Promise<OrderReport> {
+	const {server, order, notAfterMs} = effect;
+	const reply = await exchange(server, {
+		method: 'POST',
+		path: '/orders',
+		body: JSON.stringify({order: order.order, ...order.action}),
+		mayWrite: () => clock.monotonicMs() < notAfterMs,
+	});
+	return describeReply(reply, order);
+}
+
+/**
+ * Asks a server for the last order it took.
+ *
+ * @example
+ * ```ts
+ * const report = await readBack(server, order);
+ * report.type; // 'done', 'running', 'absent', 'failed' or 'lost'
+ * ```
+ */
+export async function readBack(server: Announcement, order: OpenOrder): Promise<OrderReport> {
+	const reply = await exchange(server, {
+		method: 'GET', path: '/orders', body: '', mayWrite: () => true,
+	});
+	return describeReply(reply, order);
+}
+
+function describeReply(reply: Reply | undefined, {server, order}: OpenOrder): OrderReport {
+	if (!reply) {
+		return {type: 'lost', server, order};
+	}
+
+	const {body} = reply;
+	const highest = body.order ?? 0;
+	if (highest > order) {
+		return {
+			type: 'failed', server, order, note: `${server} already holds order ${highest}.`,
+		};
+	}
+
+	if (reply.status === HTTP_CONFLICT) {
+		return {
+			type: 'failed', server, order, note: `${server} refused the order: ${body.note ?? 'no reason given'}.`,
+		};
+	}
+
+	if (highest < order) {
+		return {type: 'absent', server, order};
+	}
+
+	switch (body.state) {
+		case 'done': {
+			return {
+				type: 'done', server, order, note: `${server} has carried out order ${order}.`,
+			};
+		}
+
+		case 'failed': {
+			return {
+				type: 'failed', server, order, note: `${server} could not carry out order ${order}: ${body.note ?? ''}`,
+			};
+		}
+
+		default: {
+			return {type: 'running', server, order};
+		}
+	}
+}
+
+async function exchange(server: Announcement, request: OrderRequest): Promise<Reply | undefined> {
+	const socket = net.connect({host: server.address, port: server.port});
+	const timer = setTimeout(() => socket.destroy(), ORDER_TIMEOUT_MS);
+	const reply = await new Promise<Reply | undefined>(resolve => {
+		socket.once('error', () => {
+			resolve(undefined);
+		});
+		socket.once('close', () => {
+			resolve(undefined);
+		});
+		socket.once('connect', () => {
+			if (!request.mayWrite()) {
+				socket.destroy();
+				return;
+			}
+
+			writeRequest(socket, request, resolve);
+		});
+	});
+	clearTimeout(timer);
+	socket.destroy();
+	return reply;
+}
+
+function writeRequest(socket: net.Socket, request: OrderRequest, resolve: (reply: Reply | undefined) => void): void {
+	const outgoing = http.request({
+		createConnection: () => socket,
+		method: request.method,
+		path: request.path,
+		headers: {
+			host: 'backend', 'content-type': 'application/json', 'content-length': Buffer.byteLength(request.body), connection: 'close',
+		},
+	});
+	outgoing.once('error', () => {
+		resolve(undefined);
+	});
+	outgoing.once('response', response => {
+		let text = '';
+		response.setEncoding('utf8');
+		response.on('data', (chunk: string) => {
+			text += chunk;
+			if (text.length > MAX_REPLY_BYTES) {
+				socket.destroy();
+			}
+		});
+		response.once('end', () => {
+			resolve(parseReply(response.statusCode ?? 0, text));
+		});
+	});
+	outgoing.end(request.body);
+}
+
+function parseReply(status: number, text: string): Reply | undefined {
+	try {
+		return {status, body: JSON.parse(text) as Reply['body']};
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/daemon/host.ts
@@ -0,0 +1,351 @@
+/**
+ * One process: the roles that its settings name, joined together, started and stopped.
+ *
+ * @module
+ */
+import type {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {createWriteStream, type WriteStream} from 'node:fs';
+import {readFile} from 'node:fs/promises';
+import * as Either from 'fp-ts/lib/Either.js';
+import {createClock, type Clock} from '../base/clock.js';
+import type {LoggerFactory} from '../base/logger.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import {createRandom, type Random} from '../base/random.js';
+import {ControlClient} from '../control/client.js';
+import {ControlService} from '../control/service.js';
+import {EngineClient} from '../entry/engine.js';
+import {Fleet} from '../entry/fleet.js';
+import {Journal} from '../entry/journal.js';
+import {createMetrics, type Metrics} from '../entry/metrics.js';
+import {ModelHandler, type FinishedRequest} from '../entry/model.js';
+import {OperatorHandler} from '../entry/operator.js';
+import {PlainClient} from '../entry/plain.js';
+import {Quarantine} from '../entry/quarantine.js';
+import {EntryServer} from '../entry/server.js';
+import {ServiceHandler} from '../entry/service.js';
+import {View, ViewTask} from '../entry/view.js';
+import type {Message, Settings} from '../generated/types.js';
+import {Directory} from '../membership/directory.js';
+import {GossipTask} from '../membership/gossip.js';
+import {Listener, type Connection} from '../wire/connection.js';
+
+export type HostOptions = {
+	readonly settings: Settings;
+	readonly loggers: LoggerFactory;
+	readonly onFatal: (problem: Problem) => void;
+};
+
+export type HostAddresses = {
+	readonly httpPort: number;
+	readonly peerPort: number;
+};
+
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_HEADER_BYTES = 16_384;
+const DEFAULT_BODY_TIMEOUT_MS = 10_000;
+const DEFAULT_SHUTDOWN_MS = 600_000;
+/** How long the platform's balancer may need to see that this host is not ready. */
+const NOT_READY_MS = 1000;
+const POLL_MS = 50;
+
+/** A running process. Whoever started it stops it. */
+export class Host {
+	readonly #options: HostOptions;
+	readonly #boot = randomUUID();
+	readonly #clock: Clock = createClock();
+	readonly #random: Random = createRandom(Math.floor(Math.random() * 0xFF_FF_FF_FF));
+	readonly #metrics: Metrics = createMetrics();
+	readonly #listener: Listener;
+	#control: ControlService | undefined;
+	#entry: EntryRole | undefined;
+
+	constructor(options: HostOptions) {
+		this.#options = options;
+		this.#listener = new Listener((message, connection) => {
+			this.#receive(message, connection);
+		});
+	}
+
+	/** Starts the roles; a problem leaves nothing running. */
+	async start(): Promise<Either.Either<Problem, HostAddresses>> {
+		const {settings, loggers} = this.#options;
+		const peerPort = await this.#listener.listen(settings.peer);
+		if (Either.isLeft(peerPort)) {
+			return peerPort;
+		}
+
+		if (settings.roles.includes('control')) {
+			const control = await ControlService.start({
+				host: settings.host,
+				folder: settings.dataFolder ?? '',
+				peers: settings.control ?? [],
+				clock: this.#clock,
+				random: this.#random,
+				loggers,
+				onFatal: this.#options.onFatal,
+				onCommit: () => {
+					this.#metrics.commits.inc();
+				},
+			});
+			if (Either.isLeft(control)) {
+				this.#listener.close();
+				return control;
+			}
+
+			this.#control = control.right;
+		}
+
+		return this.#startEntry(peerPort.right);
+	}
+
+	/** Finishes what runs, hands over, and stops; cuts nothing within the time that the settings allow. */
+	async stop(): Promise<void> {
+		const logger = this.#options.loggers('daemon');
+		logger.info('Stops: not ready any more.');
+		this.#control?.handOver();
+		await this.#entry?.drain(this.#options.settings.limits?.shutdownMs ?? DEFAULT_SHUTDOWN_MS);
+		await this.close();
+		logger.info('Stopped.');
+	}
+
+	async close(): Promise<void> {
+		await this.#entry?.close();
+		await this.#control?.close();
+		this.#listener.close();
+	}
+
+	async #startEntry(peerPort: number): Promise<Either.Either<Problem, HostAddresses>> {
+		const {settings, loggers} = this.#options;
+		const entry = await EntryRole.start({
+			settings,
+			boot: this.#boot,
+			clock: this.#clock,
+			random: this.#random,
+			metrics: this.#metrics,
+			loggers,
+			peerPort,
+		});
+		if (Either.isLeft(entry)) {
+			await this.close();
+			return entry;
+		}
+
+		this.#entry = entry.right;
+		return Either.right({httpPort: entry.right.port, peerPort});
+	}
+
+	#receive(message: Message, connection: Connection): void {
+		if (message.type === 'gossip') {
+			this.#entry?.receive(message);
+			return;
+		}
+
+		if (this.#control) {
+			this.#control.receive(message, connection);
+			return;
+		}
+
+		if ('id' in message) {
+			const {code, text} = createProblem('notLeader', 'This host keeps no replica.');
+			connection.send({
+				type: 'refused', id: message.id, code, text,
+			});
+		}
+	}
+}
+
+type EntryOptions = {
+	readonly settings: Settings;
+	readonly boot: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly metrics: Metrics;
+	readonly loggers: LoggerFactory;
+	readonly peerPort: number;
+};
+
+/** The entry role of a process. */
+class EntryRole {
+	readonly #options: EntryOptions;
+	readonly #engines = new EngineClient();
+	readonly #servers = new PlainClient();
+	readonly #client: ControlClient;
+	readonly #viewTask: ViewTask;
+	readonly #models: ModelHandler;
+	readonly #server: EntryServer;
+	readonly #directory: Directory;
+	readonly #fleet: Fleet;
+	readonly #capture: WriteStream | undefined;
+	#gossip: GossipTask | undefined;
+	#port = 0;
+
+	private constructor(options: EntryOptions, tls: {cert: Buffer; key: Buffer} | undefined) {
+		this.#options = options;
+		const {settings, boot, clock, random, metrics, loggers} = options;
+		const {host, dataCentre} = settings;
+		const view = new View();
+		const journal = new Journal();
+		this.#directory = new Directory(host);
+		this.#client = new ControlClient({
+			seeds: settings.control ?? [], clock, onPushed: message => {
+				this.#viewTask.push(message);
+			},
+		});
+		this.#fleet = new Fleet({directory: this.#directory, view, clock});
+		this.#capture = settings.captureFile === undefined ? undefined : createWriteStream(settings.captureFile, {flags: 'a'});
+		this.#viewTask = new ViewTask({
+			host,
+			boot,
+			view,
+			client: this.#client,
+			clock,
+			logger: loggers('entry'),
+			countRunning: server => this.#fleet.loads.countOwn(server),
+			findAnnouncement: server => this.#directory.findServer(server),
+			onChange() {
+				metrics.viewVersion.set(view.version);
+			},
+		});
+		this.#models = new ModelHandler({
+			dataCentre,
+			directory: this.#directory,
+			view,
+			fleet: this.#fleet,
+			engines: this.#engines,
+			quarantine: new Quarantine({
+				client: this.#client, clock, host, boot,
+			}),
+			journal,
+			metrics,
+			clock,
+			random,
+			logger: loggers('routing'),
+			publish: fact => this.#gossip?.publish(fact, true),
+			onFinished: record => {
+				this.#record(record);
+			},
+		});
+		this.#server = new EntryServer({
+			host,
+			boot,
+			limits: {
+				bodyBytes: settings.limits?.bodyBytes ?? DEFAULT_BODY_BYTES,
+				bodyTimeoutMs: settings.limits?.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+				headerBytes: settings.limits?.headerBytes ?? DEFAULT_HEADER_BYTES,
+			},
+			tls,
+			operatorKeys: settings.operatorKeys,
+			callerKeys: settings.callerKeys,
+			models: this.#models,
+			services: new ServiceHandler({
+				host, boot, view, fleet: this.#fleet, client: this.#client, servers: this.#servers, journal, metrics, clock, random, logger: loggers('routing'),
+			}),
+			operators: new OperatorHandler({
+				host, client: this.#client, view, viewTask: this.#viewTask, directory: this.#directory, journal, clock,
+			}),
+			fleet: this.#fleet,
+			metrics,
+			logger: loggers('entry'),
+			isReady: () => this.#viewTask.isReady,
+			onAnnouncement: announcement => {
+				const fact = {type: 'server', announcement} as const;
+				this.#gossip?.publish(fact);
+				this.#fleet.noteFact(fact);
+			},
+		});
+	}
+
+	static async start(options: EntryOptions): Promise<Either.Either<Problem, EntryRole>> {
+		const tls = await readTls(options.settings);
+		if (Either.isLeft(tls)) {
+			return tls;
+		}
+
+		const role = new EntryRole(options, tls.right);
+		const port = await role.#server.listen(options.settings.http);
+		if (Either.isLeft(port)) {
+			await role.close();
+			return port;
+		}
+
+		role.#port = port.right;
+		role.#startGossip(port.right);
+		return Either.right(role);
+	}
+
+	get port(): number {
+		return this.#port;
+	}
+
+	receive(message: Extract<Message, {type: 'gossip'}>): void {
+		this.#gossip?.receive(message);
+	}
+
+	/** Leaves the fleet: not ready, no new connection, then waits for what runs. */
+	async drain(withinMs: number): Promise<void> {
+		const {clock} = this.#options;
+		const untilMs = clock.monotonicMs() + withinMs;
+		this.#server.beginStop();
+		this.#gossip?.leave();
+		await pause(NOT_READY_MS);
+		this.#server.stopAccepting();
+		while (this.#server.activeCount > 0 && clock.monotonicMs() < untilMs) {
+			await pause(POLL_MS);
+		}
+
+		await this.#viewTask.leave();
+	}
+
+	async close(): Promise<void> {
+		this.#server.close();
+		this.#models.close();
+		this.#viewTask.close();
+		this.#client.close();
+		this.#gossip?.close();
+		this.#capture?.end();
+		await this.#engines.close();
+		await this.#servers.close();
+	}
+
+	#startGossip(httpPort: number): void {
+		const {settings, clock, random, loggers, peerPort} = this.#options;
+		this.#gossip = new GossipTask({
+			directory: this.#directory,
+			self: {host: settings.host, address: settings.peer.address, port: peerPort},
+			http: {address: settings.http.address, port: httpPort},
+			dataCentre: settings.dataCentre,
+			incarnation: clock.wallMs(),
+			seeds: settings.peers ?? [],
+			clock,
+			random,
+			logger: loggers('membership'),
+			onFact: fact => {
+				this.#fleet.noteFact(fact);
+			},
+		});
+	}
+
+	#record(record: FinishedRequest): void {
+		this.#capture?.write(`${JSON.stringify(record)}\n`);
+	}
+}
+
+async function readTls(settings: Settings): Promise<Either.Either<Problem, {cert: Buffer; key: Buffer} | undefined>> {
+	if (!settings.tls) {
+		return Either.right(undefined);
+	}
+
+	try {
+		const [cert, key] = await Promise.all([readFile(settings.tls.certificateFile), readFile(settings.tls.keyFile)]);
+		return Either.right({cert, key});
+	} catch (error) {
+		return Either.left(createProblem('settingsInvalid', `/tls ${String(error)}`));
+	}
+}
+
+async function pause(durationMs: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
--- /dev/null
+++ b/src/entry/completion.ts
@@ -0,0 +1,212 @@
+/**
+ * Completions as OpenAI's API words them: checking requests, writing answers whole or as a stream.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
+import * as Either from 'fp-ts/lib/Either.js';
+import {createProblem, type Problem} from '../base/problem.js';
+
+export const APIS = {chat: 'chat', text: 'text'} as const;
+export type Api = keyof typeof APIS;
+
+/** A checked request for a completion. */
+export type CompletionRequest = {
+	readonly api: Api;
+	readonly model: string;
+	readonly isStream: boolean;
+	readonly includesUsage: boolean;
+	readonly maxTokens: number | undefined;
+	/** The prompt as one text, for estimates and prefix hashes. */
+	readonly prompt: string;
+	/** The same request has the same fingerprint, through whichever host it comes. */
+	readonly fingerprint: string;
+	/** What goes to the engine, without the fields that concern only the caller. */
+	readonly body: Readonly<Record<string, unknown>>;
+};
+
+export type Usage = {
+	readonly prompt_tokens: number;
+	readonly completion_tokens: number;
+	readonly total_tokens: number;
+};
+
+/**
+ * Checks a request's body.
+ *
+ * @example
+ * ```ts
+ * parseCompletion('chat', {model: 'chat-1', messages: [{role: 'user', content: 'Hello'}]});
+ * ```
+ */
+export function parseCompletion(api: Api, body: Readonly<Record<string, unknown>>): Either.Either<Problem, CompletionRequest> {
+	const refuse = (text: string) => Either.left(createProblem('badRequest', text));
+	const {model, stream, n} = body;
+	if (typeof model !== 'string' || model === '') {
+		return refuse('model must be a string.');
+	}
+
+	if (stream !== undefined && stream !== null && typeof stream !== 'boolean') {
+		return refuse('stream must be true or false.');
+	}
+
+	if (n !== undefined && n !== null && n !== 1) {
+		return refuse('n must be 1.');
+	}
+
+	const maxTokens = body.max_completion_tokens ?? body.max_tokens ?? undefined;
+	if (maxTokens !== undefined && (typeof maxTokens !== 'number' || !Number.isInteger(maxTokens) || maxTokens < 1)) {
+		return refuse('max_tokens must be a whole number of at least 1.');
+	}
+
+	const prompt = api === APIS.chat ? readMessages(body.messages) : readPrompt(body.prompt);
+	if (prompt === undefined) {
+		return refuse(api === APIS.chat ? 'messages must be a non-empty list of {role, content}.' : 'prompt must be a string or a list of one.');
+	}
+
+	const {stream: _stream, stream_options: options, ...rest} = body;
+	const includesUsage = (options as {include_usage?: unknown} | undefined)?.include_usage === true;
+	return Either.right({
+		api,
+		model,
+		isStream: stream === true,
+		includesUsage,
+		maxTokens,
+		prompt,
+		fingerprint: createHash('sha256').update(JSON.stringify(rest)).digest('base64url').slice(0, 24),
+		body: {...rest, stream: true, stream_options: {include_usage: true}},
+	});
+}
+
+/** Writes an answer to the caller as it comes. */
+export interface AnswerWriter {
+	/** Takes one token; false if the caller does not keep up. */
+	token(text: string): boolean;
+	complete(finishReason: string, usage: Usage): void;
+}
+
+export type WriterOptions = {
+	readonly id: string;
+	readonly request: CompletionRequest;
+	readonly createdSeconds: number;
+	readonly response: ServerResponse;
+};
+
+const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+
+/** Writes an answer as one JSON document. */
+export class WholeWriter implements AnswerWriter {
+	readonly #options: WriterOptions;
+	#text = '';
+
+	constructor(options: WriterOptions) {
+		this.#options = options;
+	}
+
+	token(text: string): boolean {
+		this.#text += text;
+		return true;
+	}
+
+	complete(finishReason: string, usage: Usage): void {
+		const {id, request, createdSeconds, response} = this.#options;
+		const choice = request.api === APIS.chat
+			? {
+				index: 0, message: {role: 'assistant', content: this.#text, refusal: null}, logprobs: null, finish_reason: finishReason,
+			}
+			: {
+				index: 0, text: this.#text, logprobs: null, finish_reason: finishReason,
+			};
+		const object = request.api === APIS.chat ? 'chat.completion' : 'text_completion';
+		const body = JSON.stringify({
+			id, object, created: createdSeconds, model: request.model, choices: [choice], usage,
+		});
+		response.writeHead(200, {
+			'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': id,
+		});
+		response.end(body);
+	}
+}
+
+/** Writes an answer as server-sent events. */
+export class StreamWriter implements AnswerWriter {
+	readonly #options: WriterOptions;
+	readonly #head: string;
+	#hasStarted = false;
+
+	constructor(options: WriterOptions) {
+		this.#options = options;
+		const {id, request, createdSeconds} = options;
+		const object = request.api === APIS.chat ? 'chat.completion.chunk' : 'text_completion';
+		// The part that all events share is written once: only the token differs.
+		this.#head = `data: ${JSON.stringify({
+			id, object, created: createdSeconds, model: request.model,
+		}).slice(0, -1)},"choices":[`;
+	}
+
+	token(text: string): boolean {
+		const {request, response} = this.#options;
+		const content = JSON.stringify(text);
+		const choice = request.api === APIS.chat
+			? `{"index":0,"delta":{"content":${content}},"logprobs":null,"finish_reason":null}`
+			: `{"index":0,"text":${content},"logprobs":null,"finish_reason":null}`;
+		this.#start();
+		response.write(`${this.#head}${choice}]}\n\n`);
+		return response.writableLength < MAX_BUFFERED_BYTES;
+	}
+
+	complete(finishReason: string, usage: Usage): void {
+		const {request, response} = this.#options;
+		const reason = JSON.stringify(finishReason);
+		const choice = request.api === APIS.chat
+			? `{"index":0,"delta":{},"logprobs":null,"finish_reason":${reason}}`
+			: `{"index":0,"text":"","logprobs":null,"finish_reason":${reason}}`;
+		this.#start();
+		const usageEvent = request.includesUsage ? `${this.#head}],"usage":${JSON.stringify(usage)}}\n\n` : '';
+		response.end(`${this.#head}${choice}]}\n\n${usageEvent}data: [DONE]\n\n`);
+	}
+
+	#start(): void {
+		if (this.#hasStarted) {
+			return;
+		}
+
+		this.#hasStarted = true;
+		const {id, request, response} = this.#options;
+		response.writeHead(200, {
+			'content-type': 'text/event-stream; charset=utf-8', 'cache-control': 'no-cache', 'x-request-id': id,
+		});
+		if (request.api === APIS.chat) {
+			response.write(`${this.#head}{"index":0,"delta":{"role":"assistant","content":""},"logprobs":null,"finish_reason":null}]}\n\n`);
+		}
+	}
+}
+
+function readMessages(messages: unknown): string | undefined {
+	if (!Array.isArray(messages) || messages.length === 0) {
+		return undefined;
+	}
+
+	const parts: string[] = [];
+	for (const message of messages as unknown[]) {
+		const {role, content} = (message ?? {}) as {role?: unknown; content?: unknown};
+		const isContent = typeof content === 'string' || Array.isArray(content) || content === null;
+		if (typeof role !== 'string' || !isContent) {
+			return undefined;
+		}
+
+		parts.push(`${role}: ${typeof content === 'string' ? content : JSON.stringify(content)}`);
+	}
+
+	return parts.join('\n');
+}
+
+function readPrompt(prompt: unknown): string | undefined {
+	if (typeof prompt === 'string') {
+		return prompt;
+	}
+
+	return Array.isArray(prompt) && prompt.length === 1 && typeof prompt[0] === 'string' ? prompt[0] : undefined;
+}
--- /dev/null
+++ b/src/entry/engine.ts
@@ -0,0 +1,297 @@
+/**
+ * One attempt at a model engine: sends the request, checks every event of the answer, and says how it ended.
+ *
+ * A connection whose attempt did not end whole is destroyed, so that a late answer finds no reader.
+ *
+ * @module
+ */
+import type {Buffer} from 'node:buffer';
+import {createParser} from 'eventsource-parser';
+import {Agent, Client, type Dispatcher} from 'undici';
+import type {Announcement} from '../generated/types.js';
+
+/** How an attempt ended. */
+export type AttemptEnd
+	= | {readonly type: 'complete'; readonly finishReason: string; readonly promptTokens: number; readonly load: string | undefined}
+	/** The engine refused before running it. */
+		| {readonly type: 'refused'; readonly status: number; readonly text: string}
+	/** The request itself is wrong. */
+		| {readonly type: 'rejected'; readonly status: number; readonly text: string}
+	/** No connection could be made. */
+		| {readonly type: 'unreachable'}
+	/** No event came in time. */
+		| {readonly type: 'silent'}
+	/** The connection broke before the end. */
+		| {readonly type: 'broken'}
+	/** The answer belongs to another request or has a gap. */
+		| {readonly type: 'mismatch'; readonly text: string}
+		| {readonly type: 'cancelled'};
+
+export type Attempt = {
+	/** Identity that the engine must echo. */
+	readonly id: string;
+	readonly path: string;
+	readonly body: Readonly<Record<string, unknown>>;
+	/** Tokens that the caller already has. */
+	readonly offset: number;
+	/** Longest wait for the first event, milliseconds. */
+	readonly firstEventMs: number;
+	/** Longest wait between two events, milliseconds. */
+	readonly gapMs: number;
+	/** Whether to open a new connection rather than take a pooled one. */
+	readonly isFresh: boolean;
+	readonly priority: number;
+	readonly onToken: (text: string) => void;
+};
+
+type EngineEvent = {
+	readonly id?: string;
+	readonly offset?: number;
+	readonly choices?: ReadonlyArray<{
+		readonly delta?: {readonly content?: string};
+		readonly text?: string;
+		readonly finish_reason?: string | null;
+	}>;
+	readonly usage?: {readonly prompt_tokens?: number} | null;
+};
+
+export type RunningAttempt = {
+	readonly end: Promise<AttemptEnd>;
+	cancel(): void;
+};
+
+const IDLE_CONNECTION_MS = 4000;
+const CONNECT_TIMEOUT_MS = 1000;
+const MAX_ERROR_CHARACTERS = 2000;
+const REFUSED_STATUSES = new Set([409, 429, 503]);
+
+/** Connections to engines. Whoever created it closes it. */
+export class EngineClient {
+	readonly #agent = new Agent({
+		pipelining: 1,
+		keepAliveTimeout: IDLE_CONNECTION_MS,
+		keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+		connect: {timeout: CONNECT_TIMEOUT_MS},
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+
+	/**
+	 * Starts an attempt.
+	 *
+	 * @example
+	 * ```ts
+	 * const attempt = client.start(server, {id: 'r1.1', path: '/v1/chat/completions', …});
+	 * const end = await attempt.end;
+	 * ```
+	 */
+	start(server: Announcement, attempt: Attempt): RunningAttempt {
+		const origin = `http://${formatHost(server.address)}:${server.port}`;
+		const dispatcher = attempt.isFresh ? createFreshClient(origin) : this.#agent;
+		const handler = new AttemptHandler(attempt);
+		const options: Dispatcher.DispatchOptions = {
+			origin,
+			path: attempt.path,
+			method: 'POST',
+			headers: {
+				'content-type': 'application/json',
+				'x-request-id': attempt.id,
+				'x-priority': String(attempt.priority),
+			},
+			body: JSON.stringify(attempt.body),
+			reset: attempt.isFresh,
+		};
+		dispatcher.dispatch(options, handler);
+		const end = handler.end.then(result => {
+			if (attempt.isFresh) {
+				void dispatcher.destroy();
+			}
+
+			return result;
+		});
+		return {
+			end, cancel() {
+				handler.finish({type: 'cancelled'});
+			},
+		};
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
+
+/**
+ * Writes an IP number as the host of a URL.
+ *
+ * @example
+ * ```ts
+ * formatHost('::1'); // '[::1]'
+ * ```
+ */
+export function formatHost(address: string): string {
+	return address.includes(':') ? `[${address}]` : address;
+}
+
+function createFreshClient(origin: string): Client {
+	return new Client(origin, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
+}
+
+/** Takes the events of one exchange as undici delivers them. */
+class AttemptHandler implements Dispatcher.DispatchHandler {
+	readonly end: Promise<AttemptEnd>;
+	readonly #attempt: Attempt;
+	readonly #decoder = new TextDecoder();
+	readonly #parser = createParser({
+		onEvent: event => {
+			this.#onEvent(event.data);
+		},
+	});
+
+	#resolve: (end: AttemptEnd) => void = () => undefined;
+	#controller: Dispatcher.DispatchController | undefined;
+	#timer: NodeJS.Timeout;
+	#isFinished = false;
+	#hasEvent = false;
+	#status = 0;
+	#load: string | undefined;
+	#errorText = '';
+	#offset: number;
+	#finishReason: string | undefined;
+	#promptTokens = 0;
+	#isDone = false;
+
+	constructor(attempt: Attempt) {
+		this.#attempt = attempt;
+		this.#offset = attempt.offset;
+		this.end = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+		this.#timer = setTimeout(() => {
+			this.finish({type: 'silent'});
+		}, attempt.firstEventMs);
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#isFinished) {
+			controller.abort(new Error('finished'));
+		}
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		this.#status = status;
+		const load = headers['carawayhoist-load'];
+		this.#load = typeof load === 'string' ? load : undefined;
+	}
+
+	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		if (this.#status !== 200) {
+			this.#errorText = (this.#errorText + chunk.toString('utf8')).slice(0, MAX_ERROR_CHARACTERS);
+			return;
+		}
+
+		this.#touch();
+		this.#parser.feed(this.#decoder.decode(chunk, {stream: true}));
+	}
+
+	onResponseEnd(): void {
+		if (this.#status !== 200) {
+			const type = REFUSED_STATUSES.has(this.#status) || this.#status >= 500 ? 'refused' : 'rejected';
+			this.finish({type, status: this.#status, text: this.#errorText});
+			return;
+		}
+
+		if (this.#isDone && this.#finishReason !== undefined) {
+			this.finish({
+				type: 'complete', finishReason: this.#finishReason, promptTokens: this.#promptTokens, load: this.#load,
+			});
+			return;
+		}
+
+		this.finish({type: 'broken'});
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
+		const isUnreachable = error.code === 'ECONNREFUSED' || error.code === 'UND_ERR_CONNECT_TIMEOUT' || error.code === 'EHOSTUNREACH';
+		this.finish({type: isUnreachable ? 'unreachable' : 'broken'});
+	}
+
+	finish(end: AttemptEnd): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		this.#isFinished = true;
+		clearTimeout(this.#timer);
+		if (end.type !== 'complete' && end.type !== 'refused' && end.type !== 'rejected') {
+			this.#controller?.abort(new Error(end.type));
+		}
+
+		this.#resolve(end);
+	}
+
+	#touch(): void {
+		if (this.#hasEvent) {
+			this.#timer.refresh();
+			return;
+		}
+
+		this.#hasEvent = true;
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			this.finish({type: 'silent'});
+		}, this.#attempt.gapMs);
+	}
+
+	#onEvent(data: string): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		if (data === '[DONE]') {
+			this.#isDone = true;
+			return;
+		}
+
+		let event: EngineEvent;
+		try {
+			event = JSON.parse(data) as EngineEvent;
+		} catch {
+			this.finish({type: 'mismatch', text: 'An event is not JSON.'});
+			return;
+		}
+
+		this.#takeEvent(event);
+	}
+
+	#takeEvent(event: EngineEvent): void {
+		if (event.id !== this.#attempt.id) {
+			this.finish({type: 'mismatch', text: `The answer is for ${event.id ?? 'nobody'}.`});
+			return;
+		}
+
+		this.#promptTokens = event.usage?.prompt_tokens ?? this.#promptTokens;
+		const choice = event.choices?.[0];
+		if (!choice) {
+			return;
+		}
+
+		const text = choice.delta?.content ?? choice.text;
+		if (text !== undefined && text !== '') {
+			if (event.offset !== this.#offset) {
+				this.finish({type: 'mismatch', text: `Expected token ${this.#offset}, got ${event.offset ?? 'none'}.`});
+				return;
+			}
+
+			this.#offset++;
+			this.#attempt.onToken(text);
+		}
+
+		this.#finishReason = choice.finish_reason ?? this.#finishReason;
+	}
+}
--- /dev/null
+++ b/src/entry/exchange.ts
@@ -0,0 +1,177 @@
+/**
+ * One exchange with a caller or operator over HTTP: reading the body within limits, answering, refusing.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import * as Either from 'fp-ts/lib/Either.js';
+import {createProblem, type Problem} from '../base/problem.js';
+
+export type Exchange = {
+	readonly id: string;
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly method: string;
+	readonly path: string;
+	readonly query: URLSearchParams;
+};
+
+export type BodyLimits = {
+	readonly bodyBytes: number;
+	readonly bodyTimeoutMs: number;
+};
+
+/**
+ * Reads a request's body; too long or too slow a one is a problem.
+ *
+ * @example
+ * ```ts
+ * const body = await readBody(request, {bodyBytes: 1024, bodyTimeoutMs: 1000});
+ * ```
+ */
+export async function readBody(request: IncomingMessage, limits: BodyLimits): Promise<Either.Either<Problem, Buffer>> {
+	const declared = Number(request.headers['content-length'] ?? 0);
+	if (declared > limits.bodyBytes) {
+		return Either.left(createProblem('bodyTooLarge', `At most ${limits.bodyBytes} bytes.`));
+	}
+
+	return new Promise(resolve => {
+		const chunks: Buffer[] = [];
+		let length = 0;
+		const timer = setTimeout(() => {
+			finish(Either.left(createProblem('requestTimeout')));
+		}, limits.bodyTimeoutMs);
+		const finish = (result: Either.Either<Problem, Buffer>) => {
+			clearTimeout(timer);
+			request.off('data', onData);
+			resolve(result);
+		};
+
+		const onData = (chunk: Buffer) => {
+			length += chunk.length;
+			if (length > limits.bodyBytes) {
+				finish(Either.left(createProblem('bodyTooLarge', `At most ${limits.bodyBytes} bytes.`)));
+				return;
+			}
+
+			chunks.push(chunk);
+		};
+
+		request.on('data', onData);
+		request.once('end', () => {
+			finish(Either.right(Buffer.concat(chunks)));
+		});
+		request.once('error', () => {
+			finish(Either.left(createProblem('badRequest', 'The body broke off.')));
+		});
+		request.once('close', () => {
+			finish(Either.left(createProblem('badRequest', 'The body broke off.')));
+		});
+	});
+}
+
+/**
+ * Parses a JSON object.
+ *
+ * @example
+ * ```ts
+ * parseJson(Buffer.from('{"a": 1}')); // Either.right({a: 1})
+ * ```
+ */
+export function parseJson(body: Buffer): Either.Either<Problem, Record<string, unknown>> {
+	const parsed = Either.tryCatch((): unknown => JSON.parse(body.toString('utf8')), () => createProblem('badRequest', 'The body is not JSON.'));
+	if (Either.isLeft(parsed)) {
+		return parsed;
+	}
+
+	const value = parsed.right;
+	return typeof value === 'object' && value !== null && !Array.isArray(value)
+		? Either.right(value as Record<string, unknown>)
+		: Either.left(createProblem('badRequest', 'The body is not a JSON object.'));
+}
+
+/**
+ * Answers with JSON.
+ *
+ * @example
+ * ```ts
+ * sendJson(exchange, 200, {ok: true});
+ * ```
+ */
+export function sendJson(exchange: Exchange, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void {
+	const body = JSON.stringify(value);
+	if (exchange.response.headersSent || exchange.response.destroyed) {
+		return;
+	}
+
+	exchange.response.writeHead(status, {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(body),
+		'x-request-id': exchange.id,
+		...headers,
+	});
+	exchange.response.end(body);
+}
+
+/**
+ * Refuses with a numbered problem: in the headers and in a body of the shape that OpenAI's API uses.
+ *
+ * @example
+ * ```ts
+ * sendProblem(exchange, createProblem('noQuorum', undefined, 1));
+ * ```
+ */
+export function sendProblem(exchange: Exchange, problem: Problem): void {
+	const headers: Record<string, string> = {
+		'carawayhoist-code': String(problem.code),
+		'carawayhoist-outcome': problem.verdict,
+	};
+	if (problem.retryAfterSeconds !== undefined) {
+		headers['retry-after'] = String(problem.retryAfterSeconds);
+	}
+
+	// What is left of a body that was not read must not be taken for the next request.
+	if (!exchange.request.complete) {
+		headers.connection = 'close';
+	}
+
+	sendJson(exchange, problem.status, createErrorBody(problem), headers);
+	if (!exchange.request.complete) {
+		exchange.request.resume();
+	}
+}
+
+/**
+ * Creates the body of a refusal.
+ *
+ * @example
+ * ```ts
+ * createErrorBody(createProblem('poisoned')).error.code; // 3003
+ * ```
+ */
+export function createErrorBody(problem: Problem) {
+	return {
+		error: {
+			message: problem.text,
+			type: problem.status >= 500 ? 'server_error' : 'invalid_request_error',
+			param: null,
+			code: problem.code,
+			name: problem.name,
+			outcome: problem.verdict,
+		},
+	};
+}
+
+/**
+ * Reads one header; of a repeated one the first.
+ *
+ * @example
+ * ```ts
+ * readHeader(request, 'idempotency-key');
+ * ```
+ */
+export function readHeader(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name.toLowerCase()];
+	return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/entry/fleet.ts
@@ -0,0 +1,123 @@
+/**
+ * The backend servers as an entry host may use them now: announced, not leaving, not changing, not suspected.
+ *
+ * @module
+ */
+import type {Clock} from '../base/clock.js';
+import {hashBlocks, BLOCK_CHARACTERS, PrefixIndex} from '../routing/prefix.js';
+import {
+	DEFAULT_SPEED, ENGINE_ROLES, type Candidate, type EngineRole,
+} from '../routing/choice.js';
+import {HealthTracker, ProgressHistory} from '../routing/health.js';
+import {LoadTracker} from '../routing/load.js';
+import type {Announcement, Fact} from '../generated/types.js';
+import type {Directory} from '../membership/directory.js';
+import type {View} from './view.js';
+
+/** Characters of a prompt for each token, as an estimate. */
+export const CHARACTERS_PER_TOKEN = 4;
+/** KV tokens that one piece of an engine's capacity holds. */
+export const TOKENS_PER_PIECE = 64;
+const DEFAULT_MAX_RUNNING = 64;
+const DEFAULT_PIECES = 1000;
+const TOKENS_PER_BLOCK = BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN;
+
+export type FleetOptions = {
+	readonly directory: Directory;
+	readonly view: View;
+	readonly clock: Clock;
+};
+
+/** Joins what is known of the servers into candidates for the choice. */
+export class Fleet {
+	readonly loads = new LoadTracker();
+	readonly prefixes = new PrefixIndex();
+	readonly health = new HealthTracker();
+	readonly progress = new ProgressHistory();
+	readonly #options: FleetOptions;
+	readonly #incarnations = new Map<string, number>();
+
+	constructor(options: FleetOptions) {
+		this.#options = options;
+	}
+
+	/** Takes news of a server in. */
+	noteFact(fact: Fact): void {
+		if (fact.type !== 'server') {
+			return;
+		}
+
+		const {server, incarnation, load} = fact.announcement;
+		if (this.#incarnations.get(server) !== incarnation) {
+			this.#incarnations.set(server, incarnation);
+			this.prefixes.forget(server);
+			this.health.noteSuccess(server);
+		}
+
+		if (load) {
+			this.loads.report(server, {prefillTokens: 0, decodeTokens: 0, ...load}, this.#options.clock.monotonicMs());
+		}
+	}
+
+	findServer(server: string): Announcement | undefined {
+		return this.#options.directory.findServer(server);
+	}
+
+	/** Engines that may take a request for a model. */
+	listEngines(model: string, prompt: string, excluded: ReadonlySet<string>): Candidate[] {
+		const hashes = hashBlocks(prompt);
+		return this.#listUsable(excluded, announcement => servesModel(announcement, model))
+			.map(announcement => this.#createCandidate(announcement, hashes));
+	}
+
+	/** Plain servers that may take a call to a service. */
+	listPlain(service: string, excluded: ReadonlySet<string>): Announcement[] {
+		return this.#listUsable(excluded, announcement => announcement.kind === 'plain' && (announcement.services ?? []).includes(service));
+	}
+
+	/** Models that some engine serves. */
+	listModels(): string[] {
+		const servers = this.#options.directory.listServers(this.#options.clock.monotonicMs());
+		return [...new Set(servers.flatMap(announcement => announcement.models ?? []))].toSorted();
+	}
+
+	/** Tokens that all engines of a model hold. */
+	capacityTokens(model: string): number {
+		const servers = this.#listUsable(new Set(), announcement => servesModel(announcement, model));
+		return servers.reduce((sum, announcement) => sum + ((announcement.capacity ?? DEFAULT_PIECES) * TOKENS_PER_PIECE), 0);
+	}
+
+	/** Suspected servers come back into the choice when nothing else is left. */
+	#listUsable(excluded: ReadonlySet<string>, isWanted: (announcement: Announcement) => boolean): Announcement[] {
+		const nowMs = this.#options.clock.monotonicMs();
+		const usable = this.#options.directory.listServers(nowMs).filter(announcement => announcement.leaving !== true
+			&& isWanted(announcement)
+			&& !excluded.has(announcement.server)
+			&& !this.#options.view.findExclusion(announcement.server));
+		const healthy = usable.filter(announcement => !this.health.isSuspected(announcement.server, nowMs));
+		return healthy.length > 0 ? healthy : usable;
+	}
+
+	#createCandidate(announcement: Announcement, hashes: readonly number[]): Candidate {
+		const {server} = announcement;
+		const pieces = announcement.capacity ?? DEFAULT_PIECES;
+		return {
+			server,
+			role: this.#roleOf(announcement),
+			dataCentre: announcement.dataCentre ?? '',
+			load: this.loads.estimate(server),
+			speed: DEFAULT_SPEED,
+			cachedTokens: this.prefixes.countCached(server, hashes) * TOKENS_PER_BLOCK,
+			maxRunning: DEFAULT_MAX_RUNNING,
+			kvTokens: pieces * TOKENS_PER_PIECE,
+		};
+	}
+
+	#roleOf(announcement: Announcement): EngineRole {
+		return announcement.role ?? ENGINE_ROLES.mixed;
+	}
+}
+
+function servesModel(announcement: Announcement, model: string): boolean {
+	return announcement.kind === 'engine' && (announcement.models ?? []).includes(model);
+}
--- /dev/null
+++ b/src/entry/model.ts
@@ -0,0 +1,639 @@
+/**
+ * Serves completions: admission, choice of an engine, attempts, resuming, and the final answer.
+ *
+ * @module
+ */
+import type {Buffer} from 'node:buffer';
+import net from 'node:net';
+import * as Either from 'fp-ts/lib/Either.js';
+import type {Clock} from '../base/clock.js';
+import type {Logger} from '../base/logger.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import {shuffle, type Random} from '../base/random.js';
+import type {Announcement, Fact, Team} from '../generated/types.js';
+import type {Directory} from '../membership/directory.js';
+import {chooseEngine, type Decision, type RequestShape} from '../routing/choice.js';
+import {RetryBudget} from '../routing/health.js';
+import {Admission, type AdmissionEvent} from '../routing/limit.js';
+import {PoisonJudge, VERDICTS} from '../routing/poison.js';
+import {hashBlocks} from '../routing/prefix.js';
+import {
+	APIS, parseCompletion, StreamWriter, WholeWriter, type AnswerWriter, type Api, type CompletionRequest,
+} from './completion.js';
+import type {AttemptEnd, EngineClient} from './engine.js';
+import {
+	parseJson, readHeader, sendProblem, type Exchange,
+} from './exchange.js';
+import {CHARACTERS_PER_TOKEN, type Fleet} from './fleet.js';
+import type {Journal} from './journal.js';
+import type {Metrics} from './metrics.js';
+import type {Hold, Quarantine} from './quarantine.js';
+import type {View} from './view.js';
+
+export type ModelOptions = {
+	readonly dataCentre: string;
+	readonly directory: Directory;
+	readonly view: View;
+	readonly fleet: Fleet;
+	readonly engines: EngineClient;
+	readonly quarantine: Quarantine;
+	readonly journal: Journal;
+	readonly metrics: Metrics;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	/** Tells every entry host at once. */
+	readonly publish: (fact: Fact) => void;
+	/** Called for each finished request, for the capture of traces. */
+	readonly onFinished?: (record: FinishedRequest) => void;
+};
+
+/** Sizes and times of a finished request. */
+export type FinishedRequest = {
+	readonly startedAt: number;
+	readonly model: string;
+	readonly team: string;
+	readonly promptTokens: number;
+	readonly outputTokens: number;
+	readonly outcome: string;
+};
+
+const DEFAULT_DEADLINE_MS = 120_000;
+const DEFAULT_START_WITHIN_MS = 10_000;
+const LONGEST_FIRST_EVENT_MS = 30_000;
+const SHORTEST_FIRST_EVENT_MS = 3000;
+const FIRST_EVENT_FACTOR = 6;
+const MAX_ATTEMPTS = 12;
+const RETRY_PAUSE_MS = 50;
+const QUARANTINE_PAUSE_MS = 60;
+/** Tokens beyond the point of the crash after which a suspect counts as innocent. */
+const CLEARING_TOKENS = 4;
+const DEFAULT_OUTPUT_TOKENS = 200;
+const LIKELY_SHARE_OF_LIMIT = 0.6;
+const PROBE_TIMEOUT_MS = 400;
+const PUMP_MS = 250;
+const PRIORITY = {interactive: 1, background: 0} as const;
+const ENGINE_PATHS = {chat: '/v1/chat/completions', text: '/v1/completions'} as const;
+
+/** Serves the requests for models of one entry host. Whoever created it closes it. */
+export class ModelHandler {
+	readonly #options: ModelOptions;
+	readonly #judge = new PoisonJudge();
+	readonly #budget = new RetryBudget();
+	readonly #admissions = new Map<string, Admission>();
+	readonly #waiting = new Map<string, (event: AdmissionEvent) => void>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(options: ModelOptions) {
+		this.#options = options;
+		this.#timer = setInterval(() => {
+			this.#pumpAll();
+		}, PUMP_MS);
+	}
+
+	get options(): ModelOptions {
+		return this.#options;
+	}
+
+	get judge(): PoisonJudge {
+		return this.#judge;
+	}
+
+	get budget(): RetryBudget {
+		return this.#budget;
+	}
+
+	/** Serves one request to its end. */
+	async handle(api: Api, exchange: Exchange, body: Buffer): Promise<void> {
+		const request = Either.flatMap((parsed: Record<string, unknown>) => parseCompletion(api, parsed))(parseJson(body));
+		if (Either.isLeft(request)) {
+			sendProblem(exchange, request.left);
+			return;
+		}
+
+		const run = new ModelRun(this, exchange, request.right);
+		await run.serve();
+	}
+
+	/** Waits for admission; the problem says why it was refused. */
+	async admit(id: string, request: CompletionRequest, shape: RequestShape, limits: {team: string; startByMs: number}): Promise<Problem | undefined> {
+		const {view, fleet, clock} = this.#options;
+		const team = view.get('team', limits.team)?.specification as Team | undefined;
+		const offer = {
+			id,
+			team: limits.team,
+			weight: team?.weight ?? 1,
+			tokens: shape.promptTokens + shape.outputTokens,
+			teamLimit: team?.tokensInFlight ?? Number.POSITIVE_INFINITY,
+			startByMs: limits.startByMs,
+		};
+		const event = await new Promise<AdmissionEvent>(resolve => {
+			this.#waiting.set(id, resolve);
+			const admission = this.#admissionOf(request.model);
+			this.#dispatch(admission.offer(offer, fleet.capacityTokens(request.model), clock.monotonicMs()));
+		});
+		if (event.type === 'start') {
+			return undefined;
+		}
+
+		return createProblem(event.reason === 'team' ? 'teamLimit' : 'noCapacity', undefined, event.retryAfterSeconds);
+	}
+
+	/** Ends a request's share of the admission. */
+	release(id: string, model: string): void {
+		const {fleet, clock} = this.#options;
+		this.#dispatch([{
+			type: 'refuse', id, reason: 'capacity', retryAfterSeconds: 1,
+		}]);
+		this.#dispatch(this.#admissionOf(model).end(id, fleet.capacityTokens(model), clock.monotonicMs()));
+	}
+
+	close(): void {
+		clearInterval(this.#timer);
+	}
+
+	#pumpAll(): void {
+		let waiting = 0;
+		let running = 0;
+		for (const [model, admission] of this.#admissions) {
+			this.#dispatch(admission.pump(this.#options.fleet.capacityTokens(model), this.#options.clock.monotonicMs()));
+			waiting += admission.waitingCount;
+			running += admission.runningCount;
+		}
+
+		this.#options.metrics.waiting.set(waiting);
+		this.#options.metrics.running.set(running);
+	}
+
+	#dispatch(events: readonly AdmissionEvent[]): void {
+		for (const event of events) {
+			const settle = this.#waiting.get(event.id);
+			this.#waiting.delete(event.id);
+			settle?.(event);
+		}
+	}
+
+	#admissionOf(model: string): Admission {
+		let admission = this.#admissions.get(model);
+		if (!admission) {
+			admission = new Admission();
+			this.#admissions.set(model, admission);
+		}
+
+		return admission;
+	}
+}
+
+/** What an attempt's end means for the next one. */
+type NextStep
+	= | {readonly type: 'done'}
+		| {readonly type: 'fail'; readonly problem: Problem}
+		| {readonly type: 'again'; readonly sameServer: boolean; readonly reason: string; readonly pauseMs: number};
+
+/** One request on its way through attempts. */
+class ModelRun {
+	readonly #handler: ModelHandler;
+	readonly #exchange: Exchange;
+	readonly #request: CompletionRequest;
+	readonly #writer: AnswerWriter;
+	readonly #shape: RequestShape;
+	readonly #startedMs: number;
+	readonly #deadlineMs: number;
+	readonly #excluded = new Set<string>();
+	readonly #team: string;
+	#delivered = '';
+	#tokens = 0;
+	#lastTokenMs = 0;
+	#attempts = 0;
+	#isGone = false;
+	#cancel: (() => void) | undefined;
+	#hold: Hold | undefined;
+	#crashTokens = 0;
+	#fresh: string | undefined;
+
+	constructor(handler: ModelHandler, exchange: Exchange, request: CompletionRequest) {
+		this.#handler = handler;
+		this.#exchange = exchange;
+		this.#request = request;
+		const {clock, dataCentre} = handler.options;
+		const options = {
+			id: exchange.id, request, createdSeconds: Math.floor(clock.wallMs() / 1000), response: exchange.response,
+		};
+		this.#writer = request.isStream ? new StreamWriter(options) : new WholeWriter(options);
+		this.#shape = {
+			promptTokens: Math.ceil(request.prompt.length / CHARACTERS_PER_TOKEN),
+			outputTokens: request.maxTokens === undefined ? DEFAULT_OUTPUT_TOKENS : Math.ceil(request.maxTokens * LIKELY_SHARE_OF_LIMIT),
+			dataCentre,
+		};
+		this.#startedMs = clock.monotonicMs();
+		this.#deadlineMs = this.#startedMs + this.#readDeadline();
+		this.#team = readHeader(exchange.request, 'carawayhoist-team') ?? 'default';
+		exchange.response.once('close', () => {
+			this.#onCallerGone();
+		});
+	}
+
+	async serve(): Promise<void> {
+		const {journal, clock, metrics} = this.#handler.options;
+		const {id} = this.#exchange;
+		journal.begin(id, `A request for model ${this.#request.model} with about ${this.#shape.promptTokens} prompt tokens`, clock.wallMs());
+		const startByMs = Math.min(this.#deadlineMs, this.#startedMs + DEFAULT_START_WITHIN_MS);
+		const refusal = this.#judgePoison() ?? this.#judgeModel() ?? await this.#handler.admit(id, this.#request, this.#shape, {team: this.#team, startByMs});
+		const problem = refusal ?? await this.#runAttempts();
+		this.#hold?.release();
+		this.#handler.release(id, this.#request.model);
+		const outcome = this.#isGone ? 'cancelled' : (problem ? problem.name : 'done');
+		metrics.requests.inc({kind: 'model', outcome});
+		journal.end(id, this.#describeEnd(outcome, problem), clock.wallMs());
+		this.#handler.options.onFinished?.({
+			startedAt: clock.wallMs() - (clock.monotonicMs() - this.#startedMs),
+			model: this.#request.model,
+			team: this.#team,
+			promptTokens: this.#shape.promptTokens,
+			outputTokens: this.#tokens,
+			outcome,
+		});
+		if (problem && !this.#isGone) {
+			this.#refuse(problem);
+		}
+	}
+
+	#readDeadline(): number {
+		const header = Number(readHeader(this.#exchange.request, 'carawayhoist-deadline-ms'));
+		return Number.isFinite(header) && header > 0 ? Math.min(header, DEFAULT_DEADLINE_MS) : DEFAULT_DEADLINE_MS;
+	}
+
+	#judgePoison(): Problem | undefined {
+		return this.#verdict() === VERDICTS.poisoned ? createProblem('poisoned') : undefined;
+	}
+
+	#judgeModel(): Problem | undefined {
+		const {view, fleet} = this.#handler.options;
+		const isKnown = view.get('model', this.#request.model) !== undefined || fleet.listModels().includes(this.#request.model);
+		return isKnown ? undefined : createProblem('notFound', `No model ${this.#request.model}.`);
+	}
+
+	#verdict() {
+		const {fingerprint} = this.#request;
+		const crashes = this.#handler.options.directory.findPoison(fingerprint)?.servers ?? [];
+		return this.#handler.judge.judge(fingerprint, crashes);
+	}
+
+	async #runAttempts(): Promise<Problem | undefined> {
+		const {clock, metrics} = this.#handler.options;
+		this.#handler.budget.noteRequest();
+		let last = createProblem('noServer', undefined, 1);
+		while (!this.#isGone && clock.monotonicMs() < this.#deadlineMs) {
+			const step = await this.#runOne();
+			if (step.type === 'done') {
+				return undefined;
+			}
+
+			if (step.type === 'fail') {
+				return step.problem;
+			}
+
+			last = createProblem('serverFailed', step.reason, 1);
+			metrics.retries.inc({reason: step.reason});
+			if (this.#attempts >= MAX_ATTEMPTS) {
+				return last;
+			}
+
+			await pause(step.pauseMs);
+		}
+
+		return clock.monotonicMs() >= this.#deadlineMs ? createProblem('deadlineExceeded') : last;
+	}
+
+	async #runOne(): Promise<NextStep> {
+		const verdict = this.#verdict();
+		if (verdict === VERDICTS.poisoned) {
+			return {type: 'fail', problem: createProblem('poisoned')};
+		}
+
+		if (verdict === VERDICTS.suspect && !this.#hold) {
+			const isHeld = await this.#takeHold();
+			return isHeld
+				? this.#runOne()
+				: {
+					type: 'again', sameServer: false, reason: 'quarantine', pauseMs: QUARANTINE_PAUSE_MS,
+				};
+		}
+
+		const decision = this.#choose();
+		const server = decision && this.#handler.options.fleet.findServer(decision.server);
+		if (!decision || !server) {
+			return this.#onNoServer();
+		}
+
+		this.#attempts++;
+		this.#logDecision(decision);
+		const end = await this.#attempt(server, decision);
+		return this.#judgeEnd(end, server);
+	}
+
+	#choose(): Decision | undefined {
+		const {fleet, random} = this.#handler.options;
+		const {model, prompt} = this.#request;
+		const fresh = this.#fresh;
+		const candidates = fleet.listEngines(model, prompt, this.#excluded);
+		const held = this.#hold;
+		const wanted = held ? candidates.filter(candidate => candidate.server === held.server) : candidates;
+		const repeated = fresh === undefined ? undefined : wanted.find(candidate => candidate.server === fresh);
+		return chooseEngine(this.#shape, repeated ? [repeated] : wanted, random);
+	}
+
+	#onNoServer(): NextStep {
+		if (this.#hold) {
+			this.#hold.release();
+			this.#hold = undefined;
+		}
+
+		if (this.#excluded.size > 0) {
+			this.#excluded.clear();
+			return {
+				type: 'again', sameServer: false, reason: 'no-server', pauseMs: RETRY_PAUSE_MS * Math.max(1, this.#attempts),
+			};
+		}
+
+		return {type: 'fail', problem: createProblem('noServer', undefined, 1)};
+	}
+
+	async #takeHold(): Promise<boolean> {
+		const {fleet, quarantine, random} = this.#handler.options;
+		const servers = fleet.listEngines(this.#request.model, this.#request.prompt, this.#excluded).map(({server}) => server);
+		this.#note('An engine crashed while it ran this request; it waits to be tried alone.');
+		this.#hold = await quarantine.tryHold(shuffle(servers, random));
+		this.#crashTokens = this.#tokens;
+		return this.#hold !== undefined;
+	}
+
+	#logDecision(decision: Decision): void {
+		const {logger} = this.#handler.options;
+		const considered = decision.considered.map(({server, totalMs}) => `${server}:${Math.round(totalMs)}`);
+		logger.info(`Sends request to ${decision.server}.`, {
+			request: this.#exchange.id, server: decision.server, reason: decision.reason, attempt: this.#attempts, considered,
+		});
+		this.#note(`Attempt ${this.#attempts} goes to engine ${decision.server} (${decision.reason}; ${considered.length} engines compared, expected first token in ${Math.round(decision.cost.firstTokenMs)} ms).`);
+	}
+
+	async #attempt(server: Announcement, decision: Decision): Promise<AttemptEnd> {
+		const {engines, fleet, clock} = this.#handler.options;
+		const id = `${this.#exchange.id}.${this.#attempts}`;
+		const resume = this.#tokens > 0 ? {resume: {offset: this.#tokens, text: this.#delivered}} : {};
+		const candidateCached = fleet.prefixes.countCached(server.server, hashBlocks(this.#request.prompt)) * 64;
+		fleet.loads.begin(server.server, id, {
+			prefillTokens: Math.max(0, this.#shape.promptTokens - candidateCached),
+			outputTokens: this.#shape.outputTokens,
+			promptTokens: this.#shape.promptTokens,
+		}, clock.monotonicMs());
+		const attempt = engines.start(server, {
+			id,
+			path: ENGINE_PATHS[this.#request.api],
+			body: {...this.#request.body, ...resume},
+			offset: this.#tokens,
+			firstEventMs: this.#firstEventLimit(decision),
+			gapMs: fleet.progress.gapLimitMs(server.server),
+			isFresh: this.#fresh === server.server,
+			priority: readHeader(this.#exchange.request, 'carawayhoist-priority') === 'background' ? PRIORITY.background : PRIORITY.interactive,
+			onToken: text => {
+				this.#onToken(text, server.server, id);
+			},
+		});
+		this.#cancel = () => {
+			attempt.cancel();
+		};
+
+		if (this.#isGone) {
+			attempt.cancel();
+		}
+
+		const deadline = setTimeout(() => {
+			attempt.cancel();
+		}, Math.max(0, this.#deadlineMs - clock.monotonicMs()));
+		const end = await attempt.end;
+		clearTimeout(deadline);
+		this.#cancel = undefined;
+		fleet.loads.end(server.server, id);
+		return end;
+	}
+
+	#firstEventLimit(decision: Decision): number {
+		const expected = decision.cost.firstTokenMs * FIRST_EVENT_FACTOR;
+		return Math.min(LONGEST_FIRST_EVENT_MS, Math.max(SHORTEST_FIRST_EVENT_MS, expected));
+	}
+
+	#onToken(text: string, server: string, attempt: string): void {
+		const {fleet, clock, metrics} = this.#handler.options;
+		const nowMs = clock.monotonicMs();
+		if (this.#tokens === 0) {
+			metrics.firstToken.observe((nowMs - this.#startedMs) / 1000);
+		} else {
+			metrics.betweenTokens.observe((nowMs - this.#lastTokenMs) / 1000);
+			fleet.progress.noteGap(server, nowMs - this.#lastTokenMs);
+		}
+
+		fleet.loads.noteFirstToken(server, attempt);
+		this.#lastTokenMs = nowMs;
+		this.#tokens++;
+		this.#delivered += text;
+		if (this.#hold && this.#tokens >= this.#crashTokens + CLEARING_TOKENS) {
+			this.#clearSuspicion();
+		}
+
+		if (!this.#writer.token(text)) {
+			this.#note('The caller does not read; the request is cancelled.');
+			this.#exchange.response.destroy();
+		}
+	}
+
+	#clearSuspicion(): void {
+		this.#handler.judge.clear(this.#request.fingerprint);
+		this.#hold?.release();
+		this.#hold = undefined;
+	}
+
+	async #judgeEnd(end: AttemptEnd, server: Announcement): Promise<NextStep> {
+		const {fleet} = this.#handler.options;
+		const wasFresh = this.#fresh === server.server;
+		this.#fresh = undefined;
+		switch (end.type) {
+			case 'complete': {
+				this.#onComplete(end, server);
+				return {type: 'done'};
+			}
+
+			case 'cancelled': {
+				return {type: 'fail', problem: createProblem('deadlineExceeded')};
+			}
+
+			case 'rejected': {
+				return {type: 'fail', problem: createProblem('badRequest', `The engine says: ${end.text}`)};
+			}
+
+			case 'refused': {
+				this.#note(`Engine ${server.server} refused it (${end.status}).`);
+				this.#excluded.add(server.server);
+				if (end.status === 429 && !this.#handler.budget.take()) {
+					return {type: 'fail', problem: createProblem('noCapacity', undefined, 1)};
+				}
+
+				return {
+					type: 'again', sameServer: false, reason: 'refused', pauseMs: 0,
+				};
+			}
+
+			case 'silent':
+			case 'mismatch': {
+				return this.#onSilent(server, wasFresh, end.type);
+			}
+
+			case 'unreachable': {
+				fleet.health.noteFailure(server.server, this.#now());
+				this.#excluded.add(server.server);
+				this.#note(`Engine ${server.server} could not be reached.`);
+				return {
+					type: 'again', sameServer: false, reason: 'unreachable', pauseMs: 0,
+				};
+			}
+
+			case 'broken': {
+				return this.#onBroken(server);
+			}
+		}
+	}
+
+	/** A connection may have gone silent while the server is well: a new one to the same server goes first. */
+	#onSilent(server: Announcement, wasFresh: boolean, reason: string): NextStep {
+		this.#note(`Nothing usable came from engine ${server.server} on ${wasFresh ? 'a new' : 'an open'} connection (${reason}).`);
+		if (wasFresh) {
+			this.#handler.options.fleet.health.noteFailure(server.server, this.#now());
+			this.#excluded.add(server.server);
+		} else {
+			this.#fresh = server.server;
+		}
+
+		return {
+			type: 'again', sameServer: !wasFresh, reason, pauseMs: 0,
+		};
+	}
+
+	async #onBroken(server: Announcement): Promise<NextStep> {
+		const {fleet, publish, clock} = this.#handler.options;
+		const isAlive = await probe(server);
+		if (isAlive) {
+			this.#note(`The connection to engine ${server.server} broke; the engine is alive.`);
+			return {
+				type: 'again', sameServer: true, reason: 'broken', pauseMs: 0,
+			};
+		}
+
+		this.#note(`Engine ${server.server} died while it ran this request.`);
+		fleet.health.noteFailure(server.server, this.#now());
+		this.#excluded.add(server.server);
+		this.#hold?.release();
+		this.#hold = undefined;
+		publish({
+			type: 'poison', fingerprint: this.#request.fingerprint, servers: [`${server.server}#${server.incarnation}`], at: clock.wallMs(),
+		});
+		return {
+			type: 'again', sameServer: false, reason: 'died', pauseMs: 0,
+		};
+	}
+
+	#onComplete(end: Extract<AttemptEnd, {type: 'complete'}>, server: Announcement): void {
+		const {fleet, clock} = this.#handler.options;
+		fleet.health.noteSuccess(server.server);
+		fleet.prefixes.note(server.server, hashBlocks(this.#request.prompt));
+		const load = parseLoad(end.load);
+		if (load) {
+			fleet.loads.report(server.server, load, clock.monotonicMs());
+		}
+
+		if (this.#hold) {
+			this.#clearSuspicion();
+		}
+
+		const promptTokens = end.promptTokens || this.#shape.promptTokens;
+		this.#writer.complete(end.finishReason, {
+			prompt_tokens: promptTokens, completion_tokens: this.#tokens, total_tokens: promptTokens + this.#tokens,
+		});
+	}
+
+	#refuse(problem: Problem): void {
+		const {response} = this.#exchange;
+		if (!response.headersSent) {
+			sendProblem(this.#exchange, problem);
+			return;
+		}
+
+		// The stream has begun: an error event, and no end marker, tell that the answer is not whole.
+		response.end(`data: ${JSON.stringify({error: {message: problem.text, type: 'server_error', code: problem.code}})}\n\n`);
+	}
+
+	#onCallerGone(): void {
+		if (!this.#exchange.response.writableFinished) {
+			this.#isGone = true;
+			this.#cancel?.();
+			this.#handler.release(this.#exchange.id, this.#request.model);
+		}
+	}
+
+	#describeEnd(outcome: string, problem: Problem | undefined): string {
+		const durationMs = Math.round(this.#now() - this.#startedMs);
+		if (outcome === 'cancelled') {
+			return `The caller went away after ${durationMs} ms; the engine was told to stop.`;
+		}
+
+		return problem
+			? `Refused after ${durationMs} ms with code ${problem.code}: ${problem.text}`
+			: `Answered whole after ${durationMs} ms: ${this.#tokens} tokens in ${this.#attempts} attempt(s).`;
+	}
+
+	#note(text: string): void {
+		this.#handler.options.journal.note(this.#exchange.id, text, this.#handler.options.clock.wallMs());
+	}
+
+	#now(): number {
+		return this.#handler.options.clock.monotonicMs();
+	}
+}
+
+/** Tells whether a server accepts connections. */
+async function probe(server: Announcement): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = net.connect({host: server.address, port: server.port});
+		const timer = setTimeout(() => {
+			finish(false);
+		}, PROBE_TIMEOUT_MS);
+		const finish = (isAlive: boolean) => {
+			clearTimeout(timer);
+			socket.destroy();
+			resolve(isAlive);
+		};
+
+		socket.once('connect', () => {
+			finish(true);
+		});
+		socket.once('error', () => {
+			finish(false);
+		});
+	});
+}
+
+function parseLoad(header: string | undefined) {
+	const [running, waiting, prefillTokens, decodeTokens] = (header ?? '').split(',').map(Number);
+	return running === undefined || waiting === undefined || Number.isNaN(running) || Number.isNaN(waiting)
+		? undefined
+		: {
+			running, waiting, prefillTokens: prefillTokens ?? 0, decodeTokens: decodeTokens ?? 0,
+		};
+}
+
+async function pause(durationMs: number): Promise<void> {
+	if (durationMs > 0) {
+		await new Promise(resolve => {
+			setTimeout(resolve, durationMs);
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/server.ts
@@ -0,0 +1,264 @@
+/**
+ * The HTTP side of an entry host: callers, backend servers' announcements, operators, the platform's checks.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import https from 'node:https';
+import type {AddressInfo, Socket} from 'node:net';
+import * as Either from 'fp-ts/lib/Either.js';
+import type {Logger} from '../base/logger.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import {formatFaults, validate} from '../base/validate.js';
+import type {Announcement, Endpoint} from '../generated/types.js';
+import {
+	createErrorBody, parseJson, readBody, readHeader, sendJson, sendProblem, type BodyLimits, type Exchange,
+} from './exchange.js';
+import type {Fleet} from './fleet.js';
+import type {Metrics} from './metrics.js';
+import type {ModelHandler} from './model.js';
+import {OPERATOR_PREFIX, type OperatorHandler} from './operator.js';
+import type {ServiceHandler} from './service.js';
+
+export type ServerOptions = {
+	readonly host: string;
+	readonly boot: string;
+	readonly limits: BodyLimits & {readonly headerBytes: number};
+	readonly tls?: {readonly cert: Buffer; readonly key: Buffer};
+	readonly operatorKeys?: readonly string[];
+	readonly callerKeys?: readonly string[];
+	readonly models: ModelHandler;
+	readonly services: ServiceHandler;
+	readonly operators: OperatorHandler;
+	readonly fleet: Fleet;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+	readonly isReady: () => boolean;
+	readonly onAnnouncement: (announcement: Announcement) => void;
+};
+
+const KEEP_ALIVE_MS = 65_000;
+const ANNOUNCE_PATH = '/backends/announce';
+
+/** The listening HTTP server. Whoever started it closes it. */
+export class EntryServer {
+	readonly #options: ServerOptions;
+	readonly #server: http.Server;
+	#next = 1;
+	#active = 0;
+	#isStopping = false;
+
+	constructor(options: ServerOptions) {
+		this.#options = options;
+		const listener: http.RequestListener = (request, response) => {
+			void this.#serve(request, response);
+		};
+
+		const settings = {maxHeaderSize: options.limits.headerBytes, keepAliveTimeout: KEEP_ALIVE_MS};
+		this.#server = options.tls ? https.createServer({...settings, ...options.tls}, listener) : http.createServer(settings, listener);
+		this.#server.requestTimeout = 0;
+		this.#server.headersTimeout = options.limits.bodyTimeoutMs;
+		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
+			refuseMalformed(error, socket as Socket);
+		});
+	}
+
+	/** Requests that are being served now. */
+	get activeCount(): number {
+		return this.#active;
+	}
+
+	/** Listens and returns the port taken. */
+	async listen({address, port}: Endpoint): Promise<Either.Either<Problem, number>> {
+		return new Promise(resolve => {
+			this.#server.once('error', error => {
+				resolve(Either.left(createProblem('listenFailed', error.message)));
+			});
+			this.#server.listen({host: address, port, backlog: 1024}, () => {
+				resolve(Either.right((this.#server.address() as AddressInfo).port));
+			});
+		});
+	}
+
+	/** Refuses readiness from now on; requests are still served. */
+	beginStop(): void {
+		this.#isStopping = true;
+	}
+
+	/** Accepts no connection any more and ends idle ones. */
+	stopAccepting(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Ends every connection. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		const url = URL.parse(request.url ?? '/', 'http://entry');
+		const exchange: Exchange = {
+			id: `${this.#options.host}_${this.#options.boot.slice(0, 8)}_${this.#next++}`,
+			request,
+			response,
+			method: request.method ?? 'GET',
+			path: url?.pathname ?? '/',
+			query: url?.searchParams ?? new URLSearchParams(),
+		};
+		if (this.#isStopping) {
+			response.setHeader('connection', 'close');
+		}
+
+		this.#active++;
+		response.once('close', () => {
+			this.#active--;
+		});
+		try {
+			await this.#dispatch(exchange);
+		} catch (error) {
+			this.#options.logger.error('An unexpected fault.', {request: exchange.id, error: String(error), stack: (error as Error).stack});
+			sendProblem(exchange, createProblem('internal', `Request ${exchange.id}.`));
+		}
+	}
+
+	async #dispatch(exchange: Exchange): Promise<void> {
+		if (exchange.method === 'GET' && await this.#servePlatform(exchange)) {
+			return;
+		}
+
+		const isOperator = exchange.path.startsWith(OPERATOR_PREFIX);
+		const problem = this.#checkKey(exchange, isOperator);
+		if (problem) {
+			sendProblem(exchange, problem);
+			return;
+		}
+
+		const body = await readBody(exchange.request, this.#options.limits);
+		if (Either.isLeft(body)) {
+			sendProblem(exchange, body.left);
+			return;
+		}
+
+		await (isOperator ? this.#options.operators.handle(exchange, body.right) : this.#serveCaller(exchange, body.right));
+	}
+
+	/** Answers the platform's checks; true if it was one. */
+	async #servePlatform(exchange: Exchange): Promise<boolean> {
+		const {metrics, isReady} = this.#options;
+		switch (exchange.path) {
+			case '/healthz': {
+				sendJson(exchange, 200, {status: 'ok'});
+				return true;
+			}
+
+			case '/readyz': {
+				const ready = isReady() && !this.#isStopping;
+				sendJson(exchange, ready ? 200 : 503, {status: ready ? 'ready' : 'not ready'});
+				return true;
+			}
+
+			case '/metrics': {
+				const text = await metrics.registry.metrics();
+				exchange.response.writeHead(200, {'content-type': metrics.registry.contentType});
+				exchange.response.end(text);
+				return true;
+			}
+
+			default: {
+				return false;
+			}
+		}
+	}
+
+	#checkKey(exchange: Exchange, isOperator: boolean): Problem | undefined {
+		const {operatorKeys, callerKeys} = this.#options;
+		const keys = isOperator ? operatorKeys : callerKeys;
+		if (keys === undefined || exchange.path === ANNOUNCE_PATH) {
+			return undefined;
+		}
+
+		const given = readHeader(exchange.request, 'authorization')?.replace(/^Bearer /v, '') ?? '';
+		return keys.includes(given) ? undefined : createProblem('unauthorized');
+	}
+
+	async #serveCaller(exchange: Exchange, body: Buffer): Promise<void> {
+		const {models, services} = this.#options;
+		const {method, path} = exchange;
+		if (method === 'POST' && path === ANNOUNCE_PATH) {
+			this.#announce(exchange, body);
+			return;
+		}
+
+		if (method === 'POST' && path === '/v1/chat/completions') {
+			await models.handle('chat', exchange, body);
+			return;
+		}
+
+		if (method === 'POST' && path === '/v1/completions') {
+			await models.handle('text', exchange, body);
+			return;
+		}
+
+		if (method === 'GET' && path === '/v1/models') {
+			this.#listModels(exchange);
+			return;
+		}
+
+		const found = services.findRoute(method, path);
+		if (found) {
+			await services.handle(exchange, body, found);
+			return;
+		}
+
+		sendProblem(exchange, createProblem('notFound', `${method} ${path}`));
+	}
+
+	#announce(exchange: Exchange, body: Buffer): void {
+		const parsed = parseJson(body);
+		if (Either.isLeft(parsed)) {
+			sendProblem(exchange, parsed.left);
+			return;
+		}
+
+		const checked = validate('Announcement', parsed.right);
+		if (Either.isLeft(checked)) {
+			sendProblem(exchange, createProblem('badRequest', formatFaults(checked.left)));
+			return;
+		}
+
+		this.#options.onAnnouncement(checked.right);
+		sendJson(exchange, 200, {accepted: true});
+	}
+
+	#listModels(exchange: Exchange): void {
+		const data = this.#options.fleet.listModels().map(id => ({
+			id, object: 'model', created: 0, owned_by: 'carawayhoist',
+		}));
+		sendJson(exchange, 200, {object: 'list', data});
+	}
+}
+
+/** Answers bytes that are not HTTP, or headers that are too long or too slow, and closes only that connection. */
+function refuseMalformed(error: Error & {code?: string}, socket: Socket): void {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const isSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+	const isLarge = error.code === 'HPE_HEADER_OVERFLOW';
+	const problem = createProblem(isSlow ? 'requestTimeout' : (isLarge ? 'headersInvalid' : 'badRequest'));
+	const body = JSON.stringify(createErrorBody(problem));
+	const head = [
+		`HTTP/1.1 ${problem.status} ${http.STATUS_CODES[problem.status] ?? 'Error'}`,
+		'connection: close',
+		'content-type: application/json',
+		`carawayhoist-code: ${problem.code}`,
+		`carawayhoist-outcome: ${problem.verdict}`,
+		`content-length: ${Buffer.byteLength(body)}`,
+	];
+	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
--- /dev/null
+++ b/src/membership/gossip.ts
@@ -0,0 +1,151 @@
+/**
+ * The task that spreads facts between entry hosts.
+ *
+ * @module
+ */
+import type {Clock} from '../base/clock.js';
+import type {Logger} from '../base/logger.js';
+import {shuffle, type Random} from '../base/random.js';
+import type {
+	Endpoint, Fact, Gossip, HostFact, Peer,
+} from '../generated/types.js';
+import {ConnectionPool} from '../wire/connection.js';
+import {NOVELTIES, type Directory} from './directory.js';
+
+export type GossipOptions = {
+	readonly directory: Directory;
+	readonly self: Peer;
+	/** Where callers and operators reach this host. */
+	readonly http: Endpoint;
+	readonly dataCentre: string;
+	/** Rises with each start of this host. */
+	readonly incarnation: number;
+	readonly seeds: readonly Peer[];
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	/** Called for facts that came from another host. */
+	readonly onFact?: (fact: Fact) => void;
+};
+
+export const ROUND_MS = 200;
+export const FANOUT = 2;
+/** Most bytes of rumors in one message: 5 rounds a second to 2 hosts stay below 5 KB/s. */
+export const MAX_RUMOR_BYTES = 480;
+const COMPARE_EVERY_ROUNDS = 15;
+const REFRESH_EVERY_ROUNDS = 300;
+
+/** The running gossip of one host. Whoever started it closes it. */
+export class GossipTask {
+	readonly #options: GossipOptions;
+	readonly #pool: ConnectionPool;
+	readonly #timer: NodeJS.Timeout;
+	#round = 0;
+	#sequence = 0;
+
+	constructor(options: GossipOptions) {
+		this.#options = options;
+		this.#pool = new ConnectionPool(message => {
+			if (message.type === 'gossip') {
+				this.receive(message);
+			}
+		});
+		this.#announceSelf(false);
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, ROUND_MS);
+		this.#compare(this.#choosePeers(FANOUT));
+	}
+
+	/** Spreads a fact that was learned here; an urgent one goes to every host at once. */
+	publish(fact: Fact, toAll = false): void {
+		const novelty = this.#options.directory.merge(fact, this.#options.clock.monotonicMs());
+		if (toAll && novelty === NOVELTIES.urgent) {
+			this.#send(this.#allPeers(), {facts: [fact]});
+		}
+	}
+
+	receive(message: Gossip): void {
+		const {directory, clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		for (const fact of message.facts) {
+			if (directory.merge(fact, nowMs) !== NOVELTIES.none) {
+				this.#options.onFact?.(fact);
+			}
+		}
+
+		if (message.digest !== undefined && message.digest !== directory.digest()) {
+			this.#send([message.from], {facts: directory.listFacts(), request: true});
+			return;
+		}
+
+		if (message.request) {
+			this.#send([message.from], {facts: directory.listFacts()});
+		}
+	}
+
+	/** Tells everybody that this host leaves. */
+	leave(): void {
+		this.#announceSelf(true);
+	}
+
+	close(): void {
+		clearInterval(this.#timer);
+		this.#pool.close();
+	}
+
+	#tick(): void {
+		this.#round++;
+		const {directory, clock} = this.#options;
+		if (this.#round % REFRESH_EVERY_ROUNDS === 0) {
+			this.#announceSelf(false);
+			directory.expire(clock.monotonicMs());
+		}
+
+		if (this.#round % COMPARE_EVERY_ROUNDS === 0) {
+			this.#compare(this.#choosePeers(1));
+		}
+
+		for (const peer of this.#choosePeers(FANOUT)) {
+			const facts = directory.takeRumors(MAX_RUMOR_BYTES);
+			if (facts.length > 0) {
+				this.#send([peer], {facts});
+			}
+		}
+	}
+
+	#compare(peers: readonly Peer[]): void {
+		this.#send(peers, {facts: [], digest: this.#options.directory.digest()});
+	}
+
+	#announceSelf(leaving: boolean): void {
+		this.#sequence++;
+		const fact: HostFact = {
+			type: 'host',
+			peer: this.#options.self,
+			http: this.#options.http,
+			dataCentre: this.#options.dataCentre,
+			incarnation: this.#options.incarnation,
+			sequence: this.#sequence,
+			leaving,
+		};
+		this.publish(fact, leaving);
+	}
+
+	#choosePeers(count: number): Peer[] {
+		return shuffle(this.#allPeers(), this.#options.random).slice(0, count);
+	}
+
+	#allPeers(): Peer[] {
+		const known = this.#options.directory.listPeers();
+		const gone = new Set(this.#options.directory.listHosts().map(fact => fact.peer.host));
+		const seeds = this.#options.seeds.filter(seed => seed.host !== this.#options.self.host && !gone.has(seed.host));
+		return [...known, ...seeds];
+	}
+
+	#send(peers: readonly Peer[], message: Omit<Gossip, 'type' | 'from'>): void {
+		for (const peer of peers) {
+			this.#pool.send(peer, {type: 'gossip', from: this.#options.self, ...message});
+		}
+	}
+}
--- /dev/null
+++ b/src/routing/prefix.ts
@@ -0,0 +1,122 @@
+/**
+ * Which engine holds which prompt prefixes in its KV cache: learned from own requests, corrected by cache events.
+ *
+ * @module
+ */
+import {crc32} from 'node:zlib';
+
+/** Characters of a prompt in one block; about 64 tokens. */
+export const BLOCK_CHARACTERS = 256;
+const MAX_BLOCKS_PER_SERVER = 8192;
+
+/** A cache event that an engine publishes. */
+export type CacheEvent = {
+	/** Rises by one with each event of a server's start. */
+	readonly sequence: number;
+	readonly incarnation: number;
+	readonly stored: readonly number[];
+	readonly removed: readonly number[];
+};
+
+type ServerCache = {
+	/** Blocks in order of use, oldest first. */
+	readonly blocks: Map<number, true>;
+	sequence: number;
+	incarnation: number;
+};
+
+/**
+ * Hashes a prompt's whole blocks; each hash covers everything before it.
+ *
+ * @example
+ * ```ts
+ * hashBlocks('x'.repeat(600)).length; // 2
+ * ```
+ */
+export function hashBlocks(prompt: string): number[] {
+	const hashes: number[] = [];
+	let hash = 0;
+	for (let start = 0; start + BLOCK_CHARACTERS <= prompt.length; start += BLOCK_CHARACTERS) {
+		hash = crc32(prompt.slice(start, start + BLOCK_CHARACTERS), hash);
+		hashes.push(hash);
+	}
+
+	return hashes;
+}
+
+/** What this host believes of the engines' prefix caches. */
+export class PrefixIndex {
+	readonly #servers = new Map<string, ServerCache>();
+	readonly #maxBlocks: number;
+
+	constructor(maxBlocks = MAX_BLOCKS_PER_SERVER) {
+		this.#maxBlocks = maxBlocks;
+	}
+
+	/** Number of leading blocks that a server is believed to hold. */
+	countCached(server: string, hashes: readonly number[]): number {
+		const blocks = this.#servers.get(server)?.blocks;
+		if (!blocks) {
+			return 0;
+		}
+
+		const miss = hashes.findIndex(hash => !blocks.has(hash));
+		return miss === -1 ? hashes.length : miss;
+	}
+
+	/** Notes that a server has computed a prompt. */
+	note(server: string, hashes: readonly number[]): void {
+		const {blocks} = this.#cacheOf(server);
+		for (const hash of hashes) {
+			blocks.delete(hash);
+			blocks.set(hash, true);
+		}
+
+		this.#trim(blocks);
+	}
+
+	/** Takes a cache event; after a gap or a restart what was believed is forgotten. */
+	apply(server: string, event: CacheEvent): void {
+		const cache = this.#cacheOf(server);
+		if (event.incarnation < cache.incarnation || (event.incarnation === cache.incarnation && event.sequence <= cache.sequence)) {
+			return;
+		}
+
+		const isGap = event.incarnation !== cache.incarnation || event.sequence !== cache.sequence + 1;
+		if (isGap && cache.sequence > 0) {
+			cache.blocks.clear();
+		}
+
+		cache.incarnation = event.incarnation;
+		cache.sequence = event.sequence;
+		for (const hash of event.removed) {
+			cache.blocks.delete(hash);
+		}
+
+		this.note(server, event.stored);
+	}
+
+	forget(server: string): void {
+		this.#servers.delete(server);
+	}
+
+	#trim(blocks: Map<number, true>): void {
+		for (const hash of blocks.keys()) {
+			if (blocks.size <= this.#maxBlocks) {
+				return;
+			}
+
+			blocks.delete(hash);
+		}
+	}
+
+	#cacheOf(server: string): ServerCache {
+		let cache = this.#servers.get(server);
+		if (!cache) {
+			cache = {blocks: new Map(), sequence: 0, incarnation: 0};
+			this.#servers.set(server, cache);
+		}
+
+		return cache;
+	}
+}
--- /dev/null
+++ b/src/wire/connection.ts
@@ -0,0 +1,164 @@
+/**
+ * Connections between the system's processes.
+ *
+ * @module
+ */
+import net from 'node:net';
+import * as Either from 'fp-ts/lib/Either.js';
+import type {Message} from '../generated/types.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import {encodeFrame, FrameReader} from './frame.js';
+
+export type Address = {
+	readonly address: string;
+	readonly port: number;
+};
+
+export type MessageHandler = (message: Message, connection: Connection) => void;
+
+const CONNECT_TIMEOUT_MS = 1000;
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+
+/** One connection; whoever created it closes it. */
+export class Connection {
+	readonly #socket: net.Socket;
+	readonly #closeHandlers: Array<() => void> = [];
+
+	constructor(socket: net.Socket, onMessage: MessageHandler) {
+		this.#socket = socket;
+		const reader = new FrameReader();
+		socket.setNoDelay(true);
+		socket.on('data', bytes => {
+			const messages = reader.add(bytes);
+			if (Either.isLeft(messages)) {
+				socket.destroy();
+				return;
+			}
+
+			for (const message of messages.right) {
+				onMessage(message, this);
+			}
+		});
+		socket.on('error', () => socket.destroy());
+		socket.on('close', () => {
+			for (const handler of this.#closeHandlers) {
+				handler();
+			}
+		});
+	}
+
+	get isOpen(): boolean {
+		return !this.#socket.destroyed;
+	}
+
+	/** Sends a message; a connection whose peer does not read is closed rather than buffered without bound. */
+	send(message: Message): void {
+		if (!this.isOpen) {
+			return;
+		}
+
+		if (this.#socket.writableLength > MAX_BUFFERED_BYTES) {
+			this.#socket.destroy();
+			return;
+		}
+
+		this.#socket.write(encodeFrame(message));
+	}
+
+	onClose(handler: () => void): void {
+		this.#closeHandlers.push(handler);
+	}
+
+	close(): void {
+		this.#socket.destroy();
+	}
+}
+
+/**
+ * Connects to another process.
+ *
+ * @example
+ * ```ts
+ * const connection = connect({address: '10.0.0.4', port: 7400}, message => console.log(message.type));
+ * connection.send({type: 'hello', id: 1});
+ * ```
+ */
+export function connect(target: Address, onMessage: MessageHandler): Connection {
+	const socket = net.connect({host: target.address, port: target.port});
+	socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+		if (socket.connecting) {
+			socket.destroy();
+		}
+	});
+	socket.once('connect', () => socket.setTimeout(0));
+	return new Connection(socket, onMessage);
+}
+
+/** Accepts connections; closing it closes those that it accepted. */
+export class Listener {
+	readonly #server: net.Server;
+	readonly #connections = new Set<Connection>();
+
+	constructor(onMessage: MessageHandler) {
+		this.#server = net.createServer(socket => {
+			const connection = new Connection(socket, onMessage);
+			this.#connections.add(connection);
+			connection.onClose(() => this.#connections.delete(connection));
+		});
+	}
+
+	/** Listens and returns the port taken. */
+	async listen(target: Address): Promise<Either.Either<Problem, number>> {
+		return new Promise(resolve => {
+			this.#server.once('error', error => {
+				resolve(Either.left(createProblem('listenFailed', error.message)));
+			});
+			this.#server.listen({host: target.address, port: target.port}, () => {
+				resolve(Either.right((this.#server.address() as net.AddressInfo).port));
+			});
+		});
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const connection of this.#connections) {
+			connection.close();
+		}
+	}
+}
+
+/** Keeps one connection to each target and opens it anew when it is gone. */
+export class ConnectionPool {
+	readonly #connections = new Map<string, Connection>();
+	readonly #onMessage: MessageHandler;
+
+	constructor(onMessage: MessageHandler) {
+		this.#onMessage = onMessage;
+	}
+
+	send(target: Address, message: Message): void {
+		const key = `${target.address}:${target.port}`;
+		let connection = this.#connections.get(key);
+		if (!connection?.isOpen) {
+			connection = connect(target, this.#onMessage);
+			this.#connections.set(key, connection);
+		}
+
+		connection.send(message);
+	}
+
+	/** Drops a connection that may have gone silent, so that the next message opens a new one. */
+	reset(target: Address): void {
+		const key = `${target.address}:${target.port}`;
+		this.#connections.get(key)?.close();
+		this.#connections.delete(key);
+	}
+
+	close(): void {
+		for (const connection of this.#connections.values()) {
+			connection.close();
+		}
+
+		this.#connections.clear();
+	}
+}
