--- a/dev/fuzz/backend.ts
+++ b/dev/fuzz/backend.ts
@@ -11,7 +11,7 @@
 import type {Process, World} from './world.js';
 
 const ORDER_MS = 200;
-const ANNOUNCE_MS = 250;
+const ANNOUNCE_MS = 100;
 const WORK_MS = 250;
 
 /** An engine: runs requests, takes orders; some check fencing numbers, some do not. */
--- a/dev/fuzz/checks.ts
+++ b/dev/fuzz/checks.ts
@@ -43,6 +43,7 @@
 	readonly #sentOrders = new Map<string, number>();
 	readonly #waiting = new Map<number, Entry>();
 	#referenceIndex = 0;
+	#acceptedVersion = 0;
 
 	constructor(firstConfiguration: Configuration, mutation: Mutation | undefined) {
 		this.firstConfiguration = firstConfiguration;
@@ -54,6 +55,11 @@
 		return this.#runsByKey.size;
 	}
 
+	/** The highest version that an operator was told. */
+	get acceptedVersion(): number {
+		return this.#acceptedVersion;
+	}
+
 	get orderCount(): number {
 		return this.#sentOrders.size;
 	}
@@ -148,6 +154,12 @@
 		}
 	}
 
+	noteRead(host: string, version: number, floor: number): void {
+		if (version < floor) {
+			this.fail(`a read through ${host} shows configuration ${version}, though ${floor} was accepted before it began`);
+		}
+	}
+
 	/** Notes what an operator was told. */
 	notePut(requestId: string, name: string, seen: number, outcome: Outcome): void {
 		const text = JSON.stringify(outcome);
@@ -157,6 +169,10 @@
 		}
 
 		this.#outcomes.set(requestId, text);
+		if (outcome.type === 'accepted') {
+			this.#acceptedVersion = Math.max(this.#acceptedVersion, outcome.version);
+		}
+
 		if (outcome.type === 'accepted' && seen >= 0) {
 			const key = `${name}@${seen}`;
 			const winner = this.#accepted.get(key);
--- a/dev/fuzz/control.ts
+++ b/dev/fuzz/control.ts
@@ -8,7 +8,7 @@
 import {Replica, type Effect, type LogRecord} from '../../src/consensus/replica.js';
 import {applyRecords, EMPTY_IMAGE, type Image} from '../../src/consensus/storage.js';
 import {
-	Controller, DEFAULT_CONTROLLER_TIMING, type ControllerEffect, type OrderReport,
+	Controller, type ControllerEffect, type ControllerTiming, type OrderReport,
 } from '../../src/control/controller.js';
 import {
 	checkRepair, isRepaired, nextConfiguration, type MembersView, type Repair,
@@ -32,6 +32,8 @@
 	readonly controls: Map<string, ControlProcess>;
 	readonly engines: Map<string, FakeEngineProcess>;
 	readonly maxEntriesPerAppend: number;
+	readonly timing: ControllerTiming;
+	readonly onLeader: (control: ControlProcess) => void;
 };
 
 type PendingWrite = {
@@ -42,7 +44,6 @@
 const TICK_MS = 40;
 const SYNC_MS = 4;
 const COMPACT_AFTER_ENTRIES = 25;
-const ORDER_TIMEOUT_MS = 800;
 const LATE_ORDER_SHARE = 0.3;
 const LATEST_ORDER_MS = 9000;
 
@@ -288,7 +289,7 @@
 			}
 		};
 
-		world.scheduleIn(this.process, ORDER_TIMEOUT_MS, () => {
+		world.scheduleIn(this.process, this.#context.timing.orderTransitMs * 0.8, () => {
 			answer({type: 'lost', server: order.server, order: order.order});
 		});
 		if (!engine) {
@@ -313,7 +314,7 @@
 						answer(report);
 					});
 				});
-			}, {once: !engine.checksFence});
+			}, {once: !engine.checksFence, withinMs: this.#context.timing.orderTransitMs});
 			return;
 		}
 
@@ -370,8 +371,12 @@
 					checks.noteLeader(effect.term, this.identity);
 				}
 
+				if (effect.role === 'leader') {
+					this.#context.onLeader(this);
+				}
+
 				this.#subscribers.clear();
-				this.controller = effect.role === 'leader' ? new Controller(world.nowMs, DEFAULT_CONTROLLER_TIMING, orderMechanisms(mutation)) : undefined;
+				this.controller = effect.role === 'leader' ? new Controller(world.nowMs, this.#context.timing, orderMechanisms(mutation)) : undefined;
 				this.repair = effect.role === 'leader' ? this.repair : undefined;
 				break;
 			}
--- a/dev/fuzz/entry.ts
+++ b/dev/fuzz/entry.ts
@@ -91,6 +91,17 @@
 		});
 	}
 
+	/** Reads the configuration as an operator does; it must contain everything that was accepted before. */
+	readState(): void {
+		const {checks} = this.#context;
+		const floor = checks.acceptedVersion;
+		this.#ask<number>(3000, (control, answer) => control.read(state => answer(Either.map((found: {viewVersion: number}) => found.viewVersion)(state))), version => {
+			if (version !== undefined) {
+				checks.noteRead(this.host, version, floor);
+			}
+		});
+	}
+
 	/** Sends a repeatable request to an engine that the view allows. */
 	runModel(request: string): void {
 		const {engines, world} = this.#context;
--- a/dev/fuzz/mutations.ts
+++ b/dev/fuzz/mutations.ts
@@ -8,7 +8,7 @@
 
 export const MUTATIONS = {
 	'no-sync-before-reply': 'replies and own votes count before the disk is synced',
-	'vote-not-kept': 'a vote is not written to disk',
+	'vote-not-kept': 'the term and the vote in it are not written to disk',
 	'commit-older-term': 'entries of older terms are committed by counting replicas',
 	'wiped-replica-votes': 'a replica without its disk comes back under its old identity',
 	'no-read-index': 'a leader answers reads without asking a majority',
@@ -32,14 +32,14 @@
  *
  * @example
  * ```ts
- * consensusMechanisms('vote-not-kept').voteKept; // false
+ * consensusMechanisms('vote-not-kept').hardStateKept; // false
  * ```
  */
 export function consensusMechanisms(mutation: Mutation | undefined): Mechanisms {
 	return {
 		...ALL_MECHANISMS,
 		syncBeforeReply: mutation !== 'no-sync-before-reply',
-		voteKept: mutation !== 'vote-not-kept',
+		hardStateKept: mutation !== 'vote-not-kept',
 		ownTermCommit: mutation !== 'commit-older-term',
 		identityOnDisk: mutation !== 'wiped-replica-votes',
 		readIndex: mutation !== 'no-read-index',
--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {createRandom, pick, type Random} from '../../src/base/random.js';
+import {DEFAULT_CONTROLLER_TIMING, type ControllerTiming} from '../../src/control/controller.js';
 import type {
 	Configuration, Member, Outcome, Specification,
 } from '../../src/generated/types.js';
@@ -25,6 +26,10 @@
 	readonly trace: readonly string[];
 };
 
+/** Short waits let orders follow each other closely. */
+const QUICK_TIMING: ControllerTiming = {
+	...DEFAULT_CONTROLLER_TIMING, orderTransitMs: 200, orderRetryMs: 200, claimGraceMs: 1000,
+};
 const TROUBLE_MS = 12_000;
 const HEALING_MS = 19_000;
 const LONGEST_PAUSE_MS = 9000;
@@ -54,6 +59,11 @@
 	readonly storms: number;
 	readonly handOvers: number;
 	readonly entriesPerAppend: number;
+	/** Share of new leaders that are killed right away. */
+	readonly coups: number;
+	/** Share of looks at an open order that find its leader about to be paused for long. */
+	readonly orderPauses: number;
+	readonly timing: ControllerTiming;
 	/** Longest delay of a message in a storm, milliseconds. */
 	readonly stormDelayMs: number;
 };
@@ -82,7 +92,7 @@
 		const configuration = createConfiguration(this.#temper.controls);
 		this.#checks = new Checks(configuration, mutation);
 		const context = {
-			world: this.#world, checks: this.#checks, mutation, controls: this.#controls, engines: this.#engines, plains: this.#plains, maxEntriesPerAppend: this.#temper.entriesPerAppend,
+			world: this.#world, checks: this.#checks, mutation, controls: this.#controls, engines: this.#engines, plains: this.#plains, maxEntriesPerAppend: this.#temper.entriesPerAppend, timing: this.#temper.timing, onLeader: (control: ControlProcess) => this.#onLeader(control),
 		};
 		this.#startProcesses(context, configuration);
 	}
@@ -132,6 +142,9 @@
 			cuts: draw(4),
 			storms: draw(2),
 			handOvers: draw(2),
+			coups: this.#random() < 0.3 ? this.#random() * 0.8 : 0,
+			orderPauses: this.#random() < 0.4 ? 0.1 : 0,
+			timing: this.#random() < 0.5 ? DEFAULT_CONTROLLER_TIMING : QUICK_TIMING,
 			entriesPerAppend: this.#random() < 0.5 ? 1 + draw(3) : 512,
 			stormDelayMs: this.#random() < 0.3 ? 1500 : 250,
 		};
@@ -195,6 +208,12 @@
 		this.#every(500, () => {
 			this.#repairReplicas();
 		});
+		this.#every(60, () => {
+			this.#readState();
+		});
+		this.#every(100, () => {
+			this.#pauseDuringOrder();
+		});
 	}
 
 	#every(meanMs: number, work: () => void): void {
@@ -244,6 +263,34 @@
 		});
 	}
 
+	#readState(): void {
+		pick(this.#entries.filter(entry => entry.isReady), this.#random)?.readState();
+	}
+
+	/** A leader is paused while an order of its is open: the hardest moment for engines that check no fences. */
+	#pauseDuringOrder(): void {
+		const leader = [...this.#controls.values()].find(control => control.isLeader && !control.process.isPaused);
+		const isOpen = leader?.state.listOpenOrders().some(order => order.server.startsWith('unfenced')) ?? false;
+		if (leader && isOpen && !this.#isHealed && this.#random() < this.#temper.orderPauses) {
+			this.#fault('pause', `${leader.host} during an order`);
+			this.#world.pause(leader.process);
+			this.#world.schedule(3000 + (this.#random() * 5000), () => this.#world.resume(leader.process));
+		}
+	}
+
+	/** Some leaders die before anybody has heard of them. */
+	#onLeader(control: ControlProcess): void {
+		if (!this.#isHealed && this.#random() < this.#temper.coups) {
+			this.#world.schedule(this.#random() * 25, () => {
+				if (control.process.isAlive) {
+					this.#fault('kill', `${control.host}, just elected`);
+					control.kill({wipe: false});
+					this.#world.schedule(50 + (this.#random() * 600), () => control.restart());
+				}
+			});
+		}
+	}
+
 	#runModel(): void {
 		pick(this.#entries.filter(entry => entry.isReady), this.#random)?.runModel(`model${this.#nextModel++}`);
 	}
--- a/dev/fuzz/world.ts
+++ b/dev/fuzz/world.ts
@@ -86,9 +86,10 @@
 	/**
 	 * Sends something from one process to another through the network.
 	 *
-	 * @param options - `once`: a request on a connection of its own, which may be lost but does not arrive twice.
+	 * @param options - `once`: a request on a connection of its own, which may be lost but does not arrive twice;
+	 * `withinMs`: it does not arrive later, since the connection is destroyed by then.
 	 */
-	send(from: Process, to: Process, run: () => void, options: {readonly once?: boolean} = {}): void {
+	send(from: Process, to: Process, run: () => void, options: {readonly once?: boolean; readonly withinMs?: number} = {}): void {
 		if (this.isCut(from.name, to.name) || this.random() < this.weather.dropShare) {
 			this.countFault('drop');
 			return;
@@ -102,6 +103,11 @@
 		const {start} = to;
 		for (let copy = 0; copy < copies; copy++) {
 			const delayMs = MIN_DELAY_MS + (this.random() * this.weather.delayMs);
+			if (delayMs > (options.withinMs ?? Number.POSITIVE_INFINITY)) {
+				this.countFault('drop');
+				continue;
+			}
+
 			this.schedule(delayMs, () => {
 				if (!this.isCut(from.name, to.name)) {
 					this.#deliver(to, start, run);
--- a/src/consensus/mechanisms.ts
+++ b/src/consensus/mechanisms.ts
@@ -7,8 +7,8 @@
 export const ALL_MECHANISMS = {
 	/** A reply that a peer relies on waits until what it promises is synced. */
 	syncBeforeReply: true,
-	/** A vote is kept on disk. */
-	voteKept: true,
+	/** The term and the vote in it are kept on disk. */
+	hardStateKept: true,
 	/** Only entries of the leader's own term are committed by counting replicas. */
 	ownTermCommit: true,
 	/** A replica that came back without its disk gets a new identity. */
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -825,8 +825,7 @@
 	#setTerm(term: number, vote: string): void {
 		this.#term = term;
 		this.#vote = vote;
-		const kept = this.#mechanisms.voteKept ? vote : NOBODY;
-		this.#write([{type: 'hard', state: {term, vote: kept}}]);
+		this.#write(this.#mechanisms.hardStateKept ? [{type: 'hard', state: {term, vote}}] : []);
 	}
 
 	#setRole(role: Role, leader: string): void {
--- /dev/null
+++ b/test/state.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ControlState, resourceKey} from '../src/control/state.js';
+import {View} from '../src/entry/view.js';
+import type {Command, Put} from '../src/generated/types.js';
+import {decodeValue, encodeValue} from '../src/wire/frame.js';
+import {assertSnapshot} from './snapshot.js';
+
+test('of two operators with the same version exactly one wins, and the other learns the winner\'s version', () => {
+	const state = new ControlState();
+	state.apply(put('p1', 0), 1);
+	assert.deepEqual(state.apply(put('p2', 1), 2), {type: 'accepted', version: 2});
+	const loser = state.apply(put('p3', 1), 3);
+	assert.equal(loser.type, 'conflict');
+	assert.equal(loser.type === 'conflict' && loser.version, 2);
+});
+
+test('a resend after a lost answer gets the first answer, for the winner and for the loser', () => {
+	const state = new ControlState();
+	const won = state.apply(put('p1', 0), 1);
+	const lost = state.apply(put('p2', 0), 2);
+	assert.deepEqual(state.apply(put('p1', 0), 3), won);
+	assert.deepEqual(state.apply(put('p2', 0), 4), lost);
+	assert.equal(state.find('team', 'x')?.version, 1);
+});
+
+test('a watch resumed from any version ends in the same configuration', () => {
+	const state = new ControlState();
+	const views = Array.from({length: 40}, () => new View());
+	for (let index = 1; index <= 40; index++) {
+		const command: Command = index % 5 === 0
+			? {
+				type: 'remove', at: 0, requestId: `r${index}`, kind: 'team', name: `t${index % 7}`, seen: -1,
+			}
+			: {...put(`p${index}`, -1), name: `t${index % 7}`};
+		state.apply(command, index);
+		views[index - 1]!.apply(state.updateSince(-1));
+	}
+
+	for (const view of views) {
+		view.apply(state.updateSince(view.version));
+		assert.deepEqual(names(view), names(views[39]!));
+	}
+});
+
+test('a view takes no older update and none that builds on a later version', () => {
+	const state = new ControlState();
+	state.apply(put('p1', 0), 1);
+	const old = state.updateSince(-1);
+	state.apply(put('p2', 1), 2);
+	const view = new View();
+	assert.ok(view.apply(state.updateSince(-1)));
+	assert.ok(!view.apply(old));
+	assert.ok(!new View().apply(state.updateSince(1)));
+	assert.equal(view.version, 2);
+});
+
+test('the state survives being saved, with what was answered', () => {
+	const state = new ControlState();
+	const answer = state.apply(put('p1', 0), 1);
+	state.apply({
+		type: 'claim', at: 0, key: 'k', fingerprint: 'f', attempt: 'a/1', host: 'a',
+	}, 2);
+	state.apply({
+		type: 'put', at: 0, requestId: 'c', name: 'c', seen: 0, specification: {kind: 'change', action: 'drain', server: 'e1'},
+	}, 3);
+	const copy = new ControlState(decodeValue(encodeValue(state.save())) as ReturnType<ControlState['save']>);
+	assert.deepEqual(copy.save(), state.save());
+	assert.deepEqual(copy.apply(put('p1', 0), 4), answer);
+});
+
+test('a second change of a server waits for the first', () => {
+	const state = new ControlState();
+	const declare = (name: string, server: string, index: number) => state.apply({
+		type: 'put', at: 0, requestId: name, name, seen: 0, specification: {kind: 'change', action: 'role', server, role: 'decode'},
+	}, index);
+	assert.equal(declare('one', 'e1', 1).type, 'accepted');
+	assert.equal(declare('two', 'e1', 2).type, 'conflict');
+	assert.equal(declare('three', 'e2', 3).type, 'accepted');
+});
+
+test('the story of a role change is told in order', async () => {
+	const state = new ControlState();
+	const commands: Command[] = [
+		{
+			type: 'put', at: 10, requestId: 'c', name: 'night', seen: 0, specification: {
+				kind: 'change', action: 'role', server: 'e1', role: 'decode',
+			},
+		},
+		{
+			type: 'advance', at: 20, change: 'night', from: 'draining', phase: 'drained', note: 'Nothing runs there any more.',
+		},
+		{
+			type: 'issue-order', at: 30, change: 'night', server: 'e1', action: {type: 'role', role: 'decode'},
+		},
+		{
+			type: 'settle-order', at: 40, server: 'e1', order: 3, outcome: 'done', note: 'e1 has carried out order 3.',
+		},
+	];
+	for (const [index, command] of commands.entries()) {
+		state.apply(command, index + 1);
+	}
+
+	await assertSnapshot('story-of-a-role-change', state.find('change', 'night'));
+});
+
+function put(requestId: string, seen: number): Put {
+	return {
+		type: 'put', at: 0, requestId, name: 'x', seen, specification: {kind: 'team', weight: Number(requestId.slice(1))},
+	};
+}
+
+function names(view: View): string[] {
+	return view.list().map(({name, version, specification}) => `${resourceKey(specification.kind, name)}@${version}`).toSorted();
+}
