--- /dev/null
+++ b/bench/commits.ts
@@ -0,0 +1,259 @@
+/**
+ * Commits: rate and latency with fsync on three and five replicas against one entry for each fsync, time from the
+ * leader's death to the next commit, and restart time after many changes.
+ *
+ * @example
+ * ```sh
+ * npm run bench:commits
+ * npm run bench:commits -- --kills 30 --seconds 5 --json
+ * ```
+ */
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {parseArgs} from 'node:util';
+import * as Either from 'fp-ts/lib/Either.js';
+import {createClock} from '../src/base/clock.js';
+import {createSilentLoggers} from '../src/base/logger.js';
+import {createRandom} from '../src/base/random.js';
+import {ConsensusNode, type Machine} from '../src/consensus/node.js';
+import {EMPTY_SNAPSHOT, Storage} from '../src/consensus/storage.js';
+import {ControlState, type StateImage} from '../src/control/state.js';
+import type {Command, Configuration, Member} from '../src/generated/types.js';
+import {Listener} from '../src/wire/connection.js';
+import {decodeValue, encodeValue} from '../src/wire/frame.js';
+import {findPort, ProcessFleet, waitUntil} from '../dev/fleet.js';
+import {book, findLeader} from '../dev/calls.js';
+import {describeTimes, type Times} from './statistics.js';
+
+const {values} = parseArgs({
+	options: {
+		seconds: {type: 'string', default: '4'},
+		kills: {type: 'string', default: '30'},
+		json: {type: 'boolean', default: false},
+		only: {type: 'string'},
+	},
+});
+
+type Row = {readonly subject: string} & Readonly<Record<string, number | string>>;
+
+const RESTART_SIZES = [100, 1000, 10_000];
+
+if (values.only === undefined || values.only === 'rate') {
+	for (const replicas of [3, 5]) {
+		for (const inFlight of [1, 64]) {
+			// Alternating, so that both meet the same machine.
+			await measureRate({replicas, inFlight, batched: true});
+			await measureRate({replicas, inFlight, batched: false});
+		}
+	}
+}
+
+if (values.only === undefined || values.only === 'kill') {
+	await measureKills(Number(values.kills));
+}
+
+if (values.only === undefined || values.only === 'restart') {
+	for (const changes of RESTART_SIZES) {
+		await measureRestart(changes);
+	}
+}
+
+type RatePlan = {
+	readonly replicas: number;
+	readonly inFlight: number;
+	readonly batched: boolean;
+};
+
+async function measureRate(plan: RatePlan): Promise<void> {
+	const group = await Group.start(plan.replicas, plan.batched);
+	const leader = await group.waitForLeader();
+	const untilMs = performance.now() + (Number(values.seconds) * 1000);
+	const startedMs = performance.now();
+	const times: number[] = [];
+	await Promise.all(Array.from({length: plan.inFlight}, async (_, lane) => {
+		for (let index = 0; performance.now() < untilMs; index++) {
+			const beganMs = performance.now();
+			const result = await leader.propose(encodeValue(createClaim(`${lane}/${index}`)));
+			if (Either.isRight(result)) {
+				times.push(performance.now() - beganMs);
+			}
+		}
+	}));
+	const seconds = (performance.now() - startedMs) / 1000;
+	await group.stop();
+	print({
+		subject: 'commits', replicas: plan.replicas, inFlight: plan.inFlight, mode: plan.batched ? 'batched' : 'one fsync an entry', perSecond: Math.round(times.length / seconds), ...describeTimes(times),
+	});
+}
+
+/** A group of replicas in this process, each with its files and sockets. */
+class Group {
+	readonly #nodes: ConsensusNode[] = [];
+	readonly #listeners: Listener[] = [];
+	readonly #folder: string;
+
+	private constructor(folder: string) {
+		this.#folder = folder;
+	}
+
+	static async start(count: number, batched: boolean): Promise<Group> {
+		const group = new Group(await mkdtemp(path.join(os.tmpdir(), 'commits-')));
+		const members: Member[] = [];
+		for (let index = 0; index < count; index++) {
+			members.push({
+				replica: `r${index}`, host: `h${index}`, address: '127.0.0.1', port: await findPort(),
+			});
+		}
+
+		const configuration: Configuration = {voters: members, outgoing: [], learners: []};
+		for (const member of members) {
+			await group.#startNode(member, configuration, batched);
+		}
+
+		return group;
+	}
+
+	folderOf(replica: string): string {
+		return path.join(this.#folder, replica);
+	}
+
+	async waitForLeader(): Promise<ConsensusNode> {
+		await waitUntil(async () => this.#nodes.some(node => node.replica.isLeaderReady), 'a leader');
+		return this.#nodes.find(node => node.replica.isLeaderReady)!;
+	}
+
+	async stop(): Promise<void> {
+		await Promise.all(this.#nodes.map(async node => node.close()));
+		for (const listener of this.#listeners) {
+			listener.close();
+		}
+
+		await rm(this.#folder, {recursive: true, force: true});
+	}
+
+	async #startNode(member: Member, configuration: Configuration, batched: boolean): Promise<void> {
+		const holder: {node?: ConsensusNode} = {};
+		const storage = await Storage.open(path.join(this.#folder, member.replica), {
+			batched, onSynced: sequence => holder.node?.synced(sequence), onFailed: problem => console.error(problem.text),
+		});
+		if (Either.isLeft(storage)) {
+			throw new Error(storage.left.text);
+		}
+
+		const node = new ConsensusNode({
+			replica: member.replica,
+			image: {...storage.right.image, snapshot: {...EMPTY_SNAPSHOT, configuration}},
+			storage: storage.right,
+			machine: createMachine(),
+			clock: createClock(),
+			random: createRandom(member.port),
+			logger: createSilentLoggers()('consensus'),
+			onLeadership: () => undefined,
+			onApplied: () => undefined,
+		});
+		holder.node = node;
+		this.#nodes.push(node);
+		const listener = new Listener((message, connection) => {
+			if (message.type === 'consensus') {
+				node.receive(message, connection);
+			}
+		});
+		this.#listeners.push(listener);
+		await listener.listen(member);
+	}
+}
+
+function createMachine(): Machine {
+	let state = new ControlState();
+	return {
+		apply: entry => state.apply(decodeValue(entry.data) as Command, entry.index),
+		skip: index => state.skip(index),
+		save: () => encodeValue(state.save()),
+		restore(data) {
+			state = new ControlState(decodeValue(data) as StateImage);
+		},
+	};
+}
+
+function createClaim(key: string): Command {
+	return {
+		type: 'claim', at: Date.now(), key, fingerprint: 'f'.repeat(24), attempt: key, host: 'host-1',
+	};
+}
+
+/** Kills the leader process again and again; the clock runs from the signal to the next answered booking. */
+async function measureKills(kills: number): Promise<void> {
+	const fleet = await ProcessFleet.start({
+		controls: 3, entries: 1, engines: 0, plains: 1, logLevel: 'warn',
+	});
+	const entry = fleet.hosts[3]!;
+	await fetch(`${entry.url}/api/v1/resources/service/booking`, {
+		method: 'PUT', body: JSON.stringify({specification: {kind: 'service', routes: [{method: 'POST', path: '/booking/seats', repeatable: false}]}}),
+	});
+	await waitUntil(async () => (await book(entry.url, 'warm')).status === 200, 'bookings');
+	const times: number[] = [];
+	for (let kill = 0; kill < kills; kill++) {
+		const leader = (await findLeader(fleet, entry))!;
+		const killedMs = performance.now();
+		leader.child.kill('SIGKILL');
+		await waitUntil(async () => (await book(entry.url, `kill-${kill}`)).status === 200, 'a booking after the kill');
+		times.push(performance.now() - killedMs);
+		await fleet.restart(leader, {wipe: false});
+		await waitUntil(async () => {
+			const {progress} = await (await fetch(`${entry.url}/api/v1/members`)).json() as {progress: Array<{alive: boolean}>};
+			return progress.every(({alive}) => alive);
+		}, 'three replicas again');
+	}
+
+	await fleet.stop();
+	print({subject: 'leader kill to next commit', kills, ...describeTimes(times)});
+}
+
+/** Opens a data folder after many changes, as a restart does. */
+async function measureRestart(changes: number): Promise<void> {
+	const group = await Group.start(1, true);
+	const leader = await group.waitForLeader();
+	const batch = 64;
+	for (let done = 0; done < changes; done += batch) {
+		await Promise.all(Array.from({length: Math.min(batch, changes - done)}, async (_, index) => leader.propose(encodeValue(createPut(done + index)))));
+	}
+
+	const folder = group.folderOf('r0');
+	const times: number[] = [];
+	for (let round = 0; round < 15; round++) {
+		const startedMs = performance.now();
+		const storage = await Storage.open(folder, {onSynced: () => undefined, onFailed: () => undefined});
+		if (Either.isRight(storage)) {
+			const machine = createMachine();
+			const {snapshot, entries} = storage.right.image;
+			if (snapshot.data.length > 0) {
+				machine.restore(snapshot.data);
+			}
+
+			for (const entry of entries) {
+				if (entry.type === 'command') {
+					machine.apply(entry);
+				}
+			}
+
+			await storage.right.close();
+		}
+
+		times.push(performance.now() - startedMs);
+	}
+
+	await group.stop();
+	print({subject: 'restart', changes, ...describeTimes(times)});
+}
+
+/** Changes of the same few resources, as operators make them. */
+function createPut(index: number): Command {
+	return {
+		type: 'put', at: Date.now(), requestId: `request-${index}`, name: `team-${index % 100}`, seen: -1, specification: {kind: 'team', weight: 1 + index},
+	};
+}
+
+function print(row: Row & Partial<Times>): void {
+	console.log(values.json ? JSON.stringify(row) : Object.entries(row).map(([name, value]) => `${name} ${typeof value === 'number' ? Math.round(value * 100) / 100 : value}`).join(', '));
+}
--- a/dev/demo.ts
+++ b/dev/demo.ts
@@ -12,8 +12,12 @@
 import path from 'node:path';
 import process from 'node:process';
 import {parseArgs, promisify} from 'node:util';
-import {ANSWER_TOKENS, expectedAnswer} from '../fakes/answer.js';
-import {ProcessFleet, waitUntil, type ProcessRecord} from './fleet.js';
+import {
+	book, countKey, findLeader, readEngine, streamCompletion,
+} from './calls.js';
+import {
+	isRunning, ProcessFleet, waitUntil, type ProcessRecord,
+} from './fleet.js';
 
 const TOOL = path.resolve(import.meta.dirname, '../src/tool/carawayhoist.js');
 const RESOURCES = path.resolve(import.meta.dirname, '../../examples/resources.json');
@@ -65,22 +69,22 @@
 	});
 	await serveEverything(second, 'before');
 	await step('The operator drains engine-1 while a long answer runs', async () => {
-		const running = streamCompletion(last, 'chat-1', 'compare the sessions on barley and on oats during the drain');
+		const running = streamCompletion(last.url, {model: 'chat-1', content: 'compare the sessions on barley and on oats during the drain'});
 		const output = await tool(first, 'drain', 'engine-1', '--wait', '--name', 'demo-drain');
 		const whole = await running;
 		check(whole.isWhole, 'the long answer was cut by the drain');
 		const before = await countRequests('engine-1');
-		await Promise.all(Array.from({length: 8}, async (_, index) => streamCompletion(second, 'summary-1', `after the drain ${index}`)));
+		await Promise.all(Array.from({length: 8}, async (_, index) => streamCompletion(second.url, {model: 'summary-1', content: `after the drain ${index}`})));
 		check(await countRequests('engine-1') === before, 'engine-1 got new work after its drain');
 		return output.trim().split('\n').at(-1)!.trim();
 	});
 	let leader = first;
 	await step('The control leader is killed', async () => {
-		leader = await findLeader(second);
+		leader = (await findLeader(fleet, second))!;
 		leader.child.kill('SIGKILL');
 		const survivor = fleet.hosts.find(host => host !== leader)!;
-		await waitUntil(async () => (await findLeader(survivor)) !== leader, 'another leader');
-		return `${leader.name} is gone, ${(await findLeader(survivor)).name} leads now`;
+		await waitUntil(async () => (await findLeader(fleet, survivor)) !== leader, 'another leader');
+		return `${leader.name} is gone, ${(await findLeader(fleet, survivor))!.name} leads now`;
 	});
 	const survivor = fleet.hosts.find(host => host !== leader && host !== first) ?? last;
 	await serveEverything(survivor, 'after');
@@ -94,12 +98,12 @@
 async function serveEverything(entry: ProcessRecord, when: string): Promise<void> {
 	await step('A delegate asks for a summary of a full track (long prompt, short answer, streamed)', async () => {
 		const prompt = `summarise ${when} ${'the session on crop rotation said much. '.repeat(300)}`;
-		const {isWhole, tokens, firstMs} = await streamCompletion(entry, 'summary-1', prompt);
+		const {isWhole, tokens, firstMs} = await streamCompletion(entry.url, {model: 'summary-1', content: prompt});
 		check(isWhole, 'the summary is not the known answer');
 		return `whole, ${tokens} tokens, first after ${Math.round(firstMs)} ms`;
 	});
 	await step('A delegate compares two sessions (short prompt, long answer)', async () => {
-		const {isWhole, tokens, firstMs} = await streamCompletion(entry, 'chat-1', `compare ${when}`);
+		const {isWhole, tokens, firstMs} = await streamCompletion(entry.url, {model: 'chat-1', content: `compare ${when}`});
 		check(isWhole, 'the comparison is not the known answer');
 		return `whole, ${tokens} tokens, first after ${Math.round(firstMs)} ms`;
 	});
@@ -109,12 +113,12 @@
 		return 'answered';
 	});
 	await step('A delegate books a seat and the app sends it twice', async () => {
-		const other = fleet.hosts.find(host => host !== entry && host.child.exitCode === null && host.child.signalCode === null)!;
+		const other = fleet.hosts.find(host => host !== entry && isRunning(host))!;
 		const key = `seat-${when}`;
-		const booked = await book(entry, key);
-		const again = await book(other, key);
+		const booked = await book(entry.url, key);
+		const again = await book(other.url, key);
 		check(booked.status === 200 && booked.text === again.text, `answers differ: ${booked.status} ${booked.text} / ${again.status} ${again.text}`);
-		const runs = await countKey(key);
+		const runs = await countKey(fleet, key);
 		check(runs === 1, `the booking ran ${runs} times`);
 		return `ran ${runs} time, both got ${booked.text}`;
 	});
@@ -142,49 +146,8 @@
 	}
 }
 
-async function streamCompletion(entry: ProcessRecord, model: string, content: string) {
-	const startedMs = performance.now();
-	const response = await fetch(`${entry.url}/v1/chat/completions`, {
-		method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({model, stream: true, messages: [{role: 'user', content}]}),
-	});
-	let text = '';
-	let firstMs = 0;
-	let tokens = 0;
-	let rest = '';
-	const decoder = new TextDecoder();
-	for await (const chunk of response.body ?? []) {
-		const lines = (rest + decoder.decode(chunk as Uint8Array, {stream: true})).split('\n');
-		rest = lines.pop() ?? '';
-		for (const line of lines) {
-			const data = line.startsWith('data: {') ? JSON.parse(line.slice(6)) as {choices?: Array<{delta: {content?: string}}>} : undefined;
-			const token = data?.choices?.[0]?.delta.content ?? '';
-			if (token !== '') {
-				firstMs ||= performance.now() - startedMs;
-				text += token;
-				tokens++;
-			}
-		}
-	}
-
-	return {isWhole: text === expectedAnswer(`user: ${content}`, ANSWER_TOKENS[model]!), tokens, firstMs};
-}
-
-async function book(entry: ProcessRecord, key: string) {
-	const response = await fetch(`${entry.url}/booking/seats`, {
-		method: 'POST', headers: {'content-type': 'application/json', 'idempotency-key': key}, body: JSON.stringify({seat: 'A7', delegate: 'Runa'}),
-	});
-	return {status: response.status, text: await response.text()};
-}
-
-async function countKey(key: string): Promise<number> {
-	const plains = fleet.backends.filter(({role}) => role === 'plain');
-	const counts = await Promise.all(plains.map(async ({url}) => (await (await fetch(`${url}/runs`)).json() as {keys: Record<string, number>}).keys[key] ?? 0));
-	return counts.reduce((sum, count) => sum + count, 0);
-}
-
 async function countRequests(name: string): Promise<number> {
-	const {url} = fleet.backends.find(backend => backend.name === name)!;
-	const {requests} = await (await fetch(`${url}/runs`)).json() as {requests: Record<string, number>};
+	const {requests} = await readEngine(fleet.backends.find(backend => backend.name === name)!);
 	return Object.values(requests).reduce((sum, count) => sum + count, 0);
 }
 
@@ -195,13 +158,6 @@
 	}, `service ${service} on all hosts`, 5000);
 }
 
-async function findLeader(entry: ProcessRecord): Promise<ProcessRecord> {
-	const response = await fetch(`${entry.url}/api/v1/members`);
-	const {leader, configuration} = await response.json() as {leader: string; configuration: {voters: Array<{replica: string; host: string}>}};
-	const host = configuration.voters.find(({replica}) => replica === leader)?.host;
-	return fleet.hosts.find(({name}) => name === host)!;
-}
-
 async function tool(entry: ProcessRecord, ...commandLine: string[]): Promise<string> {
 	const {stdout} = await execute(process.execPath, [TOOL, '--host', entry.url, ...commandLine]);
 	return stdout;
--- a/dev/fleet.ts
+++ b/dev/fleet.ts
@@ -94,6 +94,18 @@
 		};
 	}
 
+	/** Kills a host and starts it again, with or without what its disk held. */
+	async restart(record: ProcessRecord, options: {readonly wipe: boolean}): Promise<ProcessRecord> {
+		await endProcess(record);
+		if (options.wipe && record.settings?.dataFolder !== undefined) {
+			await rm(record.settings.dataFolder, {recursive: true, force: true});
+		}
+
+		const fresh = await this.startHost(record.settings!);
+		this.hosts[this.hosts.indexOf(record)] = fresh;
+		return fresh;
+	}
+
 	/** Ends every process of the fleet, by its id. */
 	async stop(): Promise<void> {
 		if (this.#isStopped) {
@@ -101,13 +113,7 @@
 		}
 
 		this.#isStopped = true;
-		const all = [...this.hosts, ...this.backends].filter(({child}) => child.exitCode === null && child.signalCode === null);
-		await Promise.all(all.map(async ({child}) => new Promise<void>(resolve => {
-			child.once('exit', () => {
-				resolve();
-			});
-			child.kill('SIGKILL');
-		})));
+		await Promise.all([...this.hosts, ...this.backends].map(async record => endProcess(record)));
 		await rm(this.folder, {recursive: true, force: true});
 	}
 
@@ -129,6 +135,23 @@
 	}
 }
 
+/** Tells whether a process has not ended. */
+export function isRunning({child}: ProcessRecord): boolean {
+	return child.exitCode === null && child.signalCode === null;
+}
+
+/** Kills a process and waits until it is gone. */
+export async function endProcess(record: ProcessRecord): Promise<void> {
+	if (isRunning(record)) {
+		await new Promise<void>(resolve => {
+			record.child.once('exit', () => {
+				resolve();
+			});
+			record.child.kill('SIGKILL');
+		});
+	}
+}
+
 /** Waits for a condition; a failed check counts as not yet. */
 export async function waitUntil(condition: () => Promise<boolean>, what: string, withinMs = READY_TIMEOUT_MS): Promise<void> {
 	const untilMs = performance.now() + withinMs;
--- /dev/null
+++ b/src/routing/roles.ts
@@ -0,0 +1,140 @@
+/**
+ * Decides which engine should take another role: a pure function of demand, roles and time.
+ *
+ * A change is worth it only if the overload it removes over the horizon exceeds the capacity that is lost while the
+ * engine is away, plus the weight that the users give to a change.
+ *
+ * @module
+ */
+import {ENGINE_ROLES, type EngineRole} from './choice.js';
+
+/** Work that comes in, in engines that it would keep busy. */
+export type Demand = {
+	readonly prefill: number;
+	readonly decode: number;
+};
+
+export type RoledEngine = {
+	readonly server: string;
+	readonly role: EngineRole;
+	/** Requests it holds; the emptiest engine is changed first. */
+	readonly running: number;
+};
+
+export type RoleProfile = {
+	/** Time over which a change must pay, seconds. */
+	readonly horizonSeconds: number;
+	/** Time that a change takes an engine away, seconds. */
+	readonly awaySeconds: number;
+	/** Engine-seconds that a change must gain beyond its own cost. */
+	readonly changeWeight: number;
+	/** Shortest time between two changes of one pool, seconds. */
+	readonly dwellSeconds: number;
+	/** Utilisation above which an engine cannot keep its deadlines. */
+	readonly targetUtilisation: number;
+};
+
+export const PROFILES = {
+	tallgrass: {
+		horizonSeconds: 45, awaySeconds: 4, changeWeight: 2, dwellSeconds: 5, targetUtilisation: 0.7,
+	},
+	hrafnsvik: {
+		horizonSeconds: 90, awaySeconds: 4, changeWeight: 25, dwellSeconds: 60, targetUtilisation: 0.8,
+	},
+} as const satisfies Record<string, RoleProfile>;
+
+export type RoleChange = {
+	readonly server: string;
+	readonly role: EngineRole;
+	/** Engine-seconds gained over the horizon, net of the cost. */
+	readonly gain: number;
+	readonly reason: string;
+};
+
+/**
+ * Chooses the role change that pays most, if one does.
+ *
+ * @param sinceChangeSeconds - Time since the last change of this pool.
+ * @example
+ * ```ts
+ * chooseRoleChange({prefill: 5, decode: 1}, engines, 60, PROFILES.tallgrass)?.role; // 'prefill'
+ * ```
+ */
+export function chooseRoleChange(
+	demand: Demand,
+	engines: readonly RoledEngine[],
+	sinceChangeSeconds: number,
+	profile: RoleProfile,
+): RoleChange | undefined {
+	if (sinceChangeSeconds < profile.dwellSeconds || engines.length < 2) {
+		return undefined;
+	}
+
+	const counts = countRoles(engines);
+	const now = overload(demand, counts, profile);
+	const candidates = [
+		evaluate(ENGINE_ROLES.prefill, {prefill: counts.prefill + 1, decode: counts.decode - 1}),
+		evaluate(ENGINE_ROLES.decode, {prefill: counts.prefill - 1, decode: counts.decode + 1}),
+	];
+	const best = candidates.filter(candidate => candidate !== undefined).toSorted((a, b) => b.gain - a.gain)[0];
+	return best && best.gain > 0 ? best : undefined;
+
+	function evaluate(role: 'prefill' | 'decode', next: Demand): RoleChange | undefined {
+		const from = role === ENGINE_ROLES.prefill ? ENGINE_ROLES.decode : ENGINE_ROLES.prefill;
+		const emptiest = engines.filter(engine => engine.role === from).toSorted((a, b) => a.running - b.running)[0];
+		if (!emptiest || next.prefill < 1 || next.decode < 1) {
+			return undefined;
+		}
+
+		const removed = now - overload(demand, next, profile);
+		const gain = (removed * profile.horizonSeconds) - profile.awaySeconds - profile.changeWeight;
+		const reason = `prefill needs ${demand.prefill.toFixed(1)} of ${counts.prefill} engines, decode ${demand.decode.toFixed(1)} of ${counts.decode}`;
+		return {
+			server: emptiest.server, role, gain, reason,
+		};
+	}
+}
+
+/** Engines' worth of work that cannot be done in time. */
+function overload(demand: Demand, counts: Demand, profile: RoleProfile): number {
+	const excess = (need: number, count: number) => Math.max(0, need - (count * profile.targetUtilisation));
+	return excess(demand.prefill, counts.prefill) + excess(demand.decode, counts.decode);
+}
+
+function countRoles(engines: readonly RoledEngine[]): Demand {
+	const prefill = engines.filter(engine => engine.role === ENGINE_ROLES.prefill).length;
+	const mixed = engines.filter(engine => engine.role === ENGINE_ROLES.mixed).length;
+	return {prefill: prefill + (mixed / 2), decode: engines.length - prefill - (mixed / 2)};
+}
+
+/** Follows the demand over a window. A step machine: time is handed in. */
+export class DemandMeter {
+	readonly #windowMs: number;
+	#prefill = 0;
+	#decode = 0;
+	#atMs: number;
+
+	constructor(windowMs: number, nowMs: number) {
+		this.#windowMs = windowMs;
+		this.#atMs = nowMs;
+	}
+
+	/** Notes a request's work, in engine-milliseconds of each kind. */
+	note(prefillMs: number, decodeMs: number, nowMs: number): void {
+		this.#decay(nowMs);
+		this.#prefill += prefillMs / this.#windowMs;
+		this.#decode += decodeMs / this.#windowMs;
+	}
+
+	read(nowMs: number): Demand {
+		this.#decay(nowMs);
+		return {prefill: this.#prefill, decode: this.#decode};
+	}
+
+	#decay(nowMs: number): void {
+		const keep = Math.exp(-(nowMs - this.#atMs) / this.#windowMs);
+		this.#prefill *= keep;
+		this.#decode *= keep;
+		this.#atMs = Math.max(this.#atMs, nowMs);
+	}
+}
