Prove the fleet with real processes under faults

Cause of the two red tests: the test called a host before its process listened; the refusal it got was true. Change: restart waits until the host listens.

--- /dev/null
+++ b/bench/policy/policies.ts
@@ -0,0 +1,299 @@
+/**
+ * The policies that are compared: ours, made of the cores that the daemon runs, and two baselines.
+ *
+ * @module
+ */
+import {createRandom, type Random} from '../../src/base/random.js';
+import {
+	chooseEngine, DEFAULT_CHOICE, DEFAULT_TARGETS, meetsTargets, type Candidate, type ChoiceOptions, type EngineRole,
+} from '../../src/routing/choice.js';
+import {placeContinuation, placeRequest} from '../../src/routing/handoff.js';
+import {LoadTracker} from '../../src/routing/load.js';
+import {PrefixIndex} from '../../src/routing/prefix.js';
+import {
+	chooseRoleChange, DemandMeter, type Demand, type RoleProfile,
+} from '../../src/routing/roles.js';
+import {ENGINE_SPEED, KV_TOKENS, type SimulatedEngine} from './engine.js';
+import type {TraceRequest} from './trace.js';
+
+export type Choice =
+	| {readonly type: 'refuse'}
+	| {readonly type: 'send'; readonly engine: SimulatedEngine; readonly handsOff: boolean};
+
+export type RoleStep = {
+	readonly engine: SimulatedEngine;
+	readonly role: EngineRole;
+};
+
+/** What a policy decides. */
+export interface Policy {
+	readonly initialRole: (index: number) => EngineRole;
+	/** Whether crashes are judged, so that a request that causes them is stopped. */
+	readonly judgesPoison: boolean;
+	place(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): Choice;
+	continueAt(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): SimulatedEngine | undefined;
+	noteSent(request: TraceRequest, id: number, engine: SimulatedEngine, nowMs: number): void;
+	noteFirstToken(id: number, engine: SimulatedEngine): void;
+	noteEnd(request: TraceRequest, id: number, engine: SimulatedEngine): void;
+	/** Takes the load reports, which are some time old. */
+	noteReports(engines: readonly SimulatedEngine[], nowMs: number): void;
+	changeRoles(engines: readonly SimulatedEngine[], nowMs: number): RoleStep[];
+}
+
+/** Round robin over engines whose roles never change. */
+export class NaivePolicy implements Policy {
+	readonly judgesPoison = false;
+	#next = 0;
+
+	readonly initialRole = (): EngineRole => 'mixed';
+
+	place(_request: TraceRequest, usable: readonly SimulatedEngine[]): Choice {
+		this.#next++;
+		const engine = usable[this.#next % Math.max(1, usable.length)];
+		return engine ? {type: 'send', engine, handsOff: false} : {type: 'refuse'};
+	}
+
+	continueAt(_request: TraceRequest, usable: readonly SimulatedEngine[]): SimulatedEngine | undefined {
+		return usable[0];
+	}
+
+	noteSent(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	noteFirstToken(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	noteEnd(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	noteReports(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	changeRoles(): RoleStep[] {
+		return [];
+	}
+}
+
+/** The emptiest engine by the last reports; roles follow the demand at once. */
+export class GreedyPolicy implements Policy {
+	readonly judgesPoison = false;
+	readonly #loads = new LoadTracker();
+	readonly #meter = new DemandMeter(5000, 0);
+
+	readonly initialRole = (index: number): EngineRole => index % 2 === 0 ? 'prefill' : 'decode';
+
+	place(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): Choice {
+		noteDemand(this.#meter, request, nowMs);
+		const wanted = request.promptTokens > 1000 ? 'prefill' : 'decode';
+		const fitting = usable.filter(engine => engine.role === wanted);
+		const engine = this.#emptiest(fitting.length > 0 ? fitting : usable);
+		const handsOff = wanted === 'prefill' && engine?.role === 'prefill' && usable.some(other => other.role === 'decode');
+		return engine ? {type: 'send', engine, handsOff} : {type: 'refuse'};
+	}
+
+	continueAt(_request: TraceRequest, usable: readonly SimulatedEngine[]): SimulatedEngine | undefined {
+		const decoding = usable.filter(engine => engine.role === 'decode');
+		return this.#emptiest(decoding.length > 0 ? decoding : usable);
+	}
+
+	noteSent(request: TraceRequest, id: number, engine: SimulatedEngine, nowMs: number): void {
+		this.#loads.begin(engine.name, String(id), {promptTokens: request.promptTokens, prefillTokens: request.promptTokens, outputTokens: request.outputTokens}, nowMs);
+	}
+
+	noteFirstToken(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	noteEnd(_request: TraceRequest, id: number, engine: SimulatedEngine): void {
+		this.#loads.end(engine.name, String(id));
+	}
+
+	noteReports(engines: readonly SimulatedEngine[], nowMs: number): void {
+		for (const engine of engines) {
+			this.#loads.report(engine.name, engine.load, nowMs);
+		}
+	}
+
+	changeRoles(engines: readonly SimulatedEngine[], nowMs: number): RoleStep[] {
+		const {prefill, decode} = this.#meter.read(nowMs);
+		const share = prefill / Math.max(0.01, prefill + decode);
+		const wanted = Math.min(engines.length - 1, Math.max(1, Math.round(engines.length * share)));
+		const prefilling = engines.filter(engine => engine.role === 'prefill');
+		const others = engines.filter(engine => engine.role !== 'prefill');
+		if (prefilling.length < wanted) {
+			return others.slice(0, wanted - prefilling.length).map(engine => ({engine, role: 'prefill'}));
+		}
+
+		return prefilling.slice(0, prefilling.length - wanted).map(engine => ({engine, role: 'decode'}));
+	}
+
+	#emptiest(engines: readonly SimulatedEngine[]): SimulatedEngine | undefined {
+		return engines.toSorted((a, b) => this.#loads.estimate(a.name).requests - this.#loads.estimate(b.name).requests)[0];
+	}
+}
+
+/** What can be switched off, to see what it is worth. */
+export type Features = {
+	readonly prefix: boolean;
+	readonly handoff: boolean;
+	readonly refusal: boolean;
+	readonly roleChanges: boolean;
+	readonly sampling: boolean;
+	readonly ownWork: boolean;
+	readonly roles: boolean;
+};
+
+export const ALL_FEATURES: Features = {
+	prefix: true, handoff: true, refusal: true, roleChanges: true, sampling: true, ownWork: true, roles: true,
+};
+
+type EntryHost = {
+	readonly loads: LoadTracker;
+	readonly prefixes: PrefixIndex;
+};
+
+const ENTRY_HOSTS = 14;
+const METER_WINDOW_MS = 8000;
+const DECODE_MAX_RUNNING = 42;
+const PREFILL_MAX_RUNNING = 52;
+
+/** Ours: many entry hosts, each with its own lagged view, and the leader's role policy. */
+export class OwnPolicy implements Policy {
+	readonly judgesPoison = true;
+	readonly #profile: RoleProfile;
+	readonly #features: Features;
+	readonly #random: Random;
+	readonly #hosts: EntryHost[] = [];
+	readonly #hostOf = new Map<number, EntryHost>();
+	readonly #meter = new DemandMeter(METER_WINDOW_MS, 0);
+	readonly #choice: ChoiceOptions;
+	#lastChangeMs = 0;
+	#next = 0;
+	#host: EntryHost;
+
+	constructor(profile: RoleProfile, seed: number, features = ALL_FEATURES) {
+		this.#profile = profile;
+		this.#features = features;
+		this.#random = createRandom(seed);
+		for (let index = 0; index < ENTRY_HOSTS; index++) {
+			this.#hosts.push({loads: new LoadTracker(), prefixes: new PrefixIndex(600)});
+		}
+
+		this.#host = this.#hosts[0]!;
+		this.#choice = {
+			...DEFAULT_CHOICE, usePrefix: features.prefix, respectRoles: features.roles, sampleSize: features.sampling ? DEFAULT_CHOICE.sampleSize : 1000,
+		};
+	}
+
+	readonly initialRole = (index: number): EngineRole => this.#features.roles ? (index % 2 === 0 ? 'prefill' : 'decode') : 'mixed';
+
+	place(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): Choice {
+		noteDemand(this.#meter, request, nowMs);
+		this.#next++;
+		this.#host = this.#hosts[this.#next % this.#hosts.length]!;
+		const shape = this.#shapeOf(request);
+		const candidates = usable.map(engine => this.#candidate(engine, request));
+		const placement = this.#features.handoff
+			? placeRequest(shape, candidates, this.#random, this.#choice)
+			: wrap(chooseEngine(shape, candidates, this.#random, this.#choice));
+		if (!placement || (this.#features.refusal && !meetsTargets(placement.first.cost, DEFAULT_TARGETS))) {
+			return {type: 'refuse'};
+		}
+
+		const engine = usable.find(({name}) => name === placement.first.server)!;
+		return {type: 'send', engine, handsOff: placement.handsOff};
+	}
+
+	continueAt(request: TraceRequest, usable: readonly SimulatedEngine[]): SimulatedEngine | undefined {
+		const decision = placeContinuation(this.#shapeOf(request), usable.map(engine => this.#candidate(engine, request)), this.#random, this.#choice);
+		return usable.find(({name}) => name === decision?.server);
+	}
+
+	noteSent(request: TraceRequest, id: number, engine: SimulatedEngine, nowMs: number): void {
+		this.#hostOf.set(id, this.#host);
+		const cached = this.#features.prefix ? this.#host.prefixes.countCached(engine.name, blocksOf(request)) * 64 : 0;
+		if (this.#features.ownWork) {
+			this.#host.loads.begin(engine.name, String(id), {
+				promptTokens: request.promptTokens, prefillTokens: Math.max(0, request.promptTokens - cached), outputTokens: request.outputTokens,
+			}, nowMs);
+		}
+	}
+
+	noteFirstToken(id: number, engine: SimulatedEngine): void {
+		this.#hostOf.get(id)?.loads.noteFirstToken(engine.name, String(id));
+	}
+
+	noteEnd(request: TraceRequest, id: number, engine: SimulatedEngine): void {
+		const host = this.#hostOf.get(id);
+		host?.loads.end(engine.name, String(id));
+		host?.prefixes.note(engine.name, blocksOf(request));
+		this.#hostOf.delete(id);
+	}
+
+	noteReports(engines: readonly SimulatedEngine[], nowMs: number): void {
+		for (const host of this.#hosts) {
+			for (const engine of engines) {
+				host.loads.report(engine.name, engine.load, nowMs);
+			}
+		}
+	}
+
+	changeRoles(engines: readonly SimulatedEngine[], nowMs: number): RoleStep[] {
+		if (!this.#features.roleChanges || !this.#features.roles) {
+			return [];
+		}
+
+		const roled = engines.map(engine => ({server: engine.name, role: engine.role, running: engine.load.running}));
+		const change = chooseRoleChange(this.#demand(nowMs), roled, (nowMs - this.#lastChangeMs) / 1000, this.#profile);
+		const engine = engines.find(({name}) => name === change?.server);
+		if (!change || !engine) {
+			return [];
+		}
+
+		this.#lastChangeMs = nowMs;
+		return [{engine, role: change.role}];
+	}
+
+	#demand(nowMs: number): Demand {
+		return this.#meter.read(nowMs);
+	}
+
+	#shapeOf(request: TraceRequest) {
+		return {promptTokens: request.promptTokens, outputTokens: request.outputTokens, dataCentre: 'a'};
+	}
+
+	#candidate(engine: SimulatedEngine, request: TraceRequest): Candidate {
+		return {
+			server: engine.name,
+			role: engine.role,
+			dataCentre: 'a',
+			load: this.#host.loads.estimate(engine.name),
+			speed: ENGINE_SPEED,
+			cachedTokens: this.#host.prefixes.countCached(engine.name, blocksOf(request)) * 64,
+			maxRunning: engine.role === 'decode' ? DECODE_MAX_RUNNING : PREFILL_MAX_RUNNING,
+			kvTokens: KV_TOKENS,
+		};
+	}
+}
+
+/**
+ * The blocks that a request's shared beginning fills.
+ *
+ * @example
+ * ```ts
+ * blocksOf({prefix: 3, prefixTokens: 130, …}); // two blocks
+ * ```
+ */
+export function blocksOf(request: TraceRequest): number[] {
+	return Array.from({length: Math.floor(request.prefixTokens / 64)}, (_, index) => (request.prefix * 10_000) + index);
+}
+
+/** Engine-milliseconds that a request takes when engines are well used. */
+export function workOf(request: TraceRequest): {readonly prefillMs: number; readonly decodeMs: number} {
+	const perTokenMs = DEFAULT_TARGETS.betweenTokensMs / DECODE_MAX_RUNNING;
+	return {prefillMs: request.promptTokens / ENGINE_SPEED.prefillTokensPerMs, decodeMs: request.outputTokens * perTokenMs};
+}
+
+function noteDemand(meter: DemandMeter, request: TraceRequest, nowMs: number): void {
+	const {prefillMs, decodeMs} = workOf(request);
+	// Short prompts are computed where the answer is.
+	meter.note(request.promptTokens > 512 ? prefillMs : 0, decodeMs + (request.promptTokens > 512 ? 0 : prefillMs), nowMs);
+}
+
+function wrap(decision: ReturnType<typeof chooseEngine>): {readonly first: NonNullable<typeof decision>; readonly handsOff: boolean} | undefined {
+	return decision && {first: decision, handsOff: false};
+}
--- a/dev/fleet.ts
+++ b/dev/fleet.ts
@@ -103,6 +103,7 @@
 
 		const fresh = await this.startHost(record.settings!);
 		this.hosts[this.hosts.indexOf(record)] = fresh;
+		await waitUntil(async () => (await fetch(`${fresh.url}/healthz`)).status === 200, `${fresh.name} listens`);
 		return fresh;
 	}
 
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -175,3 +175,23 @@
 
 	return best;
 }
+
+/** What an answer must keep to count as on time, milliseconds. */
+export type Targets = {
+	readonly firstTokenMs: number;
+	readonly betweenTokensMs: number;
+};
+
+export const DEFAULT_TARGETS: Targets = {firstTokenMs: 740, betweenTokensMs: 27};
+
+/**
+ * Tells whether an engine is expected to keep the targets; work that cannot is refused at once rather than late.
+ *
+ * @example
+ * ```ts
+ * meetsTargets(decision.cost, DEFAULT_TARGETS);
+ * ```
+ */
+export function meetsTargets(cost: Cost, targets: Targets): boolean {
+	return cost.firstTokenMs <= targets.firstTokenMs && cost.betweenTokensMs <= targets.betweenTokensMs;
+}
