Route with two samples, prefix homes and a promise margin

Change: two samples, prefix homes by rendezvous hashing with trust, load on answers, a margin that shrinks when admitted work comes late. Baselines made fair: greedy has the same 14 lagged views, mixed engines take 128 prompt tokens a step.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -33,7 +33,7 @@
 });
 
 type ProfileName = keyof typeof PROFILES;
-type Row = Omit<Result, 'unanswered' | 'enginesLost'> & {readonly trace: TraceName; readonly profile: ProfileName; readonly seed: number; readonly policy: string};
+type Row = Omit<Result, 'unanswered' | 'enginesLost' | 'lateFirst'> & {readonly trace: TraceName; readonly profile: ProfileName; readonly seed: number; readonly policy: string};
 
 const traces = values.trace === undefined ? TRACE_NAMES : TRACE_NAMES.filter(name => name === values.trace);
 const profiles = (values.profile === undefined ? ['tallgrass', 'hrafnsvik'] : [values.profile]) as ProfileName[];
@@ -117,7 +117,9 @@
 				const results = seeds.map(seed => simulate(generateTrace(name, seed), new OwnPolicy(PROFILES[profile], seed, set)));
 				const {mean, deviation} = describeSpread(results.map(({goodput}) => goodput));
 				const changes = describeSpread(results.map(({roleChanges}) => roleChanges)).mean;
-				console.log(`${name.padEnd(10)} ${profile.padEnd(9)} ${title.padEnd(20)} goodput ${mean.toFixed(2)} ±${deviation.toFixed(2)}  roleChanges ${changes.toFixed(1)}`);
+				const late = describeSpread(results.map(result => result.late)).mean;
+				const lateFirst = describeSpread(results.map(result => result.lateFirst)).mean;
+				console.log(`${name.padEnd(10)} ${profile.padEnd(9)} ${title.padEnd(20)} goodput ${mean.toFixed(2)} ±${deviation.toFixed(2)}  roleChanges ${changes.toFixed(1)}  late ${late.toFixed(0)} (first token ${lateFirst.toFixed(0)})`);
 			}
 		}
 	}
--- a/bench/policy/engine.ts
+++ b/bench/policy/engine.ts
@@ -19,13 +19,14 @@
 	/** Tokens that the caller already has. */
 	readonly offset: number;
 	readonly onToken: (nowMs: number) => void;
-	readonly onEnd: (nowMs: number, end: 'complete' | 'handoff' | 'died') => void;
+	readonly onEnd: (nowMs: number, end: 'complete' | 'handoff' | 'died', cachedBlocks: number) => void;
 };
 
 type RunningJob = {
 	readonly job: EngineJob;
 	prefillLeft: number;
 	produced: number;
+	cachedBlocks: number;
 };
 
 /** What an engine of this kind can do; the same numbers that the policy starts from. */
@@ -34,7 +35,7 @@
 export const KV_TOKENS = 64_000;
 export const AWAY_MS = 4000;
 /** Prompt tokens that one step computes, by role: many at once serve prompts, few keep streams smooth. */
-const CHUNK_TOKENS: Readonly<Record<EngineRole, number>> = {prefill: 2048, mixed: 512, decode: 64};
+const CHUNK_TOKENS: Readonly<Record<EngineRole, number>> = {prefill: 2048, mixed: 128, decode: 64};
 const TOKENS_PER_BLOCK = 64;
 const CACHE_BLOCKS = 600;
 const RESTART_MS = 20_000;
@@ -99,7 +100,7 @@
 		this.#waiting = [];
 		this.#isStepping = false;
 		for (const job of lost) {
-			job.onEnd(nowMs, 'died');
+			job.onEnd(nowMs, 'died', 0);
 		}
 	}
 
@@ -142,8 +143,8 @@
 		const isOver = (running: RunningJob) => running.job.offset + running.produced >= running.job.outputTokens || (running.job.handsOff && running.produced > 0);
 		const over = this.#running.filter(running => isOver(running));
 		this.#running = this.#running.filter(running => !isOver(running));
-		for (const {job, produced} of over) {
-			job.onEnd(nowMs, job.offset + produced >= job.outputTokens ? 'complete' : 'handoff');
+		for (const {job, produced, cachedBlocks} of over) {
+			job.onEnd(nowMs, job.offset + produced >= job.outputTokens ? 'complete' : 'handoff', cachedBlocks);
 		}
 
 		this.#step(nowMs);
@@ -158,10 +159,13 @@
 			}
 
 			this.#waiting.shift();
-			const cached = job.imported ? job.promptTokens : this.#countCached(job.blocks) * TOKENS_PER_BLOCK;
+			const cachedBlocks = this.#countCached(job.blocks);
+			const cached = job.imported ? job.promptTokens : cachedBlocks * TOKENS_PER_BLOCK;
 			// At least the last token is computed.
 			const prefillLeft = job.imported ? 0 : Math.max(1, job.promptTokens + job.offset - cached);
-			this.#running.push({job, prefillLeft, produced: 0});
+			this.#running.push({
+				job, prefillLeft, produced: 0, cachedBlocks,
+			});
 			this.#remember(job.blocks);
 		}
 	}
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -5,11 +5,12 @@
  */
 import {createRandom, type Random} from '../../src/base/random.js';
 import {
-	chooseEngine, DEFAULT_CHOICE, DEFAULT_TARGETS, meetsTargets, type Candidate, type ChoiceOptions, type EngineRole,
+	chooseEngine, DEFAULT_CHOICE, DEFAULT_TARGETS, isPrefillWork, meetsTargets, type Candidate, type ChoiceOptions, type EngineRole,
 } from '../../src/routing/choice.js';
 import {placeContinuation, placeRequest} from '../../src/routing/handoff.js';
+import {PromiseMargin} from '../../src/routing/limit.js';
 import {LoadTracker} from '../../src/routing/load.js';
-import {PrefixIndex} from '../../src/routing/prefix.js';
+import {findHome, PrefixIndex} from '../../src/routing/prefix.js';
 import {
 	chooseRoleChange, DemandMeter, type Demand, type RoleProfile,
 } from '../../src/routing/roles.js';
@@ -25,6 +26,9 @@
 	readonly role: EngineRole;
 };
 
+/** Entry hosts that share the work, each with a view of its own. */
+const ENTRY_HOSTS = 14;
+
 /** What a policy decides. */
 export interface Policy {
 	readonly initialRole: (index: number) => EngineRole;
@@ -33,8 +37,10 @@
 	place(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): Choice;
 	continueAt(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): SimulatedEngine | undefined;
 	noteSent(request: TraceRequest, id: number, engine: SimulatedEngine, nowMs: number): void;
-	noteFirstToken(id: number, engine: SimulatedEngine): void;
-	noteEnd(request: TraceRequest, id: number, engine: SimulatedEngine): void;
+	noteFirstToken(id: number, engine: SimulatedEngine, nowMs: number): void;
+	/** Notes whether an answer's first token came in time. */
+	noteTimeliness(request: TraceRequest, isOnTime: boolean): void;
+	noteEnd(request: TraceRequest, id: number, engine: SimulatedEngine, cachedBlocks: number | undefined): void;
 	/** Takes the load reports, which are some time old. */
 	noteReports(engines: readonly SimulatedEngine[], nowMs: number): void;
 	changeRoles(engines: readonly SimulatedEngine[], nowMs: number): RoleStep[];
@@ -61,6 +67,8 @@
 
 	noteFirstToken(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 
+	noteTimeliness(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	noteEnd(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 
 	noteReports(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
@@ -70,16 +78,21 @@
 	}
 }
 
-/** The emptiest engine by the last reports; roles follow the demand at once. */
+/** The emptiest engine by each host's own lagged view; roles follow the demand at once. */
 export class GreedyPolicy implements Policy {
 	readonly judgesPoison = false;
-	readonly #loads = new LoadTracker();
+	readonly #hosts = Array.from({length: ENTRY_HOSTS}, () => new LoadTracker());
+	readonly #hostOf = new Map<number, LoadTracker>();
 	readonly #meter = new DemandMeter(5000, 0);
+	#next = 0;
+	#host = this.#hosts[0]!;
 
 	readonly initialRole = (index: number): EngineRole => index % 2 === 0 ? 'prefill' : 'decode';
 
 	place(request: TraceRequest, usable: readonly SimulatedEngine[], nowMs: number): Choice {
 		noteDemand(this.#meter, request, nowMs);
+		this.#next++;
+		this.#host = this.#hosts[this.#next % this.#hosts.length]!;
 		const wanted = request.promptTokens > 1000 ? 'prefill' : 'decode';
 		const fitting = usable.filter(engine => engine.role === wanted);
 		const engine = this.#emptiest(fitting.length > 0 ? fitting : usable);
@@ -93,18 +106,24 @@
 	}
 
 	noteSent(request: TraceRequest, id: number, engine: SimulatedEngine, nowMs: number): void {
-		this.#loads.begin(engine.name, String(id), {promptTokens: request.promptTokens, prefillTokens: request.promptTokens, outputTokens: request.outputTokens}, nowMs);
+		this.#hostOf.set(id, this.#host);
+		this.#host.begin(engine.name, String(id), {promptTokens: request.promptTokens, prefillTokens: request.promptTokens, outputTokens: request.outputTokens}, nowMs);
 	}
 
 	noteFirstToken(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 
+	noteTimeliness(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	noteEnd(_request: TraceRequest, id: number, engine: SimulatedEngine): void {
-		this.#loads.end(engine.name, String(id));
+		this.#hostOf.get(id)?.end(engine.name, String(id));
+		this.#hostOf.delete(id);
 	}
 
 	noteReports(engines: readonly SimulatedEngine[], nowMs: number): void {
-		for (const engine of engines) {
-			this.#loads.report(engine.name, engine.load, nowMs);
+		for (const host of this.#hosts) {
+			for (const engine of engines) {
+				host.report(engine.name, engine.load, nowMs);
+			}
 		}
 	}
 
@@ -122,7 +141,7 @@
 	}
 
 	#emptiest(engines: readonly SimulatedEngine[]): SimulatedEngine | undefined {
-		return engines.toSorted((a, b) => this.#loads.estimate(a.name).requests - this.#loads.estimate(b.name).requests)[0];
+		return engines.toSorted((a, b) => this.#host.estimate(a.name).requests - this.#host.estimate(b.name).requests)[0];
 	}
 }
 
@@ -135,18 +154,20 @@
 	readonly sampling: boolean;
 	readonly ownWork: boolean;
 	readonly roles: boolean;
+	readonly margin: boolean;
 };
 
 export const ALL_FEATURES: Features = {
-	prefix: true, handoff: true, refusal: true, roleChanges: true, sampling: true, ownWork: true, roles: true,
+	prefix: true, handoff: true, refusal: true, roleChanges: true, sampling: true, ownWork: true, roles: true, margin: true,
 };
 
 type EntryHost = {
 	readonly loads: LoadTracker;
 	readonly prefixes: PrefixIndex;
+	/** Margins of work that is mostly prompt and of other work. */
+	readonly margins: {readonly prefill: PromiseMargin; readonly decode: PromiseMargin};
 };
 
-const ENTRY_HOSTS = 14;
 const METER_WINDOW_MS = 8000;
 const DECODE_MAX_RUNNING = 42;
 const PREFILL_MAX_RUNNING = 52;
@@ -159,6 +180,7 @@
 	readonly #random: Random;
 	readonly #hosts: EntryHost[] = [];
 	readonly #hostOf = new Map<number, EntryHost>();
+	readonly #placedBy = new Map<TraceRequest, EntryHost>();
 	readonly #meter = new DemandMeter(METER_WINDOW_MS, 0);
 	readonly #choice: ChoiceOptions;
 	#lastChangeMs = 0;
@@ -170,7 +192,9 @@
 		this.#features = features;
 		this.#random = createRandom(seed);
 		for (let index = 0; index < ENTRY_HOSTS; index++) {
-			this.#hosts.push({loads: new LoadTracker(), prefixes: new PrefixIndex(600)});
+			this.#hosts.push({
+				loads: new LoadTracker(), prefixes: new PrefixIndex(600), margins: {prefill: new PromiseMargin(), decode: new PromiseMargin()},
+			});
 		}
 
 		this.#host = this.#hosts[0]!;
@@ -186,26 +210,27 @@
 		this.#next++;
 		this.#host = this.#hosts[this.#next % this.#hosts.length]!;
 		const shape = this.#shapeOf(request);
-		const candidates = usable.map(engine => this.#candidate(engine, request));
+		const candidates = this.#candidates(usable, request);
 		const placement = this.#features.handoff
 			? placeRequest(shape, candidates, this.#random, this.#choice)
 			: wrap(chooseEngine(shape, candidates, this.#random, this.#choice));
-		if (!placement || (this.#features.refusal && !meetsTargets(placement.first.cost, DEFAULT_TARGETS))) {
+		if (!placement || (this.#features.refusal && !meetsTargets(placement.first.cost, DEFAULT_TARGETS, this.#features.margin ? this.#marginOf(request).share : 1))) {
 			return {type: 'refuse'};
 		}
 
+		this.#placedBy.set(request, this.#host);
 		const engine = usable.find(({name}) => name === placement.first.server)!;
 		return {type: 'send', engine, handsOff: placement.handsOff};
 	}
 
 	continueAt(request: TraceRequest, usable: readonly SimulatedEngine[]): SimulatedEngine | undefined {
-		const decision = placeContinuation(this.#shapeOf(request), usable.map(engine => this.#candidate(engine, request)), this.#random, this.#choice);
+		const decision = placeContinuation(this.#shapeOf(request), this.#candidates(usable, request), this.#random, this.#choice);
 		return usable.find(({name}) => name === decision?.server);
 	}
 
 	noteSent(request: TraceRequest, id: number, engine: SimulatedEngine, nowMs: number): void {
 		this.#hostOf.set(id, this.#host);
-		const cached = this.#features.prefix ? this.#host.prefixes.countCached(engine.name, blocksOf(request)) * 64 : 0;
+		const cached = this.#features.prefix ? this.#expectCached(engine, request) * 64 : 0;
 		if (this.#features.ownWork) {
 			this.#host.loads.begin(engine.name, String(id), {
 				promptTokens: request.promptTokens, prefillTokens: Math.max(0, request.promptTokens - cached), outputTokens: request.outputTokens,
@@ -213,14 +238,22 @@
 		}
 	}
 
-	noteFirstToken(id: number, engine: SimulatedEngine): void {
-		this.#hostOf.get(id)?.loads.noteFirstToken(engine.name, String(id));
+	noteFirstToken(id: number, engine: SimulatedEngine, nowMs: number): void {
+		// The head of an answer carries the engine's load at that moment.
+		const loads = this.#hostOf.get(id)?.loads;
+		loads?.noteFirstToken(engine.name, String(id));
+		loads?.report(engine.name, engine.load, nowMs);
 	}
 
-	noteEnd(request: TraceRequest, id: number, engine: SimulatedEngine): void {
+	noteEnd(request: TraceRequest, id: number, engine: SimulatedEngine, cachedBlocks: number | undefined): void {
 		const host = this.#hostOf.get(id);
+		const blocks = blocksOf(request);
 		host?.loads.end(engine.name, String(id));
-		host?.prefixes.note(engine.name, blocksOf(request));
+		if (cachedBlocks !== undefined) {
+			host?.prefixes.confirm(engine.name, host.prefixes.countSeen(blocks), cachedBlocks);
+			host?.prefixes.note(engine.name, blocks);
+		}
+
 		this.#hostOf.delete(id);
 	}
 
@@ -232,6 +265,14 @@
 		}
 	}
 
+	noteTimeliness(request: TraceRequest, isOnTime: boolean): void {
+		const host = this.#placedBy.get(request);
+		this.#placedBy.delete(request);
+		if (host) {
+			this.#marginOf(request, host).note(isOnTime);
+		}
+	}
+
 	changeRoles(engines: readonly SimulatedEngine[], nowMs: number): RoleStep[] {
 		if (!this.#features.roleChanges || !this.#features.roles) {
 			return [];
@@ -248,6 +289,10 @@
 		return [{engine, role: change.role}];
 	}
 
+	#marginOf(request: TraceRequest, {margins} = this.#host): PromiseMargin {
+		return isPrefillWork(request) ? margins.prefill : margins.decode;
+	}
+
 	#demand(nowMs: number): Demand {
 		return this.#meter.read(nowMs);
 	}
@@ -256,14 +301,32 @@
 		return {promptTokens: request.promptTokens, outputTokens: request.outputTokens, dataCentre: 'a'};
 	}
 
-	#candidate(engine: SimulatedEngine, request: TraceRequest): Candidate {
+	#candidates(engines: readonly SimulatedEngine[], request: TraceRequest): Candidate[] {
+		return engines.map(engine => this.#candidate(engine, engines, request));
+	}
+
+	/** A prefix is at home once among the engines of each role. */
+	#isHome(engine: SimulatedEngine, engines: readonly SimulatedEngine[], request: TraceRequest): boolean {
+		const blocks = blocksOf(request);
+		const seen = this.#host.prefixes.countSeen(blocks);
+		const peers = engines.filter(({role}) => role === engine.role).map(({name}) => name);
+		return this.#features.prefix && seen > 0 && findHome(peers, blocks[seen - 1]!) === engine.name;
+	}
+
+	#expectCached(engine: SimulatedEngine, request: TraceRequest, isHome = false): number {
+		return this.#host.prefixes.expectCached(engine.name, blocksOf(request), isHome);
+	}
+
+	#candidate(engine: SimulatedEngine, engines: readonly SimulatedEngine[], request: TraceRequest): Candidate {
+		const isHome = this.#isHome(engine, engines, request);
 		return {
 			server: engine.name,
 			role: engine.role,
 			dataCentre: 'a',
 			load: this.#host.loads.estimate(engine.name),
 			speed: ENGINE_SPEED,
-			cachedTokens: this.#host.prefixes.countCached(engine.name, blocksOf(request)) * 64,
+			cachedTokens: this.#expectCached(engine, request, isHome) * 64,
+			isHome,
 			maxRunning: engine.role === 'decode' ? DECODE_MAX_RUNNING : PREFILL_MAX_RUNNING,
 			kvTokens: KV_TOKENS,
 		};
--- a/bench/policy/simulate.ts
+++ b/bench/policy/simulate.ts
@@ -15,6 +15,8 @@
 	readonly goodput: number;
 	readonly refused: number;
 	readonly late: number;
+	/** Of the late ones, those whose first token came late. */
+	readonly lateFirst: number;
 	readonly roleChanges: number;
 	readonly enginesLost: number;
 	/** Requests that got neither an answer nor a refusal. */
@@ -35,6 +37,8 @@
 	lastMs: number;
 	tokens: number;
 	attempts: number;
+	/** Where its last token came from. */
+	engine?: SimulatedEngine;
 };
 
 const REPORT_EVERY_MS = 500;
@@ -101,6 +105,7 @@
 	#good = 0;
 	#refused = 0;
 	#late = 0;
+	#lateFirst = 0;
 	#roleChanges = 0;
 	#unanswered = 0;
 
@@ -136,6 +141,7 @@
 			goodput: this.#good * 1000 / durationMs,
 			refused: this.#refused,
 			late: this.#late,
+			lateFirst: this.#lateFirst,
 			roleChanges: this.#roleChanges,
 			enginesLost: this.#engines.reduce((sum, engine) => sum + engine.deaths, 0),
 			unanswered: this.#unanswered,
@@ -198,8 +204,8 @@
 			onToken: atMs => {
 				this.#onToken(flight, id, engine, atMs);
 			},
-			onEnd: (atMs, end) => {
-				this.#policy.noteEnd(request, id, engine);
+			onEnd: (atMs, end, cachedBlocks) => {
+				this.#policy.noteEnd(request, id, engine, options.imported ? undefined : cachedBlocks);
 				this.#onEnd(flight, engine, end, atMs);
 			},
 		};
@@ -207,13 +213,19 @@
 	}
 
 	#onToken(flight: Flight, id: number, engine: SimulatedEngine, nowMs: number): void {
+		const isFirstHere = flight.engine !== engine;
+		flight.engine = engine;
 		if (flight.tokens === 0) {
 			flight.firstMs = nowMs - flight.startedMs;
+			this.#policy.noteTimeliness(flight.request, flight.firstMs <= DEFAULT_TARGETS.firstTokenMs);
 		} else {
 			flight.gaps.push(nowMs - flight.lastMs);
 		}
 
-		this.#policy.noteFirstToken(id, engine);
+		if (flight.gaps.length === 0 || isFirstHere) {
+			this.#policy.noteFirstToken(id, engine, nowMs);
+		}
+
 		flight.tokens++;
 		flight.lastMs = nowMs;
 		this.#alone.delete(engine);
@@ -238,6 +250,7 @@
 		const isOnTime = flight.firstMs <= DEFAULT_TARGETS.firstTokenMs && percentile(flight.gaps, 0.95) <= DEFAULT_TARGETS.betweenTokensMs;
 		this.#good += isOnTime ? 1 : 0;
 		this.#late += isOnTime ? 0 : 1;
+		this.#lateFirst += flight.firstMs > DEFAULT_TARGETS.firstTokenMs ? 1 : 0;
 	}
 
 	#continue(flight: Flight, nowMs: number): void {
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -26,8 +26,10 @@
 	readonly dataCentre: string;
 	readonly load: Estimate;
 	readonly speed: Speed;
-	/** Prompt tokens that its prefix cache holds. */
+	/** Prompt tokens that its prefix cache is expected to hold. */
 	readonly cachedTokens: number;
+	/** Whether the prompt's prefix is at home there. */
+	readonly isHome?: boolean;
 	/** Requests that it runs at once; more wait. */
 	readonly maxRunning: number;
 	/** KV tokens that it holds at most. */
@@ -65,7 +67,7 @@
 };
 
 export const DEFAULT_CHOICE: ChoiceOptions = {
-	sampleSize: 6, crossingMs: 1, respectRoles: true, usePrefix: true,
+	sampleSize: 2, crossingMs: 1, respectRoles: true, usePrefix: true,
 };
 
 /** Prompt tokens for each output token above which a request counts as prefill work. */
@@ -166,7 +168,7 @@
 }
 
 function findBestHit(candidates: readonly Candidate[]): Candidate | undefined {
-	let best: Candidate | undefined;
+	let best = candidates.find(candidate => candidate.isHome);
 	for (const candidate of candidates) {
 		if (candidate.cachedTokens > (best?.cachedTokens ?? 0)) {
 			best = candidate;
@@ -187,11 +189,12 @@
 /**
  * Tells whether an engine is expected to keep the targets; work that cannot is refused at once rather than late.
  *
+ * @param share - Share of the time to the first token that the estimate may use up.
  * @example
  * ```ts
  * meetsTargets(decision.cost, DEFAULT_TARGETS);
  * ```
  */
-export function meetsTargets(cost: Cost, targets: Targets): boolean {
-	return cost.firstTokenMs <= targets.firstTokenMs && cost.betweenTokensMs <= targets.betweenTokensMs;
+export function meetsTargets(cost: Cost, targets: Targets, share = 1): boolean {
+	return cost.firstTokenMs <= targets.firstTokenMs * share && cost.betweenTokensMs <= targets.betweenTokensMs;
 }
--- a/src/routing/limit.ts
+++ b/src/routing/limit.ts
@@ -146,3 +146,26 @@
 		this.#rateAtMs = nowMs;
 	}
 }
+
+const SHRINK_FACTOR = 0.9;
+const GROW_STEP = 0.01;
+const SMALLEST_MARGIN = 0.1;
+
+/**
+ * How much of a target may be promised: falls fast when admitted work comes late, and rises slowly while it is on
+ * time. Corrects estimates that are made from stale reports.
+ */
+export class PromiseMargin {
+	#share = 1;
+
+	/** Share of the target that an estimate may use up. */
+	get share(): number {
+		return this.#share;
+	}
+
+	note(isOnTime: boolean): void {
+		this.#share = isOnTime
+			? Math.min(1, this.#share + GROW_STEP)
+			: Math.max(SMALLEST_MARGIN, this.#share * SHRINK_FACTOR);
+	}
+}
--- a/src/routing/prefix.ts
+++ b/src/routing/prefix.ts
@@ -18,11 +18,17 @@
 	readonly removed: readonly number[];
 };
 
+const MAX_SEEN_BLOCKS = 65_536;
+/** How fast trust follows what engines report. */
+const TRUST_WEIGHT = 0.05;
+
 type ServerCache = {
 	/** Blocks in order of use, oldest first. */
 	readonly blocks: Map<number, true>;
 	sequence: number;
 	incarnation: number;
+	/** Share of the believed blocks that the engine's answers confirmed. */
+	trust: number;
 };
 
 /**
@@ -47,6 +53,7 @@
 /** What this host believes of the engines' prefix caches. */
 export class PrefixIndex {
 	readonly #servers = new Map<string, ServerCache>();
+	readonly #seen = new Map<number, true>();
 	readonly #maxBlocks: number;
 
 	constructor(maxBlocks = MAX_BLOCKS_PER_SERVER) {
@@ -64,15 +71,41 @@
 		return miss === -1 ? hashes.length : miss;
 	}
 
+	/** Number of leading blocks that were seen in earlier prompts, at any server. */
+	countSeen(hashes: readonly number[]): number {
+		const miss = hashes.findIndex(hash => !this.#seen.has(hash));
+		return miss < 0 ? hashes.length : miss;
+	}
+
+	/** Number of leading blocks that may be expected at a server, by what its answers have confirmed so far. */
+	expectCached(server: string, hashes: readonly number[], isHome: boolean): number {
+		const believed = isHome ? Math.max(this.countSeen(hashes), this.countCached(server, hashes)) : this.countCached(server, hashes);
+		return Math.round(believed * (this.#servers.get(server)?.trust ?? 1));
+	}
+
+	/** Takes what a server says it had cached, against what was believed. */
+	confirm(server: string, believedBlocks: number, cachedBlocks: number): void {
+		if (believedBlocks > 0) {
+			const cache = this.#cacheOf(server);
+			cache.trust += (Math.min(1, cachedBlocks / believedBlocks) - cache.trust) * TRUST_WEIGHT;
+		}
+	}
+
 	/** Notes that a server has computed a prompt. */
 	note(server: string, hashes: readonly number[]): void {
+		for (const hash of hashes) {
+			this.#seen.delete(hash);
+			this.#seen.set(hash, true);
+		}
+
+		this.#trimTo(this.#seen, MAX_SEEN_BLOCKS);
 		const {blocks} = this.#cacheOf(server);
 		for (const hash of hashes) {
 			blocks.delete(hash);
 			blocks.set(hash, true);
 		}
 
-		this.#trim(blocks);
+		this.#trimTo(blocks, this.#maxBlocks);
 	}
 
 	/** Takes a cache event; after a gap or a restart what was believed is forgotten. */
@@ -100,9 +133,9 @@
 		this.#servers.delete(server);
 	}
 
-	#trim(blocks: Map<number, true>): void {
+	#trimTo(blocks: Map<number, true>, limit: number): void {
 		for (const hash of blocks.keys()) {
-			if (blocks.size <= this.#maxBlocks) {
+			if (blocks.size <= limit) {
 				return;
 			}
 
@@ -113,10 +146,35 @@
 	#cacheOf(server: string): ServerCache {
 		let cache = this.#servers.get(server);
 		if (!cache) {
-			cache = {blocks: new Map(), sequence: 0, incarnation: 0};
+			cache = {
+				blocks: new Map(), sequence: 0, incarnation: 0, trust: 1,
+			};
 			this.#servers.set(server, cache);
 		}
 
 		return cache;
 	}
 }
+
+/**
+ * Finds the server where a prefix is at home: all hosts agree on it without talking (rendezvous hashing), so that
+ * the same text meets the same cache.
+ *
+ * @example
+ * ```ts
+ * findHome(['e1', 'e2'], hash); // 'e2', on every host
+ * ```
+ */
+export function findHome(servers: readonly string[], hash: number): string | undefined {
+	let best: string | undefined;
+	let bestScore = -1;
+	for (const server of servers) {
+		const score = crc32(server, hash);
+		if (score > bestScore) {
+			best = server;
+			bestScore = score;
+		}
+	}
+
+	return best;
+}
