--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -17,7 +17,9 @@
 	ALL_FEATURES, GreedyPolicy, NaivePolicy, OwnPolicy, type Features, type Policy,
 } from './policy/policies.js';
 import {boundGoodput, simulate, type Result} from './policy/simulate.js';
-import {formatTrace, generateTrace, TRACE_NAMES, type TraceName} from './policy/trace.js';
+import {
+	formatTrace, generateTrace, TRACE_NAMES, type TraceName,
+} from './policy/trace.js';
 import {describeSpread} from './statistics.js';
 
 const {values} = parseArgs({
--- a/bench/policy/simulate.ts
+++ b/bench/policy/simulate.ts
@@ -6,8 +6,9 @@
 import {PoisonJudge} from '../../src/routing/poison.js';
 import {DEFAULT_TARGETS} from '../../src/routing/choice.js';
 import {percentile} from '../statistics.js';
-import {SimulatedEngine, type EngineJob} from './engine.js';
-import {blocksOf, workOf, type Policy} from './policies.js';
+import {estimateWork} from '../../src/routing/roles.js';
+import {ENGINE_SPEED, SimulatedEngine, type EngineJob} from './engine.js';
+import {blocksOf, type Policy} from './policies.js';
 import type {Trace, TraceRequest} from './trace.js';
 
 export type Result = {
@@ -76,7 +77,7 @@
 	for (let start = 0; start < trace.durationMs; start += windowMs) {
 		const costs = trace.requests
 			.filter(request => request.atMs >= start && request.atMs < start + windowMs && !request.poison)
-			.map(request => workOf({...request, promptTokens: Math.max(1, request.promptTokens - request.prefixTokens)}))
+			.map(request => estimateWork({...request, promptTokens: Math.max(1, request.promptTokens - request.prefixTokens)}, ENGINE_SPEED))
 			.map(({prefillMs, decodeMs}) => prefillMs + decodeMs)
 			.toSorted((a, b) => a - b);
 		let left = trace.engines * (windowMs + slackMs);
@@ -113,7 +114,9 @@
 		this.#trace = trace;
 		this.#policy = policy;
 		for (let index = 0; index < trace.engines; index++) {
-			this.#engines.push(new SimulatedEngine(`e${index}`, policy.initialRole(index), (delayMs, run) => this.#schedule(this.#nowMs + delayMs, run)));
+			this.#engines.push(new SimulatedEngine(`e${index}`, policy.initialRole(index), (delayMs, run) => {
+				this.#schedule(this.#nowMs + delayMs, run);
+			}));
 		}
 	}
 
@@ -122,15 +125,23 @@
 	run(): Result {
 		const {requests, events, durationMs} = this.#trace;
 		for (const request of requests) {
-			this.#schedule(request.atMs, nowMs => this.#arrive(request, nowMs));
+			this.#schedule(request.atMs, nowMs => {
+				this.#arrive(request, nowMs);
+			});
 		}
 
 		for (const event of events) {
-			this.#schedule(event.atMs, nowMs => this.#onEvent(event, nowMs));
+			this.#schedule(event.atMs, nowMs => {
+				this.#onEvent(event, nowMs);
+			});
 		}
 
-		this.#schedule(REPORT_EVERY_MS, nowMs => this.#report(nowMs));
-		this.#schedule(ROLE_TICK_MS, nowMs => this.#tickRoles(nowMs));
+		this.#schedule(REPORT_EVERY_MS, nowMs => {
+			this.#report(nowMs);
+		});
+		this.#schedule(ROLE_TICK_MS, nowMs => {
+			this.#tickRoles(nowMs);
+		});
 		const untilMs = durationMs + TAIL_MS;
 		for (let next = this.#pop(); next && next.atMs <= untilMs; next = this.#pop()) {
 			this.#nowMs = next.atMs;
@@ -171,7 +182,9 @@
 		const allowed = suspected === 'suspect' ? usable.filter(engine => !this.#alone.has(engine)) : usable;
 		if (suspected === 'suspect' && allowed.length === 0) {
 			flight.attempts--;
-			this.#schedule(nowMs + 50, laterMs => this.#place(flight, laterMs));
+			this.#schedule(nowMs + 50, laterMs => {
+				this.#place(flight, laterMs);
+			});
 			return;
 		}
 
@@ -191,7 +204,7 @@
 	#submit(flight: Flight, engine: SimulatedEngine, options: {handsOff: boolean; imported: boolean}, nowMs: number): void {
 		const id = this.#nextId++;
 		const {request} = flight;
-		this.#policy.noteSent(request, id, engine, nowMs);
+		this.#policy.noteSent?.(request, id, engine, nowMs);
 		const job: EngineJob = {
 			id,
 			promptTokens: request.promptTokens,
@@ -205,7 +218,7 @@
 				this.#onToken(flight, id, engine, atMs);
 			},
 			onEnd: (atMs, end, cachedBlocks) => {
-				this.#policy.noteEnd(request, id, engine, options.imported ? undefined : cachedBlocks);
+				this.#policy.noteEnd?.(request, id, engine, options.imported ? undefined : cachedBlocks);
 				this.#onEnd(flight, engine, end, atMs);
 			},
 		};
@@ -217,13 +230,13 @@
 		flight.engine = engine;
 		if (flight.tokens === 0) {
 			flight.firstMs = nowMs - flight.startedMs;
-			this.#policy.noteTimeliness(flight.request, flight.firstMs <= DEFAULT_TARGETS.firstTokenMs);
+			this.#policy.noteTimeliness?.(flight.request, flight.firstMs <= DEFAULT_TARGETS.firstTokenMs);
 		} else {
 			flight.gaps.push(nowMs - flight.lastMs);
 		}
 
 		if (flight.gaps.length === 0 || isFirstHere) {
-			this.#policy.noteFirstToken(id, engine, nowMs);
+			this.#policy.noteFirstToken?.(id, engine, nowMs);
 		}
 
 		flight.tokens++;
@@ -236,13 +249,17 @@
 			this.#alone.delete(engine);
 			const crashes = this.#crashes.get(flight.request) ?? [];
 			this.#crashes.set(flight.request, [...crashes, `${engine.name}#${engine.deaths}`]);
-			this.#schedule(nowMs, laterMs => this.#place(flight, laterMs));
+			this.#schedule(nowMs, laterMs => {
+				this.#place(flight, laterMs);
+			});
 			return;
 		}
 
 		if (end === 'handoff') {
 			const moveMs = MOVE_SETUP_MS + (flight.request.promptTokens / MOVE_TOKENS_PER_MS);
-			this.#schedule(nowMs + moveMs, laterMs => this.#continue(flight, laterMs));
+			this.#schedule(nowMs + moveMs, laterMs => {
+				this.#continue(flight, laterMs);
+			});
 			return;
 		}
 
@@ -297,17 +314,23 @@
 
 	#report(nowMs: number): void {
 		const engines = this.#engines.filter(engine => engine.awayUntilMs <= nowMs);
-		this.#policy.noteReports(engines, nowMs);
-		this.#schedule(nowMs + REPORT_EVERY_MS, laterMs => this.#report(laterMs));
+		this.#policy.noteReports?.(engines, nowMs);
+		this.#schedule(nowMs + REPORT_EVERY_MS, laterMs => {
+			this.#report(laterMs);
+		});
 	}
 
 	#tickRoles(nowMs: number): void {
 		for (const {engine, role} of this.#policy.changeRoles(this.#usable(nowMs), nowMs)) {
 			this.#roleChanges++;
-			this.#whenIdle(engine, idleMs => engine.changeRole(role, idleMs));
+			this.#whenIdle(engine, idleMs => {
+				engine.changeRole(role, idleMs);
+			});
 		}
 
-		this.#schedule(nowMs + ROLE_TICK_MS, laterMs => this.#tickRoles(laterMs));
+		this.#schedule(nowMs + ROLE_TICK_MS, laterMs => {
+			this.#tickRoles(laterMs);
+		});
 	}
 
 	#schedule(atMs: number, run: (nowMs: number) => void): void {
--- a/dev/fuzz/control.ts
+++ b/dev/fuzz/control.ts
@@ -120,7 +120,7 @@
 
 	/** Whether it waits to be admitted by the others. */
 	get isBlank(): boolean {
-		return this.replica !== undefined && this.replica.configuration.voters.length === 0;
+		return this.replica?.configuration.voters.length === 0;
 	}
 
 	receive(from: string, to: string, body: ConsensusBody): void {
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -5,10 +5,21 @@
  * @module
  */
 import type {
-	Action, Announcement, Change, Command, Renew, Resource,
+	Action, Announcement, Change, Command, ModelDemand, Policy, Renew, Resource,
 } from '../generated/types.js';
+import {
+	chooseRoleChange, PROFILES, type Demand, type RoleProfile,
+} from '../routing/roles.js';
 import {QUARANTINE_PREFIX} from './ledger.js';
-import {PHASES, type ControlState, type OpenOrder} from './state.js';
+import {
+	excludesServer, PHASES, type ControlState, type OpenOrder,
+} from './state.js';
+
+/** Name of the policy resource that the choice of roles follows. */
+export const ROLE_POLICY = 'roles';
+const AUTOMATIC_PREFIX = 'auto-';
+const AUTOMATIC_RETENTION_MS = 3_600_000;
+const ROLE_TICK_MS = 1000;
 
 export type ControllerTiming = {
 	/** Length of an entry host's view lease. */
@@ -104,6 +115,9 @@
 	readonly #quiet = new Map<string, {readonly sequence: number; readonly incarnation: number}>();
 	readonly #proposed = new Map<string, number>();
 	readonly #loads: TokenBucket;
+	readonly #demands = new Map<string, readonly ModelDemand[]>();
+	readonly #roleChangedMs = new Map<string, number>();
+	#nextRoleMs = 0;
 
 	constructor(electedMs: number, timing = DEFAULT_CONTROLLER_TIMING, mechanisms = ALL_ORDER_MECHANISMS) {
 		this.#electedMs = electedMs;
@@ -123,7 +137,9 @@
 			this.#see(announcement, nowMs);
 		}
 
+		this.#demands.set(message.host, message.demand ?? []);
 		if (message.leaving) {
+			this.#demands.delete(message.host);
 			this.#sessions.delete(message.host);
 			return 0;
 		}
@@ -180,6 +196,77 @@
 		];
 	}
 
+	/** Decides at most one role change, if the operators have asked for automatic roles. */
+	tickRoles(state: ControlState, engines: readonly Announcement[], authority: Authority): ControllerEffect[] {
+		const policy = state.find('policy', ROLE_POLICY)?.specification as Policy | undefined;
+		if (!policy?.automaticRoles || authority.nowMs < this.#nextRoleMs) {
+			return [];
+		}
+
+		this.#nextRoleMs = authority.nowMs + ROLE_TICK_MS;
+		const profile = {...PROFILES[policy.profile], ...(policy.changeWeight === undefined ? {} : {changeWeight: policy.changeWeight})};
+		for (const pool of groupPools(engines)) {
+			const command = this.#choosePoolChange(state, pool, profile, authority);
+			if (command) {
+				return [{type: 'propose', command}];
+			}
+		}
+
+		return this.#forgetOldChanges(state, authority);
+	}
+
+	#choosePoolChange(state: ControlState, pool: readonly Announcement[], profile: RoleProfile, authority: Authority): Command | undefined {
+		const key = poolKey(pool[0]!);
+		const isChanging = state.listOpenChanges().some(change => pool.some(({server}) => server === (change.specification as Change).server));
+		if (isChanging) {
+			return undefined;
+		}
+
+		const usable = pool.filter(({server}) => !state.listResources().some(resource => excludesServer(resource, server)));
+		const engines = usable.map(({server, role, load}) => ({server, role: role ?? 'mixed', running: load?.running ?? 0}));
+		const sinceMs = authority.nowMs - (this.#roleChangedMs.get(key) ?? this.#electedMs);
+		const change = chooseRoleChange(this.#poolDemand(pool[0]!), engines, sinceMs / 1000, profile);
+		if (!change) {
+			return undefined;
+		}
+
+		this.#roleChangedMs.set(key, authority.nowMs);
+		const name = `${AUTOMATIC_PREFIX}${change.server}-${state.version}`;
+		return {
+			type: 'put',
+			at: authority.wallMs,
+			requestId: name,
+			name,
+			seen: 0,
+			specification: {
+				kind: 'change', action: 'role', server: change.server, role: change.role, reason: change.reason,
+			},
+		};
+	}
+
+	#poolDemand(engine: Announcement): Demand {
+		const own = [...this.#demands.values()].flat().filter(({model}) => (engine.models ?? []).includes(model));
+		return {
+			prefill: own.reduce((sum, {prefill}) => sum + prefill, 0),
+			decode: own.reduce((sum, {decode}) => sum + decode, 0),
+		};
+	}
+
+	/** Automatic changes leave a trace for a while, then make room. */
+	#forgetOldChanges(state: ControlState, authority: Authority): ControllerEffect[] {
+		const old = state.listResources().find(({name, status}) => name.startsWith(AUTOMATIC_PREFIX)
+			&& (status?.phase === PHASES.done || status?.phase === PHASES.failed)
+			&& authority.wallMs - (status.history.at(-1)?.at ?? 0) > AUTOMATIC_RETENTION_MS);
+		return old
+			? [{
+				type: 'propose',
+				command: {
+					type: 'remove', at: authority.wallMs, requestId: `forget-${old.name}`, kind: 'change', name: old.name, seen: old.version,
+				},
+			}]
+			: [];
+	}
+
 	#tickChanges(state: ControlState, authority: Authority): ControllerEffect[] {
 		const effects: ControllerEffect[] = [];
 		for (const resource of state.listOpenChanges()) {
@@ -415,6 +502,21 @@
 	return candidate.sequence > known.sequence;
 }
 
+function poolKey(engine: Announcement): string {
+	return [...engine.models ?? []].toSorted().join(' ');
+}
+
+/** Engines that serve the same models can take each other's work. */
+function groupPools(engines: readonly Announcement[]): Announcement[][] {
+	const pools = new Map<string, Announcement[]>();
+	for (const engine of engines) {
+		const key = poolKey(engine);
+		pools.set(key, [...pools.get(key) ?? [], engine]);
+	}
+
+	return [...pools.values()];
+}
+
 function planOrder(change: Change): {readonly server: string; readonly action: Action} {
 	switch (change.action) {
 		case 'role': {
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -15,7 +15,7 @@
 	EMPTY_SNAPSHOT, readIdentity, Storage,
 } from '../consensus/storage.js';
 import type {
-	Command, CommandEntry, Configuration, Member, Members, MembersReply, Message, Outcome, Peer, Propose, Read, Renew, Welcome,
+	Announcement, Command, CommandEntry, Configuration, Member, Members, MembersReply, Message, Outcome, Peer, Propose, Read, Renew, Welcome,
 } from '../generated/types.js';
 import {decodeValue, encodeValue} from '../wire/frame.js';
 import {connect, type Connection} from '../wire/connection.js';
@@ -39,6 +39,8 @@
 	readonly timing?: Timing;
 	readonly onFatal: (problem: Problem) => void;
 	readonly onCommit?: () => void;
+	/** Engines that are announced now, for the choice of roles. */
+	readonly listEngines?: () => Announcement[];
 };
 
 type Subscriber = {
@@ -291,7 +293,12 @@
 			return;
 		}
 
-		for (const effect of this.#controller.tick(this.#state, this.#authority())) {
+		const authority = this.#authority();
+		const effects = [
+			...this.#controller.tick(this.#state, authority),
+			...this.#controller.tickRoles(this.#state, this.#options.listEngines?.() ?? [], authority),
+		];
+		for (const effect of effects) {
 			void this.#run(effect);
 		}
 
@@ -340,6 +347,10 @@
 			this.#logger.info(`Change ${command.change} becomes ${command.phase}.`, {change: command.change, phase: command.phase, reason: command.note});
 		}
 
+		if (command.type === 'put' && command.specification.kind === 'change') {
+			this.#logger.info(`Chooses the change ${command.name}.`, {change: command.specification, reason: command.specification.reason});
+		}
+
 		if (command.type === 'settle') {
 			this.#logger.warn('Closes a claim whose host is gone.', {key: command.key, attempt: command.attempt});
 		}
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -398,7 +398,8 @@
 		load: ` with model ${change.model ?? '?'} ${change.modelVersion ?? ''}`.trimEnd(),
 		replace: ` by ${change.replacement ?? '?'}`,
 	}[change.action];
-	return `${change.action} ${change.server}${target}`;
+	const reason = change.reason === undefined ? '' : ` because ${change.reason}`;
+	return `${change.action} ${change.server}${target}${reason}`;
 }
 
 /**
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -25,7 +25,7 @@
 import {EntryServer} from '../entry/server.js';
 import {ServiceHandler} from '../entry/service.js';
 import {View, ViewTask} from '../entry/view.js';
-import type {Message, Settings} from '../generated/types.js';
+import type {Announcement, Message, Settings} from '../generated/types.js';
 import {Directory} from '../membership/directory.js';
 import {GossipTask} from '../membership/gossip.js';
 import {Listener, type Connection} from '../wire/connection.js';
@@ -84,6 +84,7 @@
 				random: this.#random,
 				loggers,
 				onFatal: this.#options.onFatal,
+				listEngines: () => this.#entry?.listEngines() ?? [],
 				onCommit: () => {
 					this.#metrics.commits.inc();
 				},
@@ -202,6 +203,7 @@
 			clock,
 			logger: loggers('entry'),
 			countRunning: server => this.#fleet.loads.countOwn(server),
+			readDemand: () => this.#fleet.readDemand(),
 			findAnnouncement: server => this.#directory.findServer(server),
 			onChange() {
 				metrics.viewVersion.set(view.version);
@@ -278,6 +280,12 @@
 		return this.#port;
 	}
 
+	/** Engines that are announced and not leaving. */
+	listEngines(): Announcement[] {
+		return this.#directory.listServers(this.#options.clock.monotonicMs())
+			.filter(({kind, leaving}) => kind === 'engine' && leaving !== true);
+	}
+
 	receive(message: Extract<Message, {type: 'gossip'}>): void {
 		this.#gossip?.receive(message);
 	}
--- a/src/entry/engine.ts
+++ b/src/entry/engine.ts
@@ -12,7 +12,7 @@
 
 /** How an attempt ended. */
 export type AttemptEnd
-	= | {readonly type: 'complete'; readonly finishReason: string; readonly promptTokens: number; readonly load: string | undefined}
+	= | {readonly type: 'complete'; readonly finishReason: string; readonly promptTokens: number; readonly cachedTokens: number | undefined; readonly handoff: string | undefined}
 	/** The engine refused before running it. */
 		| {readonly type: 'refused'; readonly status: number; readonly text: string}
 	/** The request itself is wrong. */
@@ -42,6 +42,8 @@
 	readonly isFresh: boolean;
 	readonly priority: number;
 	readonly onToken: (text: string) => void;
+	/** Takes the engine's load, which stands in the head of its answer. */
+	readonly onLoad: (load: string) => void;
 };
 
 type EngineEvent = {
@@ -52,7 +54,9 @@
 		readonly text?: string;
 		readonly finish_reason?: string | null;
 	}>;
-	readonly usage?: {readonly prompt_tokens?: number} | null;
+	readonly usage?: {readonly prompt_tokens?: number; readonly prompt_tokens_details?: {readonly cached_tokens?: number}} | null;
+	/** Handle of the KV cache that another engine may import. */
+	readonly handoff?: string;
 };
 
 export type RunningAttempt = {
@@ -154,11 +158,12 @@
 	#isFinished = false;
 	#hasEvent = false;
 	#status = 0;
-	#load: string | undefined;
 	#errorText = '';
 	#offset: number;
 	#finishReason: string | undefined;
 	#promptTokens = 0;
+	#cachedTokens: number | undefined;
+	#handoff: string | undefined;
 	#isDone = false;
 
 	constructor(attempt: Attempt) {
@@ -182,7 +187,9 @@
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
 		this.#status = status;
 		const load = headers['carawayhoist-load'];
-		this.#load = typeof load === 'string' ? load : undefined;
+		if (typeof load === 'string') {
+			this.#attempt.onLoad(load);
+		}
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -208,7 +215,7 @@
 
 		if (this.#isDone && this.#finishReason !== undefined) {
 			this.finish({
-				type: 'complete', finishReason: this.#finishReason, promptTokens: this.#promptTokens, load: this.#load,
+				type: 'complete', finishReason: this.#finishReason, promptTokens: this.#promptTokens, cachedTokens: this.#cachedTokens, handoff: this.#handoff,
 			});
 			return;
 		}
@@ -276,6 +283,8 @@
 		}
 
 		this.#promptTokens = event.usage?.prompt_tokens ?? this.#promptTokens;
+		this.#cachedTokens = event.usage?.prompt_tokens_details?.cached_tokens ?? this.#cachedTokens;
+		this.#handoff = event.handoff ?? this.#handoff;
 		const choice = event.choices?.[0];
 		if (!choice) {
 			return;
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -4,13 +4,16 @@
  * @module
  */
 import type {Clock} from '../base/clock.js';
-import {hashBlocks, BLOCK_CHARACTERS, PrefixIndex} from '../routing/prefix.js';
+import {
+	BLOCK_CHARACTERS, findHome, hashBlocks, PrefixIndex,
+} from '../routing/prefix.js';
 import {
 	DEFAULT_SPEED, ENGINE_ROLES, type Candidate, type EngineRole,
 } from '../routing/choice.js';
 import {HealthTracker, ProgressHistory} from '../routing/health.js';
 import {LoadTracker} from '../routing/load.js';
-import type {Announcement, Fact} from '../generated/types.js';
+import {DemandMeter, estimateWork} from '../routing/roles.js';
+import type {Announcement, Fact, ModelDemand} from '../generated/types.js';
 import type {Directory} from '../membership/directory.js';
 import type {View} from './view.js';
 
@@ -20,7 +23,8 @@
 export const TOKENS_PER_PIECE = 64;
 const DEFAULT_MAX_RUNNING = 64;
 const DEFAULT_PIECES = 1000;
-const TOKENS_PER_BLOCK = BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN;
+const DEMAND_WINDOW_MS = 8000;
+export const TOKENS_PER_BLOCK = BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN;
 
 export type FleetOptions = {
 	readonly directory: Directory;
@@ -34,6 +38,7 @@
 	readonly prefixes = new PrefixIndex();
 	readonly health = new HealthTracker();
 	readonly progress = new ProgressHistory();
+	readonly #meters = new Map<string, DemandMeter>();
 	readonly #options: FleetOptions;
 	readonly #incarnations = new Map<string, number>();
 
@@ -59,6 +64,25 @@
 		}
 	}
 
+	/** Notes a request's work for the leader's choice of roles. */
+	noteDemand(model: string, shape: {readonly promptTokens: number; readonly outputTokens: number}): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		let meter = this.#meters.get(model);
+		if (!meter) {
+			meter = new DemandMeter(DEMAND_WINDOW_MS, nowMs);
+			this.#meters.set(model, meter);
+		}
+
+		const {prefillMs, decodeMs} = estimateWork(shape, DEFAULT_SPEED);
+		meter.note(prefillMs, decodeMs, nowMs);
+	}
+
+	/** Work that came in through this host, by model. */
+	readDemand(): ModelDemand[] {
+		const nowMs = this.#options.clock.monotonicMs();
+		return [...this.#meters].map(([model, meter]) => ({model, ...meter.read(nowMs)}));
+	}
+
 	findServer(server: string): Announcement | undefined {
 		return this.#options.directory.findServer(server);
 	}
@@ -66,8 +90,9 @@
 	/** Engines that may take a request for a model. */
 	listEngines(model: string, prompt: string, excluded: ReadonlySet<string>): Candidate[] {
 		const hashes = hashBlocks(prompt);
-		return this.#listUsable(excluded, announcement => servesModel(announcement, model))
-			.map(announcement => this.#createCandidate(announcement, hashes));
+		const engines = this.#listUsable(excluded, announcement => servesModel(announcement, model));
+		const homes = this.#findHomes(engines, hashes);
+		return engines.map(announcement => this.#createCandidate(announcement, hashes, homes.has(announcement.server)));
 	}
 
 	/** Plain servers that may take a call to a service. */
@@ -98,7 +123,19 @@
 		return healthy.length > 0 ? healthy : usable;
 	}
 
-	#createCandidate(announcement: Announcement, hashes: readonly number[]): Candidate {
+	/** A prefix that was seen before is at home at one engine of each role. */
+	#findHomes(engines: readonly Announcement[], hashes: readonly number[]): Set<string> {
+		const homes = new Set<string>();
+		const deepest = hashes[this.prefixes.countSeen(hashes) - 1];
+		for (const role of deepest === undefined ? [] : Object.values(ENGINE_ROLES)) {
+			const peers = engines.filter(engine => this.#roleOf(engine) === role).map(({server}) => server);
+			homes.add(findHome(peers, deepest!) ?? '');
+		}
+
+		return homes;
+	}
+
+	#createCandidate(announcement: Announcement, hashes: readonly number[], isHome: boolean): Candidate {
 		const {server} = announcement;
 		const pieces = announcement.capacity ?? DEFAULT_PIECES;
 		return {
@@ -107,7 +144,8 @@
 			dataCentre: announcement.dataCentre ?? '',
 			load: this.loads.estimate(server),
 			speed: DEFAULT_SPEED,
-			cachedTokens: this.prefixes.countCached(server, hashes) * TOKENS_PER_BLOCK,
+			cachedTokens: this.prefixes.expectCached(server, hashes, isHome) * TOKENS_PER_BLOCK,
+			isHome,
 			maxRunning: DEFAULT_MAX_RUNNING,
 			kvTokens: pieces * TOKENS_PER_PIECE,
 		};
--- a/src/entry/view.ts
+++ b/src/entry/view.ts
@@ -13,7 +13,7 @@
 	excludesServer, isOpenChange, resourceKey, type Kind,
 } from '../control/state.js';
 import type {
-	Announcement, Change, Renewed, Resource, Running, ViewUpdate,
+	Announcement, Change, ModelDemand, Renewed, Resource, Running, ViewUpdate,
 } from '../generated/types.js';
 
 const NO_VERSION = -1;
@@ -85,6 +85,7 @@
 	readonly logger: Logger;
 	/** Requests in flight here at a server. */
 	readonly countRunning: (server: string) => number;
+	readonly readDemand: () => ModelDemand[];
 	readonly findAnnouncement: (server: string) => Announcement | undefined;
 	readonly onChange: () => void;
 };
@@ -201,7 +202,7 @@
 		const running: Running[] = servers.map(server => ({server, count: this.#options.countRunning(server)}));
 		const announcements = servers.map(server => this.#options.findAnnouncement(server)).filter(found => found !== undefined);
 		return {
-			type: 'renew', host, boot, version: view.version, running, announcements, leaving: this.#isLeaving,
+			type: 'renew', host, boot, version: view.version, running, announcements, demand: this.#options.readDemand(), leaving: this.#isLeaving,
 		};
 	}
 
--- a/src/routing/handoff.ts
+++ b/src/routing/handoff.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
+import type {Random} from '../base/random.js';
 import {
 	chooseEngine, DEFAULT_CHOICE, ENGINE_ROLES, type Candidate, type ChoiceOptions, type Decision, type RequestShape,
 } from './choice.js';
-import type {Random} from '../base/random.js';
 
 export type TransferSpeed = {
 	/** KV tokens that are moved in a millisecond. */
--- a/src/routing/prefix.ts
+++ b/src/routing/prefix.ts
@@ -74,7 +74,7 @@
 	/** Number of leading blocks that were seen in earlier prompts, at any server. */
 	countSeen(hashes: readonly number[]): number {
 		const miss = hashes.findIndex(hash => !this.#seen.has(hash));
-		return miss < 0 ? hashes.length : miss;
+		return miss === -1 ? hashes.length : miss;
 	}
 
 	/** Number of leading blocks that may be expected at a server, by what its answers have confirmed so far. */
--- a/src/routing/roles.ts
+++ b/src/routing/roles.ts
@@ -6,7 +6,10 @@
  *
  * @module
  */
-import {ENGINE_ROLES, type EngineRole} from './choice.js';
+import {ENGINE_ROLES, type EngineRole, type Speed} from './choice.js';
+import {MIN_HANDOFF_TOKENS} from './handoff.js';
+
+const BATCH_OF_A_BUSY_ENGINE = 42;
 
 /** Work that comes in, in engines that it would keep busy. */
 export type Demand = {
@@ -107,6 +110,22 @@
 	return {prefill: prefill + (mixed / 2), decode: engines.length - prefill - (mixed / 2)};
 }
 
+/**
+ * Estimates the work of a request in engine-milliseconds of each kind, in well-filled batches.
+ *
+ * @example
+ * ```ts
+ * estimateWork({promptTokens: 3200, outputTokens: 80}, DEFAULT_SPEED).prefillMs; // 400
+ * ```
+ */
+export function estimateWork(shape: {readonly promptTokens: number; readonly outputTokens: number}, speed: Speed): {readonly prefillMs: number; readonly decodeMs: number} {
+	const perTokenMs = (speed.stepMs / BATCH_OF_A_BUSY_ENGINE) + speed.stepMsPerRequest;
+	const promptMs = shape.promptTokens / speed.prefillTokensPerMs;
+	const decodeMs = shape.outputTokens * perTokenMs;
+	// Short prompts are computed where the answer is.
+	return shape.promptTokens > MIN_HANDOFF_TOKENS ? {prefillMs: promptMs, decodeMs} : {prefillMs: 0, decodeMs: decodeMs + promptMs};
+}
+
 /** Follows the demand over a window. A step machine: time is handed in. */
 export class DemandMeter {
 	readonly #windowMs: number;
