--- a/bench/statistics.ts
+++ b/bench/statistics.ts
@@ -77,3 +77,15 @@
 	const residual = Math.max(...points.map(([x, y]) => Math.abs(y - (intercept + (slope * x))))) / largest;
 	return {slope, intercept, residual};
 }
+
+/**
+ * Rounds to four significant digits.
+ *
+ * @example
+ * ```ts
+ * round(0.0123456); // 0.01235
+ * ```
+ */
+export function round(value: number): number {
+	return Number(value.toPrecision(4));
+}
--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -135,9 +135,11 @@
 
 	#drawTemper(): Temper {
 		const draw = (most: number) => Math.floor(this.#random() * (most + 1));
+		// In some runs little happens beside orders and long pauses of the leader that has one open.
+		const isOrderRun = this.#random() < 0.25;
 		return {
 			controls: this.#random() < 0.6 ? 3 : 5,
-			faultEveryMs: 150 + draw(900),
+			faultEveryMs: (isOrderRun ? 3000 : 150) + draw(900),
 			kills: draw(4),
 			wipes: draw(2),
 			pauses: draw(3),
@@ -145,8 +147,8 @@
 			storms: draw(2),
 			handOvers: draw(2),
 			coups: this.#random() < 0.3 ? this.#random() * 0.8 : 0,
-			orderPauses: this.#random() < 0.4 ? 0.1 : 0,
-			timing: this.#random() < 0.5 ? DEFAULT_CONTROLLER_TIMING : QUICK_TIMING,
+			orderPauses: isOrderRun ? 0.3 : 0,
+			timing: this.#random() < 0.5 && !isOrderRun ? DEFAULT_CONTROLLER_TIMING : QUICK_TIMING,
 			entriesPerAppend: this.#random() < 0.5 ? 1 + draw(3) : 512,
 			stormDelayMs: this.#random() < 0.3 ? 1500 : 250,
 		};
@@ -278,7 +280,7 @@
 		if (leader && isOpen && !this.#isHealed && this.#random() < this.#temper.orderPauses) {
 			this.#fault('pause', `${leader.host} during an order`);
 			this.#world.pause(leader.process);
-			this.#world.schedule(3000 + (this.#random() * 5000), () => {
+			this.#world.schedule(4500 + (this.#random() * 4000), () => {
 				this.#world.resume(leader.process);
 			});
 		}
--- a/dev/fuzz/world.ts
+++ b/dev/fuzz/world.ts
@@ -13,7 +13,7 @@
 	/** Rises with each kill, so that what was meant for an earlier start is dropped. */
 	start: number;
 	/** What arrived while it was paused. */
-	readonly backlog: Array<() => void>;
+	readonly backlog: Array<{readonly isTimer: boolean; readonly run: () => void}>;
 };
 
 type Scheduled = {
@@ -79,7 +79,7 @@
 	scheduleIn(process: Process, delayMs: number, run: () => void): void {
 		const {start} = process;
 		this.schedule(delayMs, () => {
-			this.#deliver(process, start, run);
+			this.#deliver(process, start, run, true);
 		});
 	}
 
@@ -133,10 +133,14 @@
 		process.isPaused = true;
 	}
 
-	/** Lets a paused process go on: what waited for it comes at once. */
+	/** Lets a paused process go on: what waited for it comes at once, timers first or messages first. */
 	resume(process: Process): void {
 		process.isPaused = false;
-		for (const run of process.backlog.splice(0)) {
+		const backlog = process.backlog.splice(0);
+		const isTimersFirst = this.random() < 0.5;
+		const first = backlog.filter(({isTimer}) => isTimer === isTimersFirst);
+		const second = backlog.filter(({isTimer}) => isTimer !== isTimersFirst);
+		for (const {run} of [...first, ...second]) {
 			run();
 		}
 	}
@@ -165,14 +169,17 @@
 		}
 	}
 
-	#deliver(process: Process, start: number, run: () => void): void {
+	#deliver(process: Process, start: number, run: () => void, isTimer = false): void {
 		if (!process.isAlive || process.start !== start) {
 			return;
 		}
 
 		if (process.isPaused) {
-			process.backlog.push(() => {
-				this.#deliver(process, start, run);
+			process.backlog.push({
+				isTimer,
+				run: () => {
+					this.#deliver(process, start, run, isTimer);
+				},
 			});
 			return;
 		}
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -82,8 +82,10 @@
 
 /** Writes an answer to the caller as it comes. */
 export interface AnswerWriter {
-	/** Takes one token; false if the caller does not keep up. */
-	token(text: string): boolean;
+	/** Takes one token. */
+	token(text: string): void;
+	/** Sends what was taken since the last call; false if the caller does not keep up. */
+	flush(): boolean;
 	complete(finishReason: string, usage: Usage): void;
 }
 
@@ -105,8 +107,11 @@
 		this.#options = options;
 	}
 
-	token(text: string): boolean {
+	token(text: string): void {
 		this.#text += text;
+	}
+
+	flush(): boolean {
 		return true;
 	}
 
@@ -135,6 +140,8 @@
 	readonly #options: WriterOptions;
 	readonly #head: string;
 	#hasStarted = false;
+	/** Events that go out together: one write costs as much as many events. */
+	#batch = '';
 
 	constructor(options: WriterOptions) {
 		this.#options = options;
@@ -146,14 +153,23 @@
 		}).slice(0, -1)},"choices":[`;
 	}
 
-	token(text: string): boolean {
-		const {request, response} = this.#options;
+	token(text: string): void {
+		const {request} = this.#options;
 		const content = JSON.stringify(text);
 		const choice = request.api === APIS.chat
 			? `{"index":0,"delta":{"content":${content}},"logprobs":null,"finish_reason":null}`
 			: `{"index":0,"text":${content},"logprobs":null,"finish_reason":null}`;
-		this.#start();
-		response.write(`${this.#head}${choice}]}\n\n`);
+		this.#batch += `${this.#head}${choice}]}\n\n`;
+	}
+
+	flush(): boolean {
+		const {response} = this.#options;
+		if (this.#batch !== '' && !response.destroyed) {
+			this.#start();
+			response.write(this.#batch);
+			this.#batch = '';
+		}
+
 		return response.writableLength < MAX_BUFFERED_BYTES;
 	}
 
@@ -164,8 +180,10 @@
 			? `{"index":0,"delta":{},"logprobs":null,"finish_reason":${reason}}`
 			: `{"index":0,"text":"","logprobs":null,"finish_reason":${reason}}`;
 		this.#start();
+		const last = this.#batch;
+		this.#batch = '';
 		const usageEvent = request.includesUsage ? `${this.#head}],"usage":${JSON.stringify(usage)}}\n\n` : '';
-		response.end(`${this.#head}${choice}]}\n\n${usageEvent}data: [DONE]\n\n`);
+		response.end(`${last}${this.#head}${choice}]}\n\n${usageEvent}data: [DONE]\n\n`);
 	}
 
 	#start(): void {
--- a/src/entry/engine.ts
+++ b/src/entry/engine.ts
@@ -42,6 +42,8 @@
 	readonly isFresh: boolean;
 	readonly priority: number;
 	readonly onToken: (text: string) => void;
+	/** Called when all events that arrived together were taken. */
+	readonly onBatchEnd: () => void;
 	/** Takes the engine's load, which stands in the head of its answer. */
 	readonly onLoad: (load: string) => void;
 };
@@ -204,6 +206,7 @@
 
 		this.#touch();
 		this.#parser.feed(this.#decoder.decode(chunk, {stream: true}));
+		this.#attempt.onBatchEnd();
 	}
 
 	onResponseEnd(): void {
--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -222,6 +222,7 @@
 	/** Target to the first token that the caller set, milliseconds. */
 	readonly #firstTokenMs: number | undefined;
 	#handsOff = false;
+	#isFirstOfAttempt = true;
 	#import: {readonly address: string; readonly port: number; readonly handle: string} | undefined;
 
 	constructor(handler: ModelHandler, exchange: Exchange, request: CompletionRequest) {
@@ -422,6 +423,7 @@
 	async #attempt(server: Announcement, decision: Decision): Promise<AttemptEnd> {
 		const {engines, fleet, clock} = this.#handler.options;
 		const id = `${this.#exchange.id}.${this.#attempts}`;
+		this.#isFirstOfAttempt = true;
 		const resume = this.#tokens > 0 ? {resume: {offset: this.#tokens, text: this.#delivered}} : {};
 		const handoff = this.#handsOff ? {handoff: true} : {};
 		const imported = this.#import ? {kv: this.#import} : {};
@@ -445,6 +447,9 @@
 			onToken: text => {
 				this.#onToken(text, server.server, id);
 			},
+			onBatchEnd: () => {
+				this.#flush();
+			},
 			onLoad: load => {
 				this.#noteLoad(server.server, load);
 			},
@@ -475,6 +480,11 @@
 	#onToken(text: string, server: string, attempt: string): void {
 		const {fleet, clock, metrics} = this.#handler.options;
 		const nowMs = clock.monotonicMs();
+		if (this.#isFirstOfAttempt) {
+			this.#isFirstOfAttempt = false;
+			fleet.loads.noteFirstToken(server, attempt);
+		}
+
 		if (this.#tokens === 0) {
 			const firstMs = nowMs - this.#startedMs;
 			metrics.firstToken.observe(firstMs / 1000);
@@ -484,7 +494,6 @@
 			fleet.progress.noteGap(server, nowMs - this.#lastTokenMs);
 		}
 
-		fleet.loads.noteFirstToken(server, attempt);
 		this.#lastTokenMs = nowMs;
 		this.#tokens++;
 		this.#delivered += text;
@@ -492,7 +501,11 @@
 			this.#clearSuspicion();
 		}
 
-		if (!this.#writer.token(text)) {
+		this.#writer.token(text);
+	}
+
+	#flush(): void {
+		if (!this.#writer.flush()) {
 			this.#note('The caller does not read; the request is cancelled.');
 			this.#exchange.response.destroy();
 		}
@@ -642,6 +655,7 @@
 			return;
 		}
 
+		this.#writer.flush();
 		// The stream has begun: an error event, and no end marker, tell that the answer is not whole.
 		response.end(`data: ${JSON.stringify({error: {message: problem.text, type: 'server_error', code: problem.code}})}\n\n`);
 	}
--- /dev/null
+++ b/test/handoff.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {streamCompletion} from '../dev/calls.js';
+import {waitUntil} from '../dev/fleet.js';
+import {FakeEngine} from '../fakes/engine.js';
+import {startFixture, type Fixture} from './fixture.js';
+
+let fixture: Fixture;
+let prefill: FakeEngine;
+let decode: FakeEngine;
+
+before(async () => {
+	fixture = await startFixture();
+	const add = async (name: string, role: 'prefill' | 'decode') => fixture.add(entries => new FakeEngine({
+		name, entries, role, announceEveryMs: 50, stepMs: 2, awayMs: 50,
+	}));
+	prefill = await add('p1', 'prefill');
+	decode = await add('d1', 'decode');
+});
+
+after(async () => {
+	await fixture.stop();
+});
+
+test('a long prompt is computed at the prefill engine, and the decode engine goes on with its KV cache', async () => {
+	const content = 'a long track about barley. '.repeat(400);
+	const answer = await streamCompletion(fixture.url, {model: 'summary-1', content});
+	assert.ok(answer.isWhole);
+	assert.equal(await importsOf(decode), 1);
+	assert.equal(await importsOf(prefill), 0);
+});
+
+test('a short prompt goes straight to the decode engine', async () => {
+	const answer = await streamCompletion(fixture.url, {model: 'chat-1', content: 'compare'});
+	assert.ok(answer.isWhole);
+	assert.equal(await importsOf(decode), 1);
+});
+
+test('an answer that would come too late is refused at once when the caller has said what late is', async () => {
+	const response = await fetch(`${fixture.url}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {'carawayhoist-first-token-ms': '1'},
+		body: JSON.stringify({model: 'summary-1', messages: [{role: 'user', content: 'x'}]}),
+	});
+	assert.equal(response.status, 429);
+	assert.equal(response.headers.get('carawayhoist-code'), '3001');
+	assert.equal(response.headers.get('carawayhoist-outcome'), 'not-run');
+	assert.ok(Number(response.headers.get('retry-after')) >= 1);
+});
+
+test('with automatic roles the leader changes an engine\'s role when the mix has shifted, and says why', async () => {
+	await fixture.add(entries => new FakeEngine({
+		name: 'd2', entries, role: 'decode', announceEveryMs: 50, stepMs: 2, awayMs: 50,
+	}));
+	await fixture.put('policy', 'roles', {
+		kind: 'policy', profile: 'tallgrass', automaticRoles: true, changeWeight: 0,
+	});
+	let count = 0;
+	const load = setInterval(() => {
+		count++;
+		void streamCompletion(fixture.url, {model: 'summary-1', content: `${count} ${'a long track about oats. '.repeat(4000)}`}).catch(() => undefined);
+	}, 40);
+	await waitUntil(async () => {
+		const {resources} = await (await fetch(`${fixture.url}/api/v1/resources/change`)).json() as {resources: Array<{name: string; status: {phase: string}}>};
+		return resources.some(({name, status}) => name.startsWith('auto-') && status.phase === 'done');
+	}, 'an automatic role change', 30_000);
+	clearInterval(load);
+	const {resources} = await (await fetch(`${fixture.url}/api/v1/resources/change`)).json() as {resources: Array<{name: string; specification: {role: string}}>};
+	assert.equal(resources[0]?.specification.role, 'prefill');
+	const story = await (await fetch(`${fixture.url}/api/v1/explain/${resources[0].name}`)).json() as {steps: Array<{text: string}>};
+	assert.match(story.steps[0]!.text, /because prefill needs/v);
+});
+
+async function importsOf(engine: FakeEngine): Promise<number> {
+	const {imported} = await (await fetch(`${engine.url}/runs`)).json() as {imported: number};
+	return imported;
+}
