--- a/bench/stub.ts
+++ b/bench/stub.ts
@@ -7,6 +7,7 @@
  * node dist/bench/stub.js passthrough 9001 http://127.0.0.1:9000
  * ```
  */
+import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import process from 'node:process';
 import {pipeline} from 'node:stream/promises';
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -7,6 +7,7 @@
 import type {
 	Action, Announcement, Change, Command, ModelDemand, Policy, Renew, Resource,
 } from '../generated/types.js';
+import type {EngineRole} from '../routing/choice.js';
 import {
 	chooseRoleChange, PROFILES, type Demand, type RoleProfile,
 } from '../routing/roles.js';
@@ -196,14 +197,23 @@
 		];
 	}
 
-	/** Decides at most one role change, if the operators have asked for automatic roles. */
+	/** Decides at most one role change: as the operators have declared, or by itself if they have asked for that. */
 	tickRoles(state: ControlState, engines: readonly Announcement[], authority: Authority): ControllerEffect[] {
-		const policy = state.find('policy', ROLE_POLICY)?.specification as Policy | undefined;
-		if (!policy?.automaticRoles || authority.nowMs < this.#nextRoleMs) {
+		if (authority.nowMs < this.#nextRoleMs) {
 			return [];
 		}
 
 		this.#nextRoleMs = authority.nowMs + ROLE_TICK_MS;
+		const declared = this.#followDeclaredRole(state, engines, authority);
+		if (declared) {
+			return [{type: 'propose', command: declared}];
+		}
+
+		const policy = state.find('policy', ROLE_POLICY)?.specification as Policy | undefined;
+		if (!policy?.automaticRoles) {
+			return [];
+		}
+
 		const profile = {...PROFILES[policy.profile], ...(policy.changeWeight === undefined ? {} : {changeWeight: policy.changeWeight})};
 		for (const pool of groupPools(engines)) {
 			const command = this.#choosePoolChange(state, pool, profile, authority);
@@ -215,6 +225,25 @@
 		return this.#forgetOldChanges(state, authority);
 	}
 
+	/** An engine resource says which role its engine should play. */
+	#followDeclaredRole(state: ControlState, engines: readonly Announcement[], authority: Authority): Command | undefined {
+		for (const {name, version, specification} of state.listResources()) {
+			const announced = specification.kind === 'engine' ? engines.find(({server}) => server === name) : undefined;
+			if (specification.kind !== 'engine' || !announced || announced.role === specification.role) {
+				continue;
+			}
+
+			const change = `declared-${name}-${version}`;
+			const isKnown = state.find('change', change) !== undefined;
+			const isChanging = state.listResources().some(resource => excludesServer(resource, name));
+			if (!isKnown && !isChanging) {
+				return createRoleChange(change, {server: name, role: specification.role, reason: 'the operators declared that role'}, authority);
+			}
+		}
+
+		return undefined;
+	}
+
 	#choosePoolChange(state: ControlState, pool: readonly Announcement[], profile: RoleProfile, authority: Authority): Command | undefined {
 		const key = poolKey(pool[0]!);
 		const isChanging = state.listOpenChanges().some(change => pool.some(({server}) => server === (change.specification as Change).server));
@@ -232,16 +261,7 @@
 
 		this.#roleChangedMs.set(key, authority.nowMs);
 		const name = `${AUTOMATIC_PREFIX}${change.server}-${state.version}`;
-		return {
-			type: 'put',
-			at: authority.wallMs,
-			requestId: name,
-			name,
-			seen: 0,
-			specification: {
-				kind: 'change', action: 'role', server: change.server, role: change.role, reason: change.reason,
-			},
-		};
+		return createRoleChange(name, change, authority);
 	}
 
 	#poolDemand(engine: Announcement): Demand {
@@ -502,6 +522,20 @@
 	return candidate.sequence > known.sequence;
 }
 
+function createRoleChange(name: string, change: {readonly server: string; readonly role: EngineRole; readonly reason: string}, authority: Authority): Command {
+	const {server, role, reason} = change;
+	return {
+		type: 'put',
+		at: authority.wallMs,
+		requestId: name,
+		name,
+		seen: 0,
+		specification: {
+			kind: 'change', action: 'role', server, role, reason,
+		},
+	};
+}
+
 function poolKey(engine: Announcement): string {
 	return [...engine.models ?? []].toSorted().join(' ');
 }
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -55,7 +55,7 @@
 	readonly #boot = randomUUID();
 	readonly #clock: Clock = createClock();
 	readonly #random: Random = createRandom(Math.floor(Math.random() * 0xFF_FF_FF_FF));
-	readonly #metrics: Metrics = createMetrics();
+	readonly #metrics: Metrics = createMetrics(() => this.#entry?.viewAgeMs ?? 0);
 	readonly #listener: Listener;
 	#control: ControlService | undefined;
 	#entry: EntryRole | undefined;
@@ -178,6 +178,7 @@
 	readonly #directory: Directory;
 	readonly #fleet: Fleet;
 	readonly #capture: WriteStream | undefined;
+	readonly #countedChanges = new Set<string>();
 	#gossip: GossipTask | undefined;
 	#port = 0;
 
@@ -205,8 +206,9 @@
 			countRunning: server => this.#fleet.loads.countOwn(server),
 			readDemand: () => this.#fleet.readDemand(),
 			findAnnouncement: server => this.#directory.findServer(server),
-			onChange() {
+			onChange: () => {
 				metrics.viewVersion.set(view.version);
+				this.#countRoleChanges(view);
 			},
 		});
 		this.#models = new ModelHandler({
@@ -280,6 +282,10 @@
 		return this.#port;
 	}
 
+	get viewAgeMs(): number {
+		return this.#viewTask.ageMs;
+	}
+
 	/** Engines that are announced and not leaving. */
 	listEngines(): Announcement[] {
 		return this.#directory.listServers(this.#options.clock.monotonicMs())
@@ -316,6 +322,16 @@
 		await this.#servers.close();
 	}
 
+	#countRoleChanges(view: View): void {
+		for (const {name, specification, status} of view.list('change')) {
+			const isRoleDone = specification.kind === 'change' && specification.action === 'role' && status?.phase === 'done';
+			if (isRoleDone && !this.#countedChanges.has(name)) {
+				this.#countedChanges.add(name);
+				this.#options.metrics.roleChanges.inc();
+			}
+		}
+	}
+
 	#startGossip(httpPort: number): void {
 		const {settings, clock, random, loggers, peerPort} = this.#options;
 		this.#gossip = new GossipTask({
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -14,13 +14,14 @@
 /**
  * Creates the metrics and the registry that prints them.
  *
+ * @param readViewAgeMs - Asked whenever the metrics are read.
  * @example
  * ```ts
  * const metrics = createMetrics();
  * metrics.requests.inc({kind: 'model', outcome: 'done'});
  * ```
  */
-export function createMetrics() {
+export function createMetrics(readViewAgeMs: () => number = () => 0) {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -47,7 +48,9 @@
 			name: 'carawayhoist_view_version', help: 'Version of the configuration in force.', registers,
 		}),
 		viewAge: new Gauge({
-			name: 'carawayhoist_view_age_seconds', help: 'Time since the view lease was last renewed.', registers,
+			name: 'carawayhoist_view_age_seconds', help: 'Time since the view lease was last renewed.', registers, collect() {
+				this.set(readViewAgeMs() / 1000);
+			},
 		}),
 		waiting: new Gauge({
 			name: 'carawayhoist_waiting_requests', help: 'Requests that wait for admission.', registers,
--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -10,7 +10,9 @@
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {shuffle, type Random} from '../base/random.js';
-import type {Announcement, Fact, Team} from '../generated/types.js';
+import type {
+	Announcement, Fact, Model, Team,
+} from '../generated/types.js';
 import type {Directory} from '../membership/directory.js';
 import {
 	chooseEngine, DEFAULT_TARGETS, isPrefillWork, meetsTargets, type Candidate, type Decision, type RequestShape,
@@ -221,6 +223,8 @@
 	#fresh: string | undefined;
 	/** Target to the first token that the caller set, milliseconds. */
 	readonly #firstTokenMs: number | undefined;
+	/** Time to the first token that counts as on time, milliseconds. */
+	readonly #targetMs: number;
 	#handsOff = false;
 	#isFirstOfAttempt = true;
 	#import: {readonly address: string; readonly port: number; readonly handle: string} | undefined;
@@ -243,6 +247,8 @@
 		this.#deadlineMs = this.#startedMs + this.#readDeadline();
 		const firstTokenMs = Number(readHeader(exchange.request, 'carawayhoist-first-token-ms'));
 		this.#firstTokenMs = firstTokenMs > 0 ? firstTokenMs : undefined;
+		const model = handler.options.view.get('model', request.model)?.specification as Model | undefined;
+		this.#targetMs = this.#firstTokenMs ?? model?.firstTokenMs ?? DEFAULT_TARGETS.firstTokenMs;
 		this.#team = readHeader(exchange.request, 'carawayhoist-team') ?? 'default';
 		exchange.response.once('close', () => {
 			this.#onCallerGone();
@@ -488,7 +494,7 @@
 		if (this.#tokens === 0) {
 			const firstMs = nowMs - this.#startedMs;
 			metrics.firstToken.observe(firstMs / 1000);
-			this.#handler.marginOf(this.#shape).note(firstMs <= (this.#firstTokenMs ?? DEFAULT_TARGETS.firstTokenMs));
+			this.#handler.marginOf(this.#shape).note(firstMs <= this.#targetMs);
 		} else {
 			metrics.betweenTokens.observe((nowMs - this.#lastTokenMs) / 1000);
 			fleet.progress.noteGap(server, nowMs - this.#lastTokenMs);
--- a/src/entry/view.ts
+++ b/src/entry/view.ts
@@ -99,6 +99,7 @@
 	readonly #listeners = new Set<() => void>();
 	#timer: NodeJS.Timeout | undefined;
 	#leaseUntilMs = Number.NEGATIVE_INFINITY;
+	#renewedMs = 0;
 	#isRenewing = false;
 	#isLeaving = false;
 	#isClosed = false;
@@ -114,6 +115,11 @@
 		return this.#options.clock.monotonicMs() < this.#leaseUntilMs;
 	}
 
+	/** Time since the view lease was last renewed, milliseconds. */
+	get ageMs(): number {
+		return this.#options.clock.monotonicMs() - this.#renewedMs;
+	}
+
 	/** Whether a majority has confirmed the view since this process started. */
 	get isReady(): boolean {
 		return this.#hasRead;
@@ -192,6 +198,7 @@
 			return;
 		}
 
+		this.#renewedMs = askedMs;
 		this.#leaseUntilMs = askedMs + renewed.right.leaseMs;
 		this.#apply(renewed.right);
 	}
--- a/test/handoff.test.ts
+++ b/test/handoff.test.ts
@@ -48,6 +48,19 @@
 	assert.ok(Number(response.headers.get('retry-after')) >= 1);
 });
 
+test('an engine is given the role that the operators declared', async () => {
+	await fixture.put('engine', 'd1', {kind: 'engine', role: 'mixed'});
+	await waitUntil(async () => {
+		const {role} = await (await fetch(`${decode.url}/runs`)).json() as {role: string};
+		return role === 'mixed';
+	}, 'the declared role');
+	await fixture.put('engine', 'd1', {kind: 'engine', role: 'decode'});
+	await waitUntil(async () => {
+		const {role} = await (await fetch(`${decode.url}/runs`)).json() as {role: string};
+		return role === 'decode';
+	}, 'the declared role again');
+});
+
 test('with automatic roles the leader changes an engine\'s role when the mix has shifted, and says why', async () => {
 	await fixture.add(entries => new FakeEngine({
 		name: 'd2', entries, role: 'decode', announceEveryMs: 50, stepMs: 2, awayMs: 50,
@@ -66,8 +79,9 @@
 	}, 'an automatic role change', 30_000);
 	clearInterval(load);
 	const {resources} = await (await fetch(`${fixture.url}/api/v1/resources/change`)).json() as {resources: Array<{name: string; specification: {role: string}}>};
-	assert.equal(resources[0]?.specification.role, 'prefill');
-	const story = await (await fetch(`${fixture.url}/api/v1/explain/${resources[0].name}`)).json() as {steps: Array<{text: string}>};
+	const automatic = resources.find(({name}) => name.startsWith('auto-'))!;
+	assert.equal(automatic.specification.role, 'prefill');
+	const story = await (await fetch(`${fixture.url}/api/v1/explain/${automatic.name}`)).json() as {steps: Array<{text: string}>};
 	assert.match(story.steps[0]!.text, /because prefill needs/v);
 });
 
