--- a/bench/commits.ts
+++ b/bench/commits.ts
@@ -39,26 +39,6 @@
 
 const RESTART_SIZES = [100, 1000, 10_000];
 
-if (values.only === undefined || values.only === 'rate') {
-	for (const replicas of [3, 5]) {
-		for (const inFlight of [1, 64]) {
-			// Alternating, so that both meet the same machine.
-			await measureRate({replicas, inFlight, batched: true});
-			await measureRate({replicas, inFlight, batched: false});
-		}
-	}
-}
-
-if (values.only === undefined || values.only === 'kill') {
-	await measureKills(Number(values.kills));
-}
-
-if (values.only === undefined || values.only === 'restart') {
-	for (const changes of RESTART_SIZES) {
-		await measureRestart(changes);
-	}
-}
-
 type RatePlan = {
 	readonly replicas: number;
 	readonly inFlight: number;
@@ -261,3 +241,27 @@
 function print(row: Row & Partial<Times>): void {
 	console.log(values.json ? JSON.stringify(row) : Object.entries(row).map(([name, value]) => `${name} ${typeof value === 'number' ? Math.round(value * 100) / 100 : value}`).join(', '));
 }
+
+async function main(): Promise<void> {
+	if (values.only === undefined || values.only === 'rate') {
+		for (const replicas of [3, 5]) {
+			for (const inFlight of [1, 64]) {
+				// Alternating, so that both meet the same machine.
+				await measureRate({replicas, inFlight, batched: true});
+				await measureRate({replicas, inFlight, batched: false});
+			}
+		}
+	}
+
+	if (values.only === undefined || values.only === 'kill') {
+		await measureKills(Number(values.kills));
+	}
+
+	if (values.only === undefined || values.only === 'restart') {
+		for (const changes of RESTART_SIZES) {
+			await measureRestart(changes);
+		}
+	}
+}
+
+await main();
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -234,7 +234,7 @@
 			}
 
 			const change = `declared-${name}-${version}`;
-			const isKnown = state.find('change', change) !== undefined;
+			const isKnown = Boolean(state.find('change', change));
 			const isChanging = state.listResources().some(resource => excludesServer(resource, name));
 			if (!isKnown && !isChanging) {
 				return createRoleChange(change, {server: name, role: specification.role, reason: 'the operators declared that role'}, authority);
