--- a/bench/commits.ts
+++ b/bench/commits.ts
@@ -133,6 +133,7 @@
 			logger: createSilentLoggers()('consensus'),
 			onLeadership: () => undefined,
 			onApplied: () => undefined,
+			grouped: batched,
 		});
 		holder.node = node;
 		this.#nodes.push(node);
--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -27,3 +27,19 @@
 		wallMs: () => Date.now(),
 	};
 }
+
+/**
+ * Waits; for tasks only, a core is handed the time.
+ *
+ * @example
+ * ```ts
+ * await pause(50);
+ * ```
+ */
+export async function pause(durationMs: number): Promise<void> {
+	if (durationMs > 0) {
+		await new Promise(resolve => {
+			setTimeout(resolve, durationMs);
+		});
+	}
+}
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -49,6 +49,8 @@
 	readonly logger: Logger;
 	readonly timing?: Timing;
 	readonly compactAfterEntries?: number;
+	/** Whether proposals that wait together become one write; the bench's baseline has them apart. */
+	readonly grouped?: boolean;
 	readonly onLeadership: (leadership: Leadership) => void;
 	readonly onApplied: () => void;
 };
@@ -228,7 +230,10 @@
 			this.#pending.set(first + offset, {term: this.#replica.term, settle});
 		}
 
-		this.#step({type: 'propose', data: queue.map(({data}) => data)});
+		const data = queue.map(entry => entry.data);
+		for (const group of this.#options.grouped === false ? data.map(one => [one]) : [data]) {
+			this.#step({type: 'propose', data: group});
+		}
 	}
 
 	#onMessage(message: Consensus): void {
--- a/src/control/client.ts
+++ b/src/control/client.ts
@@ -5,7 +5,7 @@
  */
 import * as Either from 'fp-ts/lib/Either.js';
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
-import type {Clock} from '../base/clock.js';
+import {pause, type Clock} from '../base/clock.js';
 import {createProblem, findProblemName, type Problem} from '../base/problem.js';
 import type {
 	Command, Listing, Member, Members, MembersReply, Message, Proposed, Refused, Renew, Renewed,
@@ -221,9 +221,3 @@
 function isSame(target: Address, other: Address | undefined): boolean {
 	return target.address === other?.address && target.port === other.port;
 }
-
-async function pause(durationMs: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -234,9 +234,9 @@
 			}
 
 			const change = `declared-${name}-${version}`;
-			const isKnown = Boolean(state.find('change', change));
+			const earlier = state.find('change', change);
 			const isChanging = state.listResources().some(resource => excludesServer(resource, name));
-			if (!isKnown && !isChanging) {
+			if (!earlier && !isChanging) {
 				return createRoleChange(change, {server: name, role: specification.role, reason: 'the operators declared that role'}, authority);
 			}
 		}
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -8,7 +8,7 @@
 import {createWriteStream, type WriteStream} from 'node:fs';
 import {readFile} from 'node:fs/promises';
 import * as Either from 'fp-ts/lib/Either.js';
-import {createClock, type Clock} from '../base/clock.js';
+import {createClock, pause, type Clock} from '../base/clock.js';
 import type {LoggerFactory} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {createRandom, type Random} from '../base/random.js';
@@ -367,9 +367,3 @@
 		return Either.left(createProblem('settingsInvalid', `/tls ${String(error)}`));
 	}
 }
-
-async function pause(durationMs: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -6,7 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import net from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
-import type {Clock} from '../base/clock.js';
+import {pause, type Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {shuffle, type Random} from '../base/random.js';
@@ -724,11 +724,3 @@
 			running, waiting, prefillTokens: prefillTokens ?? 0, decodeTokens: decodeTokens ?? 0,
 		};
 }
-
-async function pause(durationMs: number): Promise<void> {
-	if (durationMs > 0) {
-		await new Promise(resolve => {
-			setTimeout(resolve, durationMs);
-		});
-	}
-}
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import * as Either from 'fp-ts/lib/Either.js';
-import type {Clock} from '../base/clock.js';
+import {pause, type Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {pick, type Random} from '../base/random.js';
@@ -401,9 +401,3 @@
 	});
 	exchange.response.end(answer.body);
 }
-
-async function pause(durationMs: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
