--- a/test/controller.test.ts
+++ b/test/controller.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Controller, DEFAULT_CONTROLLER_TIMING, type ControllerEffect} from '../src/control/controller.js';
+import {
+	ALL_ORDER_MECHANISMS, Controller, DEFAULT_CONTROLLER_TIMING, type ControllerEffect,
+} from '../src/control/controller.js';
 import {ControlState} from '../src/control/state.js';
 import type {
 	Announcement, Change, Command, Renew,
@@ -14,10 +16,10 @@
 	index: number;
 	leaseMs = 500;
 
-	constructor(state = new ControlState(), index = 0) {
+	constructor(state = new ControlState(), index = 0, mechanisms = ALL_ORDER_MECHANISMS) {
 		this.state = state;
 		this.index = index;
-		this.controller = new Controller(this.nowMs);
+		this.controller = new Controller(this.nowMs, DEFAULT_CONTROLLER_TIMING, mechanisms);
 	}
 
 	apply(command: Command) {
@@ -146,6 +148,17 @@
 	assert.ok(next.advance(1500).some(effect => effect.type === 'send-order'));
 });
 
+test('without the wait a new leader orders while its predecessor still may', () => {
+	const old = new Leader();
+	const order = sendOrder(old, 'r');
+	const next = new Leader(old.state, old.index, {...ALL_ORDER_MECHANISMS, waitOutLease: false});
+	next.controller.renew({...renew(next.state.viewVersion), announcements: [announce('e1', 0, false)]}, next.nowMs);
+	next.tick();
+	next.controller.report({type: 'absent', server: 'e1', order}, next.authority());
+	const {authorityMs, orderTransitMs} = DEFAULT_CONTROLLER_TIMING;
+	assert.ok(next.advance(authorityMs + orderTransitMs - 200).some(effect => effect.type === 'send-order'));
+});
+
 test('loads are admitted at the weight store\'s rate', () => {
 	const leader = new Leader();
 	for (let index = 0; index < 6; index++) {
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -159,6 +159,41 @@
 	assert.ok(effects.every(effect => effect.type !== 'send' || effect.to.replica === 'b'));
 });
 
+test('entries of an older term are not committed by counting, and are without the mechanism', () => {
+	for (const ownTermCommit of [true, false]) {
+		const replica = new Replica({
+			replica: 'a',
+			hard: {term: 1, vote: ''},
+			snapshot: {...EMPTY_SNAPSHOT, configuration: THREE},
+			entries: [{type: 'noop', index: 1, term: 1}],
+			nowMs: 0,
+			random: createRandom(1),
+			mechanisms: {...ALL_MECHANISMS, ownTermCommit},
+		});
+		replica.step({type: 'tick'}, 5000);
+		for (const preVote of [true, false]) {
+			replica.step({type: 'synced', sequence: 99}, 5000);
+			replica.step({
+				type: 'message', from: 'b', body: {
+					type: 'vote-reply', term: 2, preVote, granted: true,
+				},
+			}, 5000);
+		}
+
+		assert.equal(replica.role, 'leader');
+		replica.step({type: 'synced', sequence: 99}, 5000);
+		const reply = (matchIndex: number) => replica.step({
+			type: 'message', from: 'b', body: {
+				type: 'append-reply', term: 2, round: 1, success: true, matchIndex,
+			},
+		}, 5000);
+		reply(1);
+		assert.equal(replica.commitIndex, ownTermCommit ? 0 : 1);
+		reply(2);
+		assert.equal(replica.commitIndex, 2);
+	}
+});
+
 test('a read waits for a majority that confirms the leader after it came in', () => {
 	const cluster = new Cluster(THREE, ['a', 'b', 'c']);
 	cluster.advance(3000);
