--- a/test/operator.test.ts
+++ b/test/operator.test.ts
@@ -34,7 +34,7 @@
 });
 
 test('a put that is sent again with its key gets the first answer', async () => {
-	const send = async () => (await put('team', 'again', {kind: 'team'}, {seen: 0}, 'one-intent')).json();
+	const send = async () => (await put('team', 'again', {kind: 'team'}, {seen: 0, key: 'one-intent'})).json();
 	assert.deepEqual(await send(), await send());
 });
 
@@ -79,7 +79,7 @@
 	assert.deepEqual(resumed[0]?.removed, ['team/w0']);
 });
 
-async function put(kind: string, name: string, specification: unknown, {seen}: {seen?: number}, key?: string): Promise<Response> {
+async function put(kind: string, name: string, specification: unknown, {seen, key}: {seen?: number; key?: string}): Promise<Response> {
 	return fetch(`${fixture.url}/api/v1/resources/${kind}/${name}`, {
 		method: 'PUT',
 		headers: {authorization: `Bearer ${KEY}`, ...(key === undefined ? {} : {'idempotency-key': key})},
