Hold a second broken connection against its engine

Cause: an engine that is alive and ends every answer early was chosen again up to the last of 12 attempts, since only a death or a silence excluded it. Ruled out: load; the choice between two idle engines is simply the same each time. Change: the second break at one engine excludes and suspects it; the tests release their sockets also when they fail.

--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -211,6 +211,8 @@
 	readonly #startedMs: number;
 	readonly #deadlineMs: number;
 	readonly #excluded = new Set<string>();
+	/** Engines whose connection broke while they stayed alive. */
+	readonly #brokenAt = new Set<string>();
 	readonly #team: string;
 	#delivered = '';
 	#tokens = 0;
@@ -616,6 +618,7 @@
 		const isAlive = await probe(server);
 		if (isAlive) {
 			this.#note(`The connection to engine ${server.server} broke; the engine is alive.`);
+			this.#blameRepeatedBreaks(server);
 			return {
 				type: 'again', sameServer: true, reason: 'broken', pauseMs: 0,
 			};
@@ -634,6 +637,16 @@
 		};
 	}
 
+	/** One broken connection may be the network's fault; a second one at the same engine is held against it. */
+	#blameRepeatedBreaks(server: Announcement): void {
+		if (this.#brokenAt.has(server.server)) {
+			this.#excluded.add(server.server);
+			this.#handler.options.fleet.health.noteFailure(server.server, this.#now());
+		}
+
+		this.#brokenAt.add(server.server);
+	}
+
 	#onComplete(end: Extract<AttemptEnd, {type: 'complete'}>, server: Announcement): void {
 		const {fleet} = this.#handler.options;
 		const hashes = hashBlocks(this.#request.prompt);
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -67,9 +67,12 @@
 	}
 }
 
-test('a connection that goes silent in the middle of a stream is replaced by a new one to the same engine', async () => {
+test('a connection that goes silent in the middle of a stream is replaced by a new one to the same engine', async t => {
 	const holder: {engine?: FakeEngine} = {};
 	const middle = await Middle.start(() => holder.engine!.port);
+	t.after(() => {
+		middle.stop();
+	});
 	const engine = await fixture.add(entries => {
 		holder.engine = new FakeEngine({
 			name: 'behind', entries, announceEveryMs: 50, stepMs: 5, models: ['chat-1'], announcedPort: middle.port,
@@ -88,10 +91,9 @@
 	assert.ok(answer.isWhole);
 	const {requests} = await (await fetch(`${engine.url}/runs`)).json() as {requests: Record<string, number>};
 	assert.equal(requests['user: silent'], 2);
-	middle.stop();
 });
 
-test('answers that belong to another request, have a gap, repeat or end early never reach a caller', async () => {
+test('answers that belong to another request, have a gap, repeat or end early never reach a caller', async t => {
 	const faults: Fault[] = [
 		(_id, offset) => ({id: 'somebody-else', offset, choices: [{delta: {content: 'WRONG '}}]}),
 		(id, offset) => ({id, offset: offset + 1, choices: [{delta: {content: 'WRONG '}}]}),
@@ -101,6 +103,10 @@
 	for (const [index, fault] of faults.entries()) {
 		const model = `odd-${index}`;
 		const odd = await startOddEngine(model, fault);
+		t.after(() => {
+			odd.close();
+			odd.closeAllConnections();
+		});
 		await fixture.add(entries => new FakeEngine({
 			name: `sound-${index}`, entries, announceEveryMs: 50, stepMs: 1, models: [model],
 		}));
@@ -108,9 +114,6 @@
 			const answer = await streamCompletion(fixture.url, {model, content: `whole ${send}`});
 			assert.ok(answer.isWhole, `fault ${index}: ${answer.text.slice(0, 80)}`);
 		}
-
-		odd.close();
-		odd.closeAllConnections();
 	}
 });
 
