--- a/bench/policy/simulate.ts
+++ b/bench/policy/simulate.ts
@@ -92,6 +92,11 @@
 	return good * 1000 / trace.durationMs;
 }
 
+/** A poison request that is sent again is the same request. */
+function fingerprintOf(request: TraceRequest): string {
+	return request.poison ? 'poison' : String(request.atMs);
+}
+
 /** Engine time that a request takes at the very least: its shared beginning cached, its batch as full as an engine allows. */
 function leastWorkMs({promptTokens, prefixTokens, outputTokens}: TraceRequest): number {
 	const prefillMs = Math.max(1, promptTokens - prefixTokens) / ENGINE_SPEED.prefillTokensPerMs;
@@ -105,7 +110,7 @@
 	readonly #heap: Scheduled[] = [];
 	readonly #draining = new Map<SimulatedEngine, SimulatedEngine['role']>();
 	readonly #judge = new PoisonJudge();
-	readonly #crashes = new Map<TraceRequest, string[]>();
+	readonly #crashes = new Map<string, string[]>();
 	readonly #alone = new Set<SimulatedEngine>();
 	#order = 0;
 	#nextId = 1;
@@ -178,7 +183,7 @@
 
 	#place(flight: Flight, nowMs: number): void {
 		flight.attempts++;
-		const suspected = this.#policy.judgesPoison ? this.#judge.judge(String(flight.request.atMs), this.#crashes.get(flight.request) ?? []) : 'clear';
+		const suspected = this.#policy.judgesPoison ? this.#judge.judge(fingerprintOf(flight.request), this.#crashes.get(fingerprintOf(flight.request)) ?? []) : 'clear';
 		if (suspected === 'poisoned' || flight.attempts > MAX_ATTEMPTS) {
 			this.#refuse();
 			return;
@@ -253,8 +258,9 @@
 	#onEnd(flight: Flight, engine: SimulatedEngine, end: 'complete' | 'handoff' | 'died', nowMs: number): void {
 		if (end === 'died') {
 			this.#alone.delete(engine);
-			const crashes = this.#crashes.get(flight.request) ?? [];
-			this.#crashes.set(flight.request, [...crashes, `${engine.name}#${engine.deaths}`]);
+			const fingerprint = fingerprintOf(flight.request);
+			const crashes = this.#crashes.get(fingerprint) ?? [];
+			this.#crashes.set(fingerprint, [...crashes, `${engine.name}#${engine.deaths}`]);
 			this.#schedule(nowMs, laterMs => {
 				this.#place(flight, laterMs);
 			});
