--- a/src/base/logger.ts
+++ b/src/base/logger.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {performance} from 'node:perf_hooks';
 import {pino} from 'pino';
 
 /** The parts of the system; each has a fixed prefix. */
@@ -75,3 +76,57 @@
 	};
 	return () => logger;
 }
+
+/** Lines a second that one process writes in the long run, and at once. */
+export const LOG_LINES_PER_SECOND = 60;
+export const LOG_BURST_LINES = 300;
+const COUNT_INTERVAL_MS = 5000;
+
+/**
+ * Creates loggers whose volume is bounded: lines over the bound are counted and the count is logged.
+ *
+ * @param onDropped - Called for each line that is left out.
+ * @example
+ * ```ts
+ * const loggers = createBoundedLoggers('info', {host: 'a1'}, () => metrics.dropped.inc());
+ * ```
+ */
+export function createBoundedLoggers(level: Level, base: Fields, onDropped: () => void): LoggerFactory {
+	const loggers = createLoggers(level, base);
+	let tokens = LOG_BURST_LINES;
+	let atMs = performance.now();
+	let dropped = 0;
+	let countedMs = atMs;
+	const mayWrite = () => {
+		const nowMs = performance.now();
+		tokens = Math.min(LOG_BURST_LINES, tokens + ((nowMs - atMs) * LOG_LINES_PER_SECOND / 1000));
+		atMs = nowMs;
+		if (dropped > 0 && nowMs - countedMs > COUNT_INTERVAL_MS) {
+			loggers('daemon').warn(`Left out ${dropped} log lines.`, {dropped});
+			countedMs = nowMs;
+			dropped = 0;
+		}
+
+		if (tokens < 1) {
+			dropped++;
+			onDropped();
+			return false;
+		}
+
+		tokens--;
+		return true;
+	};
+
+	return part => {
+		const logger = loggers(part);
+		const bound = (write: Logger['info']): Logger['info'] => (sentence, fields) => {
+			if (mayWrite()) {
+				write(sentence, fields);
+			}
+		};
+
+		return {
+			debug: bound(logger.debug), info: bound(logger.info), warn: bound(logger.warn), error: bound(logger.error),
+		};
+	};
+}
--- a/src/base/validate.ts
+++ b/src/base/validate.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
+import type {ErrorObject, ValidateFunction} from 'ajv';
 import * as Either from 'fp-ts/lib/Either.js';
-import {SCHEMAS} from '../generated/schemas.js';
+import {checkAnnouncement, checkDeployment, checkSettings, checkSpecification} from '../generated/checkers.js';
+import {checkMessage} from '../generated/messages.js';
 import type {
-	Announcement, Message, Settings, Specification,
+	Announcement, Deployment, Message, Settings, Specification,
 } from '../generated/types.js';
 
 /** A fault in a value: where it stands and what would be allowed. */
@@ -22,13 +23,12 @@
 	readonly Specification: Specification;
 	readonly Announcement: Announcement;
 	readonly Message: Message;
+	readonly Deployment: Deployment;
 };
 
-const ajv = new Ajv({
-	allErrors: true, discriminator: true, strict: false, useDefaults: true,
-});
-const messageAjv = new Ajv({discriminator: true, strict: false});
-const checkers = new Map<keyof Checkable, ValidateFunction>();
+const CHECKERS = {
+	Settings: checkSettings, Specification: checkSpecification, Announcement: checkAnnouncement, Message: checkMessage, Deployment: checkDeployment,
+} as unknown as Record<keyof Checkable, ValidateFunction>;
 
 /**
  * Checks a value of unknown shape and fills in defaults.
@@ -40,7 +40,7 @@
  * ```
  */
 export function validate<Name extends keyof Checkable>(name: Name, value: unknown): Either.Either<Fault[], Checkable[Name]> {
-	const checker = findChecker(name);
+	const checker = CHECKERS[name];
 	return checker(value)
 		? Either.right(value as Checkable[Name])
 		: Either.left((checker.errors ?? []).map(error => describeFault(error)));
@@ -58,19 +58,6 @@
 	return faults.map(fault => `${fault.pointer} ${fault.text}`).join('; ');
 }
 
-function findChecker(name: keyof Checkable): ValidateFunction {
-	const known = checkers.get(name);
-	if (known) {
-		return known;
-	}
-
-	// Messages between our own processes stop at the first fault: a valid one costs less to check.
-	const compiler = name === 'Message' ? messageAjv : ajv;
-	const checker = compiler.compile({definitions: SCHEMAS.definitions, $ref: `#/definitions/${name}`});
-	checkers.set(name, checker);
-	return checker;
-}
-
 function describeFault(error: ErrorObject): Fault {
 	const parameters = error.params as {
 		missingProperty?: string;
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -192,6 +192,13 @@
 		return this.#role === ROLES.leader && this.#log.termAt(this.#commitIndex) === this.#term;
 	}
 
+	/** Whether a majority follows this leader, or this follower has heard its leader, within an election timeout. */
+	isInTouch(nowMs: number): boolean {
+		return this.#role === ROLES.leader
+			? this.leaseUntilMs(nowMs) > nowMs
+			: this.#leader !== NOBODY && nowMs < this.#quietUntilMs;
+	}
+
 	/** Term of an entry that is still in the log. */
 	termAt(index: number): number | undefined {
 		return this.#log.termAt(index);
--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -16,6 +16,7 @@
 import path from 'node:path';
 import {crc32} from 'node:zlib';
 import * as Either from 'fp-ts/lib/Either.js';
+import {pause} from '../base/clock.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Configuration, Entry, Snapshot} from '../generated/types.js';
 import {decodeValue, encodeValue} from '../wire/frame.js';
@@ -31,12 +32,15 @@
 	/** Whether records that wait together share one sync. */
 	readonly batched?: boolean;
 	readonly onSynced: (sequence: number) => void;
+	/** Called when a write failed; it is tried again until it succeeds, and nothing counts as synced meanwhile. */
 	readonly onFailed: (problem: Problem) => void;
 };
 
 type OpenedGeneration = {
 	readonly generation: number;
 	readonly file: FileHandle;
+	/** Bytes of the log that are whole. */
+	readonly length: number;
 	readonly image: Image;
 };
 
@@ -45,6 +49,8 @@
 	readonly records: readonly LogRecord[];
 };
 
+/** Pause before a failed write is tried again; a full or faulty disk lasts for seconds. */
+const WRITE_RETRY_MS = 100;
 const MAGIC = 0xCA_5A_AD_01;
 const FRAME_HEAD_BYTES = 12;
 const IDENTITY_FILE = 'identity.json';
@@ -85,16 +91,20 @@
 	readonly #options: StorageOptions;
 	#generation: number;
 	#file: FileHandle;
+	#length: number;
 	#image: Image;
 	readonly #queue: Batch[] = [];
 	#writing: Promise<void> | undefined;
-	#failed = false;
+	/** Whether a failed write may have left a part of a frame behind the whole ones. */
+	#isTorn = false;
+	#isClosing = false;
 
 	private constructor(folder: string, options: StorageOptions, opened: OpenedGeneration) {
 		this.#folder = folder;
 		this.#options = options;
 		this.#generation = opened.generation;
 		this.#file = opened.file;
+		this.#length = opened.length;
 		this.#image = opened.image;
 	}
 
@@ -147,7 +157,9 @@
 		// What an earlier process wrote may still be only in the page cache.
 		await file.sync();
 		await removeOthers(folder, generation);
-		return Either.right(new Storage(folder, options, {generation, file, image}));
+		return Either.right(new Storage(folder, options, {
+			generation, file, length: log.right.length, image,
+		}));
 	}
 
 	/** What the files hold. */
@@ -163,19 +175,16 @@
 
 	/** Waits for what was written and closes the files. */
 	async close(): Promise<void> {
+		this.#isClosing = true;
 		await this.#writing;
 		await this.#file.close();
 	}
 
 	async #drain(): Promise<void> {
-		while (this.#queue.length > 0 && !this.#failed) {
+		while (this.#queue.length > 0) {
 			const batches = this.#takeBatches();
-			try {
-				await this.#writeBatches(batches);
-			} catch (error) {
-				this.#failed = true;
-				this.#options.onFailed(createProblem('storageFailed', String(error)));
-				return;
+			if (!await this.#writeUntilDone(batches)) {
+				break;
 			}
 
 			this.#options.onSynced(batches.at(-1)!.sequence);
@@ -184,6 +193,23 @@
 		this.#writing = undefined;
 	}
 
+	/** Writes batches, again after a failure; false if the storage was closed before they were written. */
+	async #writeUntilDone(batches: readonly Batch[]): Promise<boolean> {
+		for (;;) {
+			try {
+				await this.#writeBatches(batches);
+				return true;
+			} catch (error) {
+				this.#options.onFailed(createProblem('storageFailed', String(error)));
+				if (this.#isClosing) {
+					return false;
+				}
+
+				await pause(WRITE_RETRY_MS);
+			}
+		}
+	}
+
 	/** Takes what can share one sync: everything up to a snapshot, which starts a new generation. */
 	#takeBatches(): Batch[] {
 		const limit = this.#options.batched === false ? 1 : this.#queue.length;
@@ -194,23 +220,35 @@
 
 	async #writeBatches(batches: readonly Batch[]): Promise<void> {
 		const records = batches.flatMap(batch => batch.records);
-		this.#image = applyRecords(this.#image, records);
+		const image = applyRecords(this.#image, records);
 		if (batches.some(batch => hasSnapshot(batch))) {
-			await this.#startGeneration();
+			await this.#startGeneration(image);
 			return;
 		}
 
 		const frame = createFrame(encodeValue(records));
+		if (this.#isTorn) {
+			await this.#file.truncate(this.#length);
+		}
+
+		this.#isTorn = true;
 		await this.#file.appendFile(frame);
 		await this.#file.datasync();
+		this.#isTorn = false;
+		this.#length += frame.length;
+		this.#image = image;
 	}
 
-	async #startGeneration(): Promise<void> {
+	async #startGeneration(image: Image): Promise<void> {
 		const generation = this.#generation + 1;
-		await writeGeneration(this.#folder, generation, this.#image);
-		await this.#file.close();
-		this.#file = await open(path.join(this.#folder, `log-${generation}`), 'a');
+		const length = await writeGeneration(this.#folder, generation, image);
+		const file = await open(path.join(this.#folder, `log-${generation}`), 'a');
+		const former = this.#file;
+		this.#file = file;
+		this.#length = length;
 		this.#generation = generation;
+		this.#image = image;
+		await former.close();
 		await removeOthers(this.#folder, generation);
 	}
 }
@@ -321,13 +359,15 @@
 	return Math.max(0, ...generations.map(Number));
 }
 
-async function writeGeneration(folder: string, generation: number, image: Image): Promise<void> {
+async function writeGeneration(folder: string, generation: number, image: Image): Promise<number> {
 	const records: LogRecord[] = [
 		{type: 'hard', state: image.hard},
 		{type: 'entries', entries: image.entries},
 	];
 	await writeWhole(folder, `snapshot-${generation}`, createFrame(encodeValue(image.snapshot)));
-	await writeWhole(folder, `log-${generation}`, createFrame(encodeValue(records)));
+	const log = createFrame(encodeValue(records));
+	await writeWhole(folder, `log-${generation}`, log);
+	return log.length;
 }
 
 async function removeOthers(folder: string, generation: number): Promise<void> {
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -35,6 +35,8 @@
 	readonly orderRetryMs: number;
 	/** After this silence a server counts as gone. */
 	readonly serverSilenceMs: number;
+	/** Shortest time between the last order of one leader and the first of the next, whatever the lease says. */
+	readonly successionMs: number;
 };
 
 export const DEFAULT_CONTROLLER_TIMING: ControllerTiming = {
@@ -44,6 +46,7 @@
 	claimGraceMs: 2000,
 	orderRetryMs: 1000,
 	serverSilenceMs: 5000,
+	successionMs: 0,
 };
 
 /** An order as it goes to a backend server. */
@@ -101,9 +104,13 @@
 	readonly waitOutLease: boolean;
 	readonly awaitViews: boolean;
 	readonly readBack: boolean;
+	/** Whether a server must run nothing before it is ordered; off where servers finish running work by themselves. */
+	readonly awaitQuiet: boolean;
 };
 
-export const ALL_ORDER_MECHANISMS: OrderMechanisms = {waitOutLease: true, awaitViews: true, readBack: true};
+export const ALL_ORDER_MECHANISMS: OrderMechanisms = {
+	waitOutLease: true, awaitViews: true, readBack: true, awaitQuiet: true,
+};
 
 /** The duties of one term of leadership; created when a replica becomes leader, dropped when it stops. */
 export class Controller {
@@ -135,7 +142,7 @@
 	/** Renews an entry host's view lease and returns its length in milliseconds. */
 	renew(message: Renew, nowMs: number): number {
 		for (const announcement of message.announcements ?? []) {
-			this.#see(announcement, nowMs);
+			this.see(announcement, nowMs);
 		}
 
 		this.#demands.set(message.host, message.demand ?? []);
@@ -154,6 +161,14 @@
 		return this.#timing.viewLeaseMs;
 	}
 
+	/** Takes an announcement of a server, which tells where orders go. */
+	see(announcement: Announcement, nowMs: number): void {
+		const known = this.#sightings.get(announcement.server)?.announcement;
+		if (!known || isNewer(announcement, known)) {
+			this.#sightings.set(announcement.server, {announcement, atMs: nowMs});
+		}
+	}
+
 	/** Notes what became of an order; what follows from it comes with the next tick. */
 	report(report: OrderReport, authority: Authority): ControllerEffect[] {
 		const attempt = this.#attempts.get(report.server);
@@ -338,7 +353,7 @@
 			return undefined;
 		}
 
-		if (!this.#isQuiet(resource.name, change.server, nowMs)) {
+		if (this.#mechanisms.awaitQuiet && !this.#isQuiet(resource.name, change.server, nowMs)) {
 			return undefined;
 		}
 
@@ -414,7 +429,7 @@
 
 	/** The predecessor's authority, and any order it wrote at the end of it, are over. */
 	#hasWaitedOut(nowMs: number): boolean {
-		const waitMs = this.#timing.authorityMs + this.#timing.orderTransitMs;
+		const waitMs = Math.max(this.#timing.authorityMs + this.#timing.orderTransitMs, this.#timing.successionMs);
 		return !this.#mechanisms.waitOutLease || nowMs - this.#electedMs >= waitMs;
 	}
 
@@ -454,13 +469,6 @@
 		return effects;
 	}
 
-	#see(announcement: Announcement, nowMs: number): void {
-		const known = this.#sightings.get(announcement.server)?.announcement;
-		if (!known || isNewer(announcement, known)) {
-			this.#sightings.set(announcement.server, {announcement, atMs: nowMs});
-		}
-	}
-
 	/** Keeps a proposal from being made again while it is on its way. */
 	#mayPropose(key: string, nowMs: number): boolean {
 		const lastMs = this.#proposed.get(key) ?? Number.NEGATIVE_INFINITY;
@@ -522,7 +530,16 @@
 	return candidate.sequence > known.sequence;
 }
 
-function createRoleChange(name: string, change: {readonly server: string; readonly role: EngineRole; readonly reason: string}, authority: Authority): Command {
+/**
+ * Writes the declaration of a role change.
+ *
+ * @param name - The change's name; the same name is declared once.
+ * @example
+ * ```ts
+ * createRoleChange('stage-e3-1', {server: 'e3', role: 'prefill', reason: 'cold caches'}, authority);
+ * ```
+ */
+export function createRoleChange(name: string, change: {readonly server: string; readonly role: EngineRole; readonly reason: string}, authority: Authority): Command {
 	const {server, role, reason} = change;
 	return {
 		type: 'put',
--- a/src/control/order.ts
+++ b/src/control/order.ts
@@ -18,7 +18,7 @@
 const MAX_REPLY_BYTES = 65_536;
 const HTTP_CONFLICT = 409;
 
-type Reply = {
+export type Reply = {
 	readonly status: number;
 	readonly body: {
 		readonly order?: number;
@@ -27,14 +27,40 @@
 	};
 };
 
-type OrderRequest = {
+export type OrderRequest = {
 	readonly method: string;
 	readonly path: string;
 	readonly body: string;
+	readonly headers?: Readonly<Record<string, string>>;
 	/** Whether the bytes may still be written, asked once the connection stands. */
 	readonly mayWrite: () => boolean;
 };
 
+/** How orders reach backend servers. */
+export interface OrderPort {
+	/** Sends an order, unless its time has passed; never fails, says what is known. */
+	send(effect: OrderSend): Promise<OrderReport>;
+	/** Asks what became of an order. */
+	readBack(server: Announcement, order: OpenOrder): Promise<OrderReport>;
+}
+
+/** Orders in the project's own form. */
+export class HttpOrders implements OrderPort {
+	readonly #clock: Clock;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	async send(effect: OrderSend): Promise<OrderReport> {
+		return sendOrder(effect, this.#clock);
+	}
+
+	async readBack(server: Announcement, order: OpenOrder): Promise<OrderReport> {
+		return readBack(server, order);
+	}
+}
+
 /**
  * Sends an order and reports what the server said; the read-back tells when it is done.
  *
@@ -112,7 +138,15 @@
 	}
 }
 
-async function exchange(server: Announcement, request: OrderRequest): Promise<Reply | undefined> {
+/**
+ * Exchanges one request on a connection opened for it; undefined without a whole answer in time.
+ *
+ * @example
+ * ```ts
+ * const reply = await exchange(server, {method: 'GET', path: '/orders', body: '', mayWrite: () => true});
+ * ```
+ */
+export async function exchange(server: Announcement, request: OrderRequest): Promise<Reply | undefined> {
 	const socket = net.connect({host: server.address, port: server.port});
 	const timer = setTimeout(() => socket.destroy(), ORDER_TIMEOUT_MS);
 	const reply = await new Promise<Reply | undefined>(resolve => {
@@ -142,7 +176,7 @@
 		method: request.method,
 		path: request.path,
 		headers: {
-			host: 'backend', 'content-type': 'application/json', 'content-length': Buffer.byteLength(request.body), connection: 'close',
+			...request.headers, host: 'backend', 'content-type': 'application/json', 'content-length': Buffer.byteLength(request.body), connection: 'close',
 		},
 	});
 	outgoing.once('error', () => {
@@ -166,7 +200,7 @@
 
 function parseReply(status: number, text: string): Reply | undefined {
 	try {
-		return {status, body: JSON.parse(text) as Reply['body']};
+		return {status, body: text === '' ? {} : JSON.parse(text) as Reply['body']};
 	} catch {
 		return undefined;
 	}
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -8,8 +8,10 @@
 import type {Logger, LoggerFactory} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
-import {listMembers} from '../consensus/configuration.js';
-import {ConsensusNode, type Leadership, type Machine} from '../consensus/node.js';
+import {isVoter, listMembers} from '../consensus/configuration.js';
+import {
+	ConsensusNode, type Committed, type Leadership, type Machine,
+} from '../consensus/node.js';
 import type {Timing} from '../consensus/replica.js';
 import {
 	EMPTY_SNAPSHOT, readIdentity, Storage,
@@ -18,15 +20,14 @@
 	Announcement, Command, CommandEntry, Configuration, Member, Members, MembersReply, Message, Outcome, Peer, Propose, Read, Renew, Welcome,
 } from '../generated/types.js';
 import {decodeValue, encodeValue} from '../wire/frame.js';
-import {connect, type Connection} from '../wire/connection.js';
+import {connect, ConnectionPool, type Address, type Connection} from '../wire/connection.js';
 import {adoptConfiguration, formConfiguration, type BootstrapAnswer} from './bootstrap.js';
 import {
-	Controller, type Authority, type ControllerEffect, type OrderReport,
+	Controller, type Authority, type ControllerEffect, type ControllerTiming, type OrderMechanisms, type OrderReport,
 } from './controller.js';
-import {
-	checkRepair, describeRepair, isRepaired, nextConfiguration, type MembersView, type Repair,
-} from './members.js';
-import {readBack, sendOrder} from './order.js';
+import {describeRepair, type MembersView, type Repair} from './members.js';
+import {HttpOrders, type OrderPort} from './order.js';
+import {Repairs} from './repairs.js';
 import {ControlState, type StateImage} from './state.js';
 
 export type ServiceOptions = {
@@ -37,10 +38,21 @@
 	readonly random: Random;
 	readonly loggers: LoggerFactory;
 	readonly timing?: Timing;
-	readonly onFatal: (problem: Problem) => void;
 	readonly onCommit?: () => void;
+	/** Called when committed commands were applied, or a snapshot took their place. */
+	readonly onApplied?: () => void;
 	/** Engines that are announced now, for the choice of roles. */
 	readonly listEngines?: () => Announcement[];
+	/** How orders reach engines; the project's own form if absent. */
+	readonly orders?: OrderPort;
+	readonly controllerTiming?: ControllerTiming;
+	readonly orderMechanisms?: OrderMechanisms;
+	/** Every control host heard of so far; `peers` if absent. */
+	readonly listPeers?: () => readonly Address[];
+	/** Where this host is reached, if it asks to be taken in by itself; `peers` are asked. */
+	readonly self?: Peer;
+	/** Whether the whole fleet starts for the first time; otherwise nobody forms a first configuration. */
+	readonly mayBootstrap?: boolean;
 };
 
 type Subscriber = {
@@ -51,6 +63,9 @@
 const CONTROLLER_TICK_MS = 50;
 const BOOTSTRAP_RETRY_MS = 100;
 const HELLO_TIMEOUT_MS = 500;
+const JOIN_INTERVAL_MS = 500;
+/** Drift between the steady clock and the time of day, from one look to the next, that means a sleep or a step. */
+const CLOCK_JUMP_MS = 100;
 
 /** The running control role. Whoever started it closes it. */
 export class ControlService {
@@ -58,13 +73,19 @@
 	readonly #logger: Logger;
 	readonly #replica: string;
 	readonly #storage: Storage;
+	readonly #orders: OrderPort;
 	readonly #subscribers = new Map<string, Subscriber>();
 	#state = new ControlState();
 	#node: ConsensusNode | undefined;
 	#controller: Controller | undefined;
-	#repair: Repair | undefined;
+	#repairs = new Repairs();
 	#timer: NodeJS.Timeout | undefined;
+	#joinTimer: NodeJS.Timeout | undefined;
+	#joinPool: ConnectionPool | undefined;
 	#leaderTerm = 0;
+	#isDiskFailing = false;
+	#clockOffsetMs: number | undefined;
+	#distrustUntilMs = Number.NEGATIVE_INFINITY;
 	#isClosed = false;
 
 	private constructor(options: ServiceOptions, replica: string, storage: Storage) {
@@ -72,6 +93,7 @@
 		this.#logger = options.loggers('control');
 		this.#replica = replica;
 		this.#storage = storage;
+		this.#orders = options.orders ?? new HttpOrders(options.clock);
 	}
 
 	/**
@@ -92,7 +114,7 @@
 		const holder: {service?: ControlService} = {};
 		const storage = await Storage.open(options.folder, {
 			onSynced: sequence => holder.service?.synced(sequence),
-			onFailed: options.onFatal,
+			onFailed: problem => holder.service?.noteDiskFailure(problem),
 		});
 		if (Either.isLeft(storage)) {
 			return storage;
@@ -116,7 +138,45 @@
 		return this.#node?.replica.commitIndex ?? 0;
 	}
 
+	/** Whether a majority was in touch with this replica a moment ago. */
+	get hasQuorum(): boolean {
+		return this.#node?.replica.isInTouch(this.#options.clock.monotonicMs()) ?? false;
+	}
+
+	/** Whether this replica leads, knows all that is committed, and has no successor yet. */
+	get hasAuthority(): boolean {
+		return this.#hasAuthority();
+	}
+
+	/** The state as far as this replica has applied the log. */
+	get state(): ControlState {
+		return this.#state;
+	}
+
+	/** Every replica of the configuration in force; empty before the first one. */
+	listMembers(): Member[] {
+		return this.#node ? listMembers(this.#node.replica.configuration) : [];
+	}
+
+	/** Proposes a command here; refused unless this replica leads. */
+	async propose(command: Command): Promise<Either.Either<Problem, Committed>> {
+		return this.#node ? this.#node.propose(encodeValue(command)) : Either.left(createProblem('notLeader'));
+	}
+
+	/** Notes that the disk takes no writes; the replica goes on as one whose writes are slow. */
+	noteDiskFailure(problem: Problem): void {
+		if (!this.#isDiskFailing) {
+			this.#isDiskFailing = true;
+			this.#logger.error('The disk takes no writes.', {code: problem.code, reason: problem.text});
+		}
+	}
+
 	synced(sequence: number): void {
+		if (this.#isDiskFailing) {
+			this.#isDiskFailing = false;
+			this.#logger.info('The disk takes writes again.');
+		}
+
 		if (sequence > 0) {
 			this.#node?.synced(sequence);
 		}
@@ -156,6 +216,11 @@
 				return true;
 			}
 
+			case 'join': {
+				this.#onJoin(message.member);
+				return true;
+			}
+
 			default: {
 				return false;
 			}
@@ -170,6 +235,8 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		clearInterval(this.#timer);
+		clearInterval(this.#joinTimer);
+		this.#joinPool?.close();
 		await (this.#node ? this.#node.close() : this.#storage.close());
 	}
 
@@ -178,12 +245,40 @@
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, CONTROLLER_TICK_MS);
+		this.#askToJoin();
 		if (snapshot.configuration.voters.length > 0 || entries.length > 0) {
 			this.#startNode();
 			return;
 		}
 
-		void this.#bootstrap();
+		if (this.#options.mayBootstrap !== false) {
+			void this.#bootstrap();
+		}
+	}
+
+	/** Asks to be taken in until this replica votes; the leader alone answers, by doing it. */
+	#askToJoin(): void {
+		const {self} = this.#options;
+		if (!self) {
+			return;
+		}
+
+		const pool = new ConnectionPool(() => undefined);
+		const member: Member = {replica: this.#replica, ...self};
+		this.#joinPool = pool;
+		this.#joinTimer = setInterval(() => {
+			const {configuration} = this.#node?.replica ?? {};
+			if (configuration && isVoter(configuration, this.#replica)) {
+				pool.close();
+				return;
+			}
+
+			for (const target of this.#options.listPeers?.() ?? this.#options.peers) {
+				if (target.address !== self.address || target.port !== self.port) {
+					pool.send(target, {type: 'join', member});
+				}
+			}
+		}, JOIN_INTERVAL_MS);
 	}
 
 	async #bootstrap(): Promise<void> {
@@ -259,17 +354,19 @@
 	#onLeadership({role, term}: Leadership): void {
 		if (role === 'leader') {
 			this.#leaderTerm = term;
-			this.#controller = new Controller(this.#options.clock.monotonicMs());
+			this.#controller = new Controller(this.#options.clock.monotonicMs(), this.#options.controllerTiming, this.#options.orderMechanisms);
+			this.#repairs = new Repairs();
 			return;
 		}
 
 		this.#controller = undefined;
-		this.#repair = undefined;
+		this.#repairs = new Repairs();
 		this.#subscribers.clear();
 	}
 
 	#onApplied(): void {
 		this.#options.onCommit?.();
+		this.#options.onApplied?.();
 		if (!this.#controller || !this.#hasAuthority()) {
 			return;
 		}
@@ -294,9 +391,14 @@
 		}
 
 		const authority = this.#authority();
+		const engines = this.#options.listEngines?.() ?? [];
+		for (const engine of engines) {
+			this.#controller.see(engine, authority.nowMs);
+		}
+
 		const effects = [
 			...this.#controller.tick(this.#state, authority),
-			...this.#controller.tickRoles(this.#state, this.#options.listEngines?.() ?? [], authority),
+			...this.#controller.tickRoles(this.#state, engines, authority),
 		];
 		for (const effect of effects) {
 			void this.#run(effect);
@@ -306,11 +408,21 @@
 	}
 
 	#authority(): Authority {
-		return {
-			nowMs: this.#options.clock.monotonicMs(),
-			wallMs: this.#options.clock.wallMs(),
-			leaseUntilMs: this.#node?.leaseUntilMs() ?? Number.NEGATIVE_INFINITY,
-		};
+		const nowMs = this.#options.clock.monotonicMs();
+		const wallMs = this.#options.clock.wallMs();
+		this.#watchClocks(nowMs, wallMs);
+		const leaseUntilMs = nowMs < this.#distrustUntilMs ? Number.NEGATIVE_INFINITY : this.#node?.leaseUntilMs() ?? Number.NEGATIVE_INFINITY;
+		return {nowMs, wallMs, leaseUntilMs};
+	}
+
+	/** A machine that slept has a steady clock that stood still: its lease is over though it does not look so. */
+	#watchClocks(nowMs: number, wallMs: number): void {
+		const offsetMs = wallMs - nowMs;
+		if (Math.abs(offsetMs - (this.#clockOffsetMs ?? offsetMs)) > CLOCK_JUMP_MS) {
+			this.#distrustUntilMs = nowMs + (this.#node?.replica.timing.electionMs ?? 0);
+		}
+
+		this.#clockOffsetMs = offsetMs;
 	}
 
 	async #run(effect: ControllerEffect): Promise<void> {
@@ -326,8 +438,8 @@
 			order: order.order, server: order.server, action: order.action, checksFence: server.checksFence ?? false,
 		});
 		const report = effect.type === 'send-order'
-			? await sendOrder(effect, this.#options.clock)
-			: await readBack(server, order);
+			? await this.#orders.send(effect)
+			: await this.#orders.readBack(server, order);
 		this.#onReport(report, term);
 	}
 
@@ -418,15 +530,11 @@
 
 		if (message.action !== 'list') {
 			const repair = await this.#planRepair(message);
-			const checked = Either.isLeft(repair) ? repair : checkRepair(repair.right, this.#membersView(node), this.#repair);
-			if (Either.isLeft(checked)) {
-				this.#refuse(message.id, checked.left, connection);
+			const begun = Either.isLeft(repair) ? repair : this.#beginRepair(repair.right, node);
+			if (Either.isLeft(begun)) {
+				this.#refuse(message.id, begun.left, connection);
 				return;
 			}
-
-			this.#repair = checked.right;
-			this.#logger.info(`Begins a repair: ${describeRepair(checked.right)}.`);
-			this.#tickRepair(node);
 		}
 
 		connection.send(this.#createMembersReply(message.id, node));
@@ -450,21 +558,34 @@
 		return Either.right(message.action === 'replace' ? {add, remove: message.replica ?? ''} : {add});
 	}
 
-	#tickRepair(node: ConsensusNode): void {
-		if (!this.#repair) {
+	#onJoin(member: Member): void {
+		const node = this.#node;
+		if (!node?.replica.isLeaderReady) {
 			return;
 		}
 
-		const view = this.#membersView(node);
-		if (isRepaired(this.#repair, view)) {
-			this.#logger.info(`Repair finished: ${describeRepair(this.#repair)}.`);
-			this.#repair = undefined;
-			return;
+		const repair = this.#repairs.planJoin(member, this.#membersView(node), this.#options.clock.monotonicMs());
+		if (repair) {
+			this.#beginRepair(repair, node);
 		}
+	}
 
-		const next = nextConfiguration(this.#repair, view);
-		if (next) {
-			node.configure(next);
+	#beginRepair(repair: Repair, node: ConsensusNode): Either.Either<Problem, Repair> {
+		const begun = this.#repairs.begin(repair, this.#membersView(node), this.#options.clock.monotonicMs());
+		if (Either.isRight(begun)) {
+			this.#logger.info(`Begins a repair: ${describeRepair(repair)}.`);
+			this.#tickRepair(node);
+		}
+
+		return begun;
+	}
+
+	#tickRepair(node: ConsensusNode): void {
+		const event = this.#repairs.tick(this.#membersView(node), this.#options.clock.monotonicMs());
+		if (event?.type === 'configure') {
+			node.configure(event.configuration);
+		} else if (event) {
+			this.#logger.info(`Repair ${event.type}: ${describeRepair(event.repair)}.`);
 		}
 	}
 
@@ -481,7 +602,8 @@
 	#createMembersReply(id: number, node: ConsensusNode): MembersReply {
 		const view = this.#membersView(node);
 		const progress = listMembers(view.configuration).map(({replica}) => ({replica, ...view.progressOf(replica)}));
-		const repair = this.#repair ? {repair: describeRepair(this.#repair)} : {};
+		const {current} = this.#repairs;
+		const repair = current ? {repair: describeRepair(current)} : {};
 		return {
 			type: 'members-reply',
 			id,
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -6,7 +6,7 @@
  */
 import {CODES} from '../generated/codes.js';
 import type {
-	Advance, Change, ChangeStatus, Command, Conflict, IssueOrder, Action, Outcome, Phase, Put, Remove, Resource, SettleOrder, Specification, Step, ViewUpdate,
+	Advance, Change, ChangeStatus, Command, Conflict, IssueOrder, Action, Outcome, Phase, Publication, Put, Remove, Resource, SettleOrder, Specification, Step, ViewUpdate,
 } from '../generated/types.js';
 import {Ledger, type LedgerImage} from './ledger.js';
 
@@ -47,6 +47,8 @@
 	draining: 'draining', drained: 'drained', ordered: 'ordered', done: 'done', failed: 'failed',
 } as const satisfies Record<Phase, Phase>;
 
+/** Name of the one resource that holds routes, services and limits. */
+export const PUBLICATION_NAME = 'current';
 /** Version that matches whatever is there. */
 export const ANY_VERSION = -1;
 const REQUEST_RETENTION_MS = 60 * 60 * 1000;
@@ -111,6 +113,12 @@
 		return [...this.#resources.values()];
 	}
 
+	/** The publication in force; undefined before the first one. */
+	get publication(): Publication | undefined {
+		const specification = this.find('publication', PUBLICATION_NAME)?.specification;
+		return specification?.kind === 'publication' ? specification : undefined;
+	}
+
 	/** Planned changes that are not finished. */
 	listOpenChanges(): Resource[] {
 		return this.listResources().filter(resource => isOpenChange(resource));
@@ -212,6 +220,11 @@
 		const {specification, name, seen} = command;
 		const known = this.#resources.get(resourceKey(specification.kind, name));
 		const current = known?.version ?? 0;
+		if (specification.kind === 'publication' && known?.specification.kind === 'publication' && known.specification.version >= specification.version) {
+			// What was published later stays in force, whichever arrives first.
+			return {type: 'accepted', version: current};
+		}
+
 		if (seen !== ANY_VERSION && seen !== current) {
 			return createConflict('versionConflict', current, `It has version ${current}, you saw ${seen}.`);
 		}
--- a/src/daemon/carawayhoistd.ts
+++ b/src/daemon/carawayhoistd.ts
@@ -105,7 +105,7 @@
 		process.exit(EXIT_FAILED);
 	};
 
-	const host = new Host({settings: settings.right, loggers, onFatal: fail});
+	const host = new Host({settings: settings.right, loggers});
 	const started = await host.start();
 	if (Either.isLeft(started)) {
 		logger.error(`Could not start: ${started.left.text}`, {code: started.left.code});
--- /dev/null
+++ b/src/daemon/controlhost.ts
@@ -0,0 +1,355 @@
+/**
+ * A control host: the replicated state, the register of backend servers, the feed of both, and the placing of streams.
+ *
+ * @module
+ */
+import * as Either from 'fp-ts/lib/Either.js';
+import type {Clock} from '../base/clock.js';
+import type {Logger, LoggerFactory} from '../base/logger.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import type {Random} from '../base/random.js';
+import {ControlClient} from '../control/client.js';
+import {
+	ALL_ORDER_MECHANISMS, createRoleChange, DEFAULT_CONTROLLER_TIMING,
+} from '../control/controller.js';
+import type {OrderPort} from '../control/order.js';
+import {ControlService} from '../control/service.js';
+import {ANY_VERSION, PUBLICATION_NAME} from '../control/state.js';
+import type {
+	Announcement, Message, Publication, Put, ViewUpdate,
+} from '../generated/types.js';
+import {FeedPublisher, FeedSubscription} from '../membership/feed.js';
+import {DEFAULT_REGISTRY_TIMING, Registry} from '../membership/registry.js';
+import {RuleTable, type Catalogue} from '../routing/catalogue.js';
+import {Placer} from '../routing/placer.js';
+import {planReaders} from '../routing/stages.js';
+import {listEngineFacts} from '../serving/engines.js';
+import type {Dialect} from '../serving/dialect.js';
+import {Listener, type Address, type Connection} from '../wire/connection.js';
+
+export type ControlHostOptions = {
+	readonly host: string;
+	readonly dataCentre: string;
+	/** Where the system's own processes reach this host. */
+	readonly peer: Address;
+	readonly folder: string;
+	readonly seeds: readonly Address[];
+	readonly firstStart: boolean;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly loggers: LoggerFactory;
+	readonly dialect: Pick<Dialect, 'readCatalogue'>;
+	readonly createOrders: (findServer: (server: string) => Announcement | undefined) => OrderPort;
+	/** Time between the orders of two control hosts, milliseconds. */
+	readonly leaseMs: number;
+	/** Interval of announcements, milliseconds. */
+	readonly announceMs: number;
+};
+
+/** Operators turn to another host after a second without an answer. */
+const PUBLISH_DEADLINE_MS = 3000;
+const READ_DEADLINE_MS = 900;
+const TICK_MS = 250;
+/** Announcements are missed for this many intervals before a server counts as silent. */
+const SILENT_INTERVALS = 5;
+/** A host that has run for this many intervals has heard every live server. */
+const WARM_INTERVALS = 2.5;
+/** Margin on the time between the orders of two control hosts, milliseconds: transit of the last one. */
+const SUCCESSION_MARGIN_MS = 1000;
+/** Pause after a role change before the next one is planned, milliseconds. */
+const ROLE_DWELL_MS = 6000;
+
+/** A running control host. Whoever started it stops it. */
+export class ControlHost {
+	readonly registry: Registry;
+	readonly #options: ControlHostOptions;
+	readonly #logger: Logger;
+	readonly #service: ControlService;
+	readonly #client: ControlClient;
+	readonly #publisher: FeedPublisher;
+	readonly #subscription: FeedSubscription;
+	readonly #listener: Listener;
+	readonly #placer = new Placer();
+	readonly #timer: NodeJS.Timeout;
+	readonly #startedMs: number;
+	#table: RuleTable | undefined;
+	#roleChangedMs = Number.NEGATIVE_INFINITY;
+
+	private constructor(options: ControlHostOptions, service: ControlService, registry: Registry, listener: Listener) {
+		this.#options = options;
+		this.#logger = options.loggers('control');
+		this.#service = service;
+		this.registry = registry;
+		this.#listener = listener;
+		this.#startedMs = options.clock.monotonicMs();
+		const {clock, host, dataCentre, seeds} = options;
+		this.#client = new ControlClient({seeds: [options.peer, ...seeds.filter(seed => !isSame(seed, options.peer))], clock, onPushed: () => undefined});
+		this.#publisher = new FeedPublisher({
+			host,
+			registry,
+			clock,
+			readPublication: () => service.state.publication,
+			listMembers: () => service.listMembers(),
+			hasQuorum: () => service.hasQuorum,
+			isWarm: () => this.#isWarm(),
+		});
+		this.#subscription = new FeedSubscription({
+			host,
+			dataCentre,
+			role: 'control',
+			seeds: seeds.filter(seed => !isSame(seed, options.peer)),
+			clock,
+			logger: options.loggers('membership'),
+			readVersion: () => Number.MAX_SAFE_INTEGER,
+			onFeed: feed => {
+				for (const sighting of feed.sightings) {
+					this.#noteMerge(this.registry.mergeSighting(sighting, clock.monotonicMs()));
+				}
+			},
+		});
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, TICK_MS);
+		this.#onApplied();
+	}
+
+	/** Opens the data folder and starts. */
+	static async start(options: ControlHostOptions): Promise<Either.Either<Problem, ControlHost>> {
+		const registry = new Registry({...DEFAULT_REGISTRY_TIMING, silentAfterMs: options.announceMs * SILENT_INTERVALS});
+		const holder: {host?: ControlHost} = {};
+		const listener = new Listener((message, connection) => {
+			holder.host?.receive(message, connection);
+		});
+		const {peer} = options;
+		const service = await ControlService.start({
+			host: peer.address,
+			folder: options.folder,
+			peers: options.seeds.map(seed => ({host: seed.address, ...seed})),
+			self: {host: peer.address, ...peer},
+			listPeers: () => holder.host?.listControlAddresses() ?? options.seeds,
+			mayBootstrap: options.firstStart,
+			clock: options.clock,
+			random: options.random,
+			loggers: options.loggers,
+			orders: options.createOrders(server => registry.find(server)?.announcement),
+			controllerTiming: {...DEFAULT_CONTROLLER_TIMING, successionMs: options.leaseMs + SUCCESSION_MARGIN_MS},
+			// Engines finish what runs before they change their role.
+			orderMechanisms: {...ALL_ORDER_MECHANISMS, awaitViews: false, awaitQuiet: false},
+			listEngines: () => registry.listUsable().filter(({kind}) => kind === 'engine'),
+			onApplied() {
+				holder.host?.noteApplied();
+			},
+		});
+		if (Either.isLeft(service)) {
+			return service;
+		}
+
+		const listening = await listener.listen(peer);
+		if (Either.isLeft(listening)) {
+			await service.right.close();
+			return listening;
+		}
+
+		holder.host = new ControlHost(options, service.right, registry, listener);
+		return Either.right(holder.host);
+	}
+
+	/** Whether a majority of the control hosts was in touch a moment ago. */
+	get hasQuorum(): boolean {
+		return this.#service.hasQuorum;
+	}
+
+	listControlAddresses(): Address[] {
+		const own = this.#service.listMembers().map(({address, port}) => ({address, port}));
+		return [...this.#subscription.listAddresses(), ...own];
+	}
+
+	/** Takes an announcement; refused without a majority, so that the server turns to another host. */
+	announce(announcement: Announcement): Either.Either<Problem, void> {
+		if (!this.#service.hasQuorum) {
+			return Either.left(createProblem('noQuorum', undefined, 1));
+		}
+
+		this.#noteMerge(this.registry.merge(announcement, this.#options.clock.monotonicMs()));
+		return Either.right(undefined);
+	}
+
+	/** Takes a server's leave. */
+	leave(server: string): Either.Either<Problem, void> {
+		if (!this.#service.hasQuorum) {
+			return Either.left(createProblem('noQuorum', undefined, 1));
+		}
+
+		if (this.registry.leave(server)) {
+			this.#logger.info(`Server ${server} leaves.`, {server});
+			this.#publisher.notify();
+			this.#updateEngines();
+		}
+
+		return Either.right(undefined);
+	}
+
+	/** Puts a publication in force, unless a later one is; returns once it cannot be lost any more. */
+	async publish(text: string): Promise<Either.Either<Problem, void>> {
+		const catalogue = this.#options.dialect.readCatalogue(text);
+		if (Either.isLeft(catalogue)) {
+			return catalogue;
+		}
+
+		const {version} = catalogue.right;
+		const current = this.#service.state.publication;
+		if (current && current.version >= version) {
+			return Either.right(undefined);
+		}
+
+		const command: Put = {
+			type: 'put',
+			at: this.#options.clock.wallMs(),
+			requestId: `publish-${version}`,
+			name: PUBLICATION_NAME,
+			seen: ANY_VERSION,
+			specification: {kind: 'publication', version, body: text},
+		};
+		const proposed = await this.#client.propose(command, PUBLISH_DEADLINE_MS)();
+		this.#logger.info(`Publication ${version} is ${Either.isRight(proposed) ? 'accepted' : 'not accepted'}.`, {
+			version, bytes: text.length, reason: Either.isLeft(proposed) ? proposed.left.text : undefined,
+		});
+		return Either.isLeft(proposed) ? proposed : Either.right(undefined);
+	}
+
+	/** Reads the publication in force now; a majority confirms it. */
+	async readPublication(): Promise<Either.Either<Problem, string>> {
+		const {state} = this.#service;
+		const listing = await this.#client.read(state.viewVersion, READ_DEADLINE_MS)();
+		if (Either.isLeft(listing)) {
+			return listing;
+		}
+
+		const newest = findPublication(listing.right.view) ?? state.publication;
+		return newest ? Either.right(newest.body) : Either.left(createProblem('notPublished'));
+	}
+
+	receive(message: Message, connection: Connection): void {
+		switch (message.type) {
+			case 'watch': {
+				this.#publisher.receive(message, connection);
+				break;
+			}
+
+			case 'offer': {
+				const decision = this.#placer.offer(message, this.#options.clock.monotonicMs());
+				connection.send(decision);
+				break;
+			}
+
+			case 'milestone': {
+				const decision = this.#placer.note(message.id, message.stage, message.server, this.#options.clock.monotonicMs());
+				if (decision) {
+					connection.send(decision);
+				}
+
+				break;
+			}
+
+			default: {
+				this.#service.receive(message, connection);
+			}
+		}
+	}
+
+	/** Follows the state that the log drives. */
+	noteApplied(): void {
+		this.#onApplied();
+	}
+
+	/** Hands leadership over, then stops. */
+	async stop(): Promise<void> {
+		this.#service.handOver();
+		await this.close();
+	}
+
+	async close(): Promise<void> {
+		clearInterval(this.#timer);
+		this.#client.close();
+		this.#publisher.close();
+		this.#subscription.close();
+		await this.#service.close();
+		this.#listener.close();
+	}
+
+	#isWarm(): boolean {
+		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceMs * WARM_INTERVALS;
+	}
+
+	#noteMerge(merge: 'none' | 'refresh' | 'change'): void {
+		if (merge === 'change') {
+			this.#publisher.notify();
+			this.#updateEngines();
+		}
+	}
+
+	#onApplied(): void {
+		const publication = this.#service.state.publication;
+		if (!publication || publication.version === this.#table?.catalogue.version) {
+			return;
+		}
+
+		const catalogue = this.#options.dialect.readCatalogue(publication.body);
+		if (Either.isLeft(catalogue)) {
+			this.#logger.error(`Publication ${publication.version} cannot be read.`, {version: publication.version, reason: catalogue.left.text});
+			return;
+		}
+
+		this.#useCatalogue(catalogue.right);
+	}
+
+	#useCatalogue(catalogue: Catalogue): void {
+		this.#table = new RuleTable(catalogue);
+		this.#publisher.notify();
+		this.#updateEngines();
+	}
+
+	#updateEngines(): void {
+		this.#placer.updateEngines(listEngineFacts(this.registry.listUsable(), this.#table));
+	}
+
+	#tick(): void {
+		if (this.registry.expire(this.#options.clock.monotonicMs())) {
+			this.#publisher.notify();
+			this.#updateEngines();
+		}
+
+		this.#client.updateMembers(this.#service.listMembers());
+		void this.#planRoles();
+	}
+
+	async #planRoles(): Promise<void> {
+		const {clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const {state} = this.#service;
+		const isDue = this.#service.hasAuthority && this.#isWarm() && nowMs - this.#roleChangedMs > ROLE_DWELL_MS;
+		if (!isDue || state.listOpenChanges().length > 0) {
+			return;
+		}
+
+		const changes = planReaders(listEngineFacts(this.registry.listUsable(), this.#table));
+		if (changes.length > 0) {
+			this.#roleChangedMs = nowMs;
+		}
+
+		for (const change of changes) {
+			const command = createRoleChange(`${change.server}-${state.version}`, change, {nowMs, wallMs: clock.wallMs(), leaseUntilMs: nowMs});
+			this.#logger.info(`Plans that ${change.server} becomes ${change.role}.`, change);
+			await this.#service.propose(command);
+		}
+	}
+}
+
+function findPublication(view: ViewUpdate): Publication | undefined {
+	const specification = view.resources.find(({name}) => name === PUBLICATION_NAME)?.specification;
+	return specification?.kind === 'publication' ? specification : undefined;
+}
+
+function isSame(a: Address, b: Address): boolean {
+	return a.address === b.address && a.port === b.port;
+}
--- /dev/null
+++ b/src/daemon/entryhost.ts
@@ -0,0 +1,174 @@
+/**
+ * An entry host: serves callers by what the control hosts feed it.
+ *
+ * @module
+ */
+import * as Either from 'fp-ts/lib/Either.js';
+import {pause, type Clock} from '../base/clock.js';
+import type {Logger, LoggerFactory} from '../base/logger.js';
+import type {Problem} from '../base/problem.js';
+import type {Random} from '../base/random.js';
+import type {Feed} from '../generated/types.js';
+import {FeedSubscription, inflatePublication} from '../membership/feed.js';
+import {Roster} from '../membership/roster.js';
+import {RepeatBudget, type BudgetLimits} from '../routing/budget.js';
+import {RuleTable} from '../routing/catalogue.js';
+import {HealthTracker} from '../routing/health.js';
+import {LoadTracker} from '../routing/load.js';
+import {Placer} from '../routing/placer.js';
+import type {ServingCore} from '../serving/core.js';
+import type {Dialect} from '../serving/dialect.js';
+import {listEngineFacts} from '../serving/engines.js';
+import {Gateway} from '../serving/gateway.js';
+import type {ServingMetrics} from '../serving/metrics.js';
+import {PlacingClient} from '../serving/placing.js';
+import {Upstream} from '../serving/upstream.js';
+import type {Address} from '../wire/connection.js';
+
+export type EntryHostOptions = {
+	readonly host: string;
+	readonly dataCentre: string;
+	readonly callers: Address;
+	readonly seeds: readonly Address[];
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly loggers: LoggerFactory;
+	readonly dialect: Dialect;
+	readonly metrics: ServingMetrics;
+	readonly budget: BudgetLimits;
+	/** Time from the signal to stop to the end of the process, milliseconds. */
+	readonly graceMs: number;
+};
+
+/** The balancer asks once a second and turns away after two answers that are not ready. */
+const NOT_READY_MS = 2500;
+/** What is left of the time to stop when the last requests are broken off, milliseconds. */
+const STOP_MARGIN_MS = 400;
+const POLL_MS = 50;
+
+/** A running entry host. Whoever started it stops it. */
+export class EntryHost {
+	readonly #options: EntryHostOptions;
+	readonly #logger: Logger;
+	readonly #upstream = new Upstream();
+	readonly #local = new Placer();
+	readonly #subscription: FeedSubscription;
+	readonly #roster: Roster;
+	readonly #budget: RepeatBudget;
+	readonly #gateway: Gateway;
+	readonly #placing: PlacingClient;
+	#table: RuleTable | undefined;
+	#hostCount = 1;
+	#isStopping = false;
+
+	private constructor(options: EntryHostOptions) {
+		this.#options = options;
+		this.#logger = options.loggers('entry');
+		const {clock, random, dataCentre, dialect, metrics} = options;
+		this.#budget = new RepeatBudget(options.budget);
+		this.#subscription = new FeedSubscription({
+			host: options.host,
+			dataCentre,
+			role: 'entry',
+			seeds: options.seeds,
+			clock,
+			logger: options.loggers('membership'),
+			readVersion: () => this.#table?.catalogue.version ?? 0,
+			onFeed: (feed, control) => {
+				this.#onFeed(feed, control);
+			},
+			onMessage: (message, control) => {
+				this.#placing.receive(message, control);
+			},
+		});
+		this.#roster = new Roster(this.#subscription);
+		this.#placing = new PlacingClient(this.#subscription, this.#local, clock);
+		const core: ServingCore = {
+			dataCentre,
+			clock,
+			random,
+			dialect,
+			metrics,
+			logger: options.loggers('routing'),
+			upstream: this.#upstream,
+			health: new HealthTracker(),
+			loads: new LoadTracker(),
+			budget: this.#budget,
+			placing: this.#placing,
+			listServers: () => this.#roster.listUsable(),
+			findServer: server => this.#roster.find(server),
+			countHosts: () => this.#hostCount,
+		};
+		this.#gateway = new Gateway({core, readTable: () => this.#table});
+	}
+
+	/** Listens for callers and subscribes to the control hosts. */
+	static async start(options: EntryHostOptions): Promise<Either.Either<Problem, EntryHost>> {
+		const host = new EntryHost(options);
+		const listening = await host.#gateway.listen(options.callers);
+		if (Either.isLeft(listening)) {
+			host.close();
+			return listening;
+		}
+
+		return Either.right(host);
+	}
+
+	/** Whether callers should come here. */
+	get isReady(): boolean {
+		return !this.#isStopping && this.#table !== undefined && this.#roster.listUsable().length > 0;
+	}
+
+	/** Takes no new callers, finishes what runs, and stops; cuts nothing within its time. */
+	async stop(): Promise<void> {
+		const {clock, graceMs} = this.#options;
+		const startedMs = clock.monotonicMs();
+		this.#isStopping = true;
+		this.#logger.info('Stops: not ready any more.', {active: this.#gateway.activeCount});
+		this.#gateway.beginStop();
+		await pause(Math.min(NOT_READY_MS, graceMs / 2));
+		this.#gateway.stopAccepting();
+		while (this.#gateway.activeCount > 0 && clock.monotonicMs() - startedMs < graceMs - STOP_MARGIN_MS) {
+			await pause(POLL_MS);
+		}
+
+		this.#logger.info('Stopped.', {active: this.#gateway.activeCount});
+		this.close();
+	}
+
+	close(): void {
+		this.#gateway.close();
+		this.#subscription.close();
+		this.#upstream.close();
+	}
+
+	#onFeed(feed: Feed, control: string): void {
+		const hasNews = this.#roster.merge(feed, control, this.#options.clock.monotonicMs());
+		if (feed.entries > 0) {
+			this.#hostCount = feed.entries;
+			this.#budget.hosts = feed.entries;
+		}
+
+		const isNewer = feed.version > (this.#table?.catalogue.version ?? 0);
+		if (feed.publication && isNewer) {
+			this.#apply(feed.publication, feed.version, control);
+		}
+
+		if (hasNews || (feed.publication && isNewer)) {
+			this.#local.updateEngines(listEngineFacts(this.#roster.listUsable(), this.#table));
+		}
+	}
+
+	#apply(bytes: Uint8Array, version: number, control: string): void {
+		const text = inflatePublication(bytes);
+		const catalogue = Either.isLeft(text) ? text : this.#options.dialect.readCatalogue(text.right);
+		if (Either.isLeft(catalogue)) {
+			this.#logger.error(`Publication ${version} cannot be read.`, {version, control, reason: catalogue.left.text});
+			return;
+		}
+
+		this.#table = new RuleTable(catalogue.right);
+		this.#gateway.applyLimits(catalogue.right.limits);
+		this.#logger.info(`Publication ${version} is in force here.`, {version, control, routes: catalogue.right.rules.length});
+	}
+}
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -33,7 +33,6 @@
 export type HostOptions = {
 	readonly settings: Settings;
 	readonly loggers: LoggerFactory;
-	readonly onFatal: (problem: Problem) => void;
 };
 
 export type HostAddresses = {
@@ -83,7 +82,6 @@
 				clock: this.#clock,
 				random: this.#random,
 				loggers,
-				onFatal: this.#options.onFatal,
 				listEngines: () => this.#entry?.listEngines() ?? [],
 				onCommit: () => {
 					this.#metrics.commits.inc();
@@ -147,7 +145,7 @@
 			return;
 		}
 
-		if ('id' in message) {
+		if ('id' in message && typeof message.id === 'number') {
 			const {code, text} = createProblem('notLeader', 'This host keeps no replica.');
 			connection.send({
 				type: 'refused', id: message.id, code, text,
--- /dev/null
+++ b/src/membership/registry.ts
@@ -0,0 +1,192 @@
+/**
+ * The backend servers, as their announcements tell.
+ *
+ * Announcements arrive late, twice and out of order, so merging does not depend on their order: a later start of a
+ * server replaces an earlier one, within a start the higher sequence wins, and leaving is for good. A step machine:
+ * time is handed in.
+ *
+ * @module
+ */
+import type {Announcement, Sighting} from '../generated/types.js';
+
+export const MERGES = {none: 'none', refresh: 'refresh', change: 'change'} as const;
+export type Merge = keyof typeof MERGES;
+
+export type RegistryTiming = {
+	/** Silence after which a server counts as silent, milliseconds. */
+	readonly silentAfterMs: number;
+	/** Silence after which a server is forgotten, milliseconds. */
+	readonly forgetAfterMs: number;
+};
+
+/** Five intervals of 1.2 s: announcements may be seconds late. A leave must outlive every delayed announcement. */
+export const DEFAULT_REGISTRY_TIMING: RegistryTiming = {silentAfterMs: 6000, forgetAfterMs: 60_000};
+
+type Row = {
+	announcement: Announcement;
+	gone: boolean;
+	silent: boolean;
+	heardMs: number;
+	/** Revision of the last change of substance. */
+	changed: number;
+	/** Revision of the last announcement. */
+	refreshed: number;
+};
+
+/** What one host knows of the backend servers. */
+export class Registry {
+	readonly #rows = new Map<string, Row>();
+	readonly #timing: RegistryTiming;
+	#revision = 0;
+
+	constructor(timing = DEFAULT_REGISTRY_TIMING) {
+		this.#timing = timing;
+	}
+
+	/** Rises with every merge that was news. */
+	get revision(): number {
+		return this.#revision;
+	}
+
+	find(server: string): Sighting | undefined {
+		const row = this.#rows.get(server);
+		return row && toSighting(row);
+	}
+
+	list(): Sighting[] {
+		return [...this.#rows.values()].map(row => toSighting(row));
+	}
+
+	/** Servers that take new work. */
+	listUsable(): Announcement[] {
+		const usable: Announcement[] = [];
+		for (const {announcement, gone, silent} of this.#rows.values()) {
+			if (!gone && !silent && announcement.leaving !== true) {
+				usable.push(announcement);
+			}
+		}
+
+		return usable;
+	}
+
+	/** What changed after a revision; with `refreshes`, also servers that only announced themselves again. */
+	listSince(revision: number, refreshes: boolean): Sighting[] {
+		const result: Sighting[] = [];
+		for (const row of this.#rows.values()) {
+			if ((refreshes ? Math.max(row.changed, row.refreshed) : row.changed) > revision) {
+				result.push(toSighting(row));
+			}
+		}
+
+		return result;
+	}
+
+	/** Takes an announcement, from the server itself or from another host. */
+	merge(announcement: Announcement, nowMs: number): Merge {
+		const known = this.#rows.get(announcement.server);
+		if (known && !isNewer(announcement, known.announcement)) {
+			return MERGES.none;
+		}
+
+		if (known?.gone && known.announcement.incarnation === announcement.incarnation) {
+			return MERGES.none;
+		}
+
+		if (!this.#claimAddress(announcement)) {
+			return MERGES.none;
+		}
+
+		this.#revision++;
+		const isSameStart = known?.announcement.incarnation === announcement.incarnation;
+		const leaving = announcement.leaving === true || (isSameStart && known?.announcement.leaving === true);
+		const merged = leaving ? {...announcement, leaving} : announcement;
+		const isChange = !known || known.silent || !isSameEssence(known.announcement, merged);
+		this.#rows.set(announcement.server, {
+			announcement: merged,
+			gone: false,
+			silent: false,
+			heardMs: nowMs,
+			changed: isChange ? this.#revision : known.changed,
+			refreshed: this.#revision,
+		});
+		return isChange ? MERGES.change : MERGES.refresh;
+	}
+
+	/** Takes what another host knows; its silence counts for nothing here, its goodbye does. */
+	mergeSighting({announcement, gone, silent}: Sighting, nowMs: number): Merge {
+		const merge = silent ? MERGES.none : this.merge(announcement, nowMs);
+		const known = this.#rows.get(announcement.server);
+		if (gone && known?.announcement.incarnation === announcement.incarnation && this.leave(announcement.server)) {
+			return MERGES.change;
+		}
+
+		return merge;
+	}
+
+	/** Notes that a server takes its leave; true if it was known and had not. */
+	leave(server: string): boolean {
+		const known = this.#rows.get(server);
+		if (!known || known.gone) {
+			return false;
+		}
+
+		known.gone = true;
+		known.changed = ++this.#revision;
+		return true;
+	}
+
+	/** Marks servers that have been silent for long and forgets the ones that stay away; true if something changed. */
+	expire(nowMs: number): boolean {
+		const before = this.#revision;
+		for (const [server, row] of this.#rows) {
+			const silenceMs = nowMs - row.heardMs;
+			if (silenceMs > this.#timing.forgetAfterMs) {
+				this.#rows.delete(server);
+			} else if (!row.silent && !row.gone && silenceMs > this.#timing.silentAfterMs) {
+				row.silent = true;
+				row.changed = ++this.#revision;
+			}
+		}
+
+		return this.#revision !== before;
+	}
+
+	/** An address belongs to the server that started there last; false if that is another one. */
+	#claimAddress(announcement: Announcement): boolean {
+		for (const row of this.#rows.values()) {
+			const other = row.announcement;
+			if (other.server === announcement.server || other.address !== announcement.address || other.port !== announcement.port) {
+				continue;
+			}
+
+			if (other.incarnation > announcement.incarnation) {
+				return false;
+			}
+
+			this.leave(other.server);
+		}
+
+		return true;
+	}
+}
+
+function isNewer(announcement: Announcement, known: Announcement): boolean {
+	return announcement.incarnation > known.incarnation
+		|| (announcement.incarnation === known.incarnation && announcement.sequence > known.sequence);
+}
+
+/** Whether two announcements differ in nothing that decides where work goes. */
+function isSameEssence(a: Announcement, b: Announcement): boolean {
+	return a.incarnation === b.incarnation
+		&& a.address === b.address
+		&& a.port === b.port
+		&& a.role === b.role
+		&& a.leaving === b.leaving
+		&& a.capacity === b.capacity
+		&& a.services?.join(',') === b.services?.join(',')
+		&& a.models?.join(',') === b.models?.join(',');
+}
+
+function toSighting({announcement, gone, silent}: Row): Sighting {
+	return {announcement, gone, silent};
+}
--- /dev/null
+++ b/src/serving/caller.ts
@@ -0,0 +1,171 @@
+/**
+ * The caller's side of one request: its body, its answer, and whether it is still there.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import * as Either from 'fp-ts/lib/Either.js';
+import {createProblem, type Problem} from '../base/problem.js';
+
+export const ENDS = {
+	/** Answered whole. */
+	answered: 'answered',
+	/** Refused or failed with an answer of our own. */
+	refused: 'refused',
+	/** Broken off after the answer had begun. */
+	broken: 'broken',
+	/** The caller closed its connection. */
+	gone: 'gone',
+} as const;
+export type End = keyof typeof ENDS;
+
+/** One request of a caller; it ends exactly once. */
+export class Caller {
+	readonly request: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #onEnd: Array<(end: End) => void> = [];
+	#end: End | undefined;
+	#problem: Problem | undefined;
+
+	constructor(request: IncomingMessage, response: ServerResponse) {
+		this.request = request;
+		this.#response = response;
+		response.once('close', () => {
+			this.#finish(ENDS.gone);
+		});
+	}
+
+	get isOver(): boolean {
+		return this.#end !== undefined;
+	}
+
+	/** Whether the head of an answer has gone out. */
+	get hasBegun(): boolean {
+		return this.#response.headersSent;
+	}
+
+	/** What the caller was told if the request failed. */
+	get problem(): Problem | undefined {
+		return this.#problem;
+	}
+
+	get status(): number {
+		return this.#response.statusCode;
+	}
+
+	onEnd(handler: (end: End) => void): void {
+		this.#onEnd.push(handler);
+	}
+
+	/** Reads the whole body; undefined if the caller has left. */
+	async readBody(maxBytes: number): Promise<Either.Either<Problem, Buffer | null> | undefined> {
+		const {request} = this;
+		const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
+		if (!hasBody) {
+			return Either.right(null);
+		}
+
+		return new Promise(resolve => {
+			const chunks: Buffer[] = [];
+			let size = 0;
+			request.on('data', (chunk: Buffer) => {
+				size += chunk.length;
+				if (size > maxBytes) {
+					request.removeAllListeners('data');
+					resolve(Either.left(createProblem('bodyTooLarge', `${maxBytes} bytes at most.`)));
+					return;
+				}
+
+				chunks.push(chunk);
+			});
+			request.once('end', () => {
+				resolve(Either.right(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+			});
+			request.once('error', () => {
+				resolve(undefined);
+			});
+			this.onEnd(() => {
+				resolve(undefined);
+			});
+		});
+	}
+
+	/** Answers whole. */
+	answer(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.#response.writeHead(status, {...headers, 'content-length': body.length});
+		this.#response.end(body);
+		this.#finish(ENDS.answered);
+	}
+
+	/** Begins an answer that is passed on as it comes. */
+	begin(status: number, headers: OutgoingHttpHeaders): void {
+		if (!this.isOver) {
+			this.#response.writeHead(status, headers);
+			this.#response.flushHeaders();
+		}
+	}
+
+	/** Passes a piece on; false if the caller does not keep up, `onDrain` is called once it does. */
+	write(chunk: Buffer, onDrain: () => void): boolean {
+		if (this.isOver || this.#response.write(chunk)) {
+			return true;
+		}
+
+		this.#response.once('drain', onDrain);
+		return false;
+	}
+
+	/** Ends an answer that was passed on whole. */
+	finish(): void {
+		if (!this.isOver) {
+			this.#response.end();
+			this.#finish(ENDS.answered);
+		}
+	}
+
+	/** Ends the request with a problem; an answer that has begun is broken off so that it does not look whole. */
+	fail(problem: Problem, headers: OutgoingHttpHeaders = {}): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.#problem = problem;
+		if (this.hasBegun) {
+			this.#response.destroy();
+			this.#finish(ENDS.broken);
+			return;
+		}
+
+		const body = Buffer.from(JSON.stringify({error: {code: problem.code, name: problem.name, message: problem.text}}));
+		const retryAfter = problem.retryAfterSeconds === undefined ? {} : {'retry-after': String(problem.retryAfterSeconds)};
+		// Bytes of a body that was not read would be taken for the next request.
+		const close = this.request.complete ? {} : {connection: 'close'};
+		this.#response.writeHead(problem.status, {
+			...headers,
+			...retryAfter,
+			...close,
+			'content-type': 'application/json',
+			'content-length': body.length,
+			'carawayhoist-code': problem.code,
+			'carawayhoist-outcome': problem.verdict,
+		});
+		this.#response.end(body);
+		this.#finish(ENDS.refused);
+	}
+
+	#finish(end: End): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.#end = end;
+		for (const handler of this.#onEnd) {
+			handler(end);
+		}
+	}
+}
--- /dev/null
+++ b/src/serving/gateway.ts
@@ -0,0 +1,218 @@
+/**
+ * The HTTP side towards callers: finds a request's route, runs it, and logs how it ended.
+ *
+ * @module
+ */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import * as Either from 'fp-ts/lib/Either.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import {
+	chooseService, REPEATS, type CallerLimits, type RuleTable,
+} from '../routing/catalogue.js';
+import type {Address} from '../wire/connection.js';
+import {Caller, type End} from './caller.js';
+import {PlainCall} from './plaincall.js';
+import type {Call, ServingCore} from './core.js';
+import {StreamCall} from './streamcall.js';
+
+export type GatewayOptions = {
+	readonly core: ServingCore;
+	/** The routes in force; undefined before the first publication. */
+	readonly readTable: () => RuleTable | undefined;
+};
+
+/** Limits until operators have published theirs. */
+const DEFAULT_LIMITS: CallerLimits = {
+	headerBytes: 16_384, bodyBytes: 4 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+/** Largest head that is parsed at all; what operators allow is checked behind it. */
+const PARSER_HEADER_BYTES = 65_536;
+const BACKLOG = 1024;
+const NOT_PUBLISHED_RETRY_SECONDS = 0.5;
+/** A caller that gives no deadline is not kept longer than its route says. */
+const NO_DEADLINE_MS = Number.POSITIVE_INFINITY;
+
+/** The listening server. Whoever started it closes it. */
+export class Gateway {
+	readonly #options: GatewayOptions;
+	readonly #server: http.Server;
+	#active = 0;
+	#isStopping = false;
+
+	constructor(options: GatewayOptions) {
+		this.#options = options;
+		this.#server = http.createServer({maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true}, (request, response) => {
+			void this.#serve(request, response);
+		});
+		this.#server.requestTimeout = 0;
+		this.applyLimits(DEFAULT_LIMITS);
+		this.#server.on('clientError', (error, socket) => {
+			refuseMalformed(error, socket as Socket);
+		});
+	}
+
+	/** Requests that are being served. */
+	get activeCount(): number {
+		return this.#active;
+	}
+
+	/** Applies limits that concern connections. */
+	applyLimits(limits: CallerLimits): void {
+		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+	}
+
+	async listen({address, port}: Address): Promise<Either.Either<Problem, void>> {
+		return new Promise(resolve => {
+			this.#server.once('error', error => {
+				resolve(Either.left(createProblem('listenFailed', error.message)));
+			});
+			this.#server.listen({host: address, port, backlog: BACKLOG}, () => {
+				resolve(Either.right(undefined));
+			});
+		});
+	}
+
+	/** From now on every answer ends its connection. */
+	beginStop(): void {
+		this.#isStopping = true;
+	}
+
+	/** Accepts no connection any more and ends idle ones. */
+	stopAccepting(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {core} = this.#options;
+		const arrivedMs = core.clock.monotonicMs();
+		const caller = new Caller(request, response);
+		if (this.#isStopping) {
+			response.setHeader('connection', 'close');
+		}
+
+		this.#active++;
+		core.metrics.active.set(this.#active);
+		let call: Call | undefined;
+		caller.onEnd(end => {
+			this.#active--;
+			core.metrics.active.set(this.#active);
+			this.#logEnd(caller, call, end, arrivedMs);
+		});
+		const found = await this.#createCall(caller, arrivedMs);
+		if (found === undefined || caller.isOver) {
+			return;
+		}
+
+		if (Either.isLeft(found)) {
+			caller.fail(found.left);
+			return;
+		}
+
+		call = found.right;
+		await this.#run(call);
+	}
+
+	async #run(call: Call): Promise<void> {
+		const {core} = this.#options;
+		const {caller, rule, head, service, table} = call;
+		core.budget.noteRequest(service, core.clock.monotonicMs());
+		const timer = setTimeout(() => {
+			caller.fail(createProblem('deadlineExceeded'));
+		}, Math.max(0, call.deadlineMs - core.clock.monotonicMs()));
+		caller.onEnd(() => {
+			clearTimeout(timer);
+		});
+		const isPlaced = rule.repeat === REPEATS.stream && head.prompt !== undefined && table.findService(service)?.engines !== undefined;
+		try {
+			await (isPlaced ? new StreamCall(core, call, head.prompt!) : new PlainCall(core, call)).run();
+		} catch (error) {
+			core.logger.error('An unexpected fault.', {request: head.id, error: String(error), stack: (error as Error).stack});
+			caller.fail(createProblem('internal', `Request ${head.id}.`));
+		}
+	}
+
+	/** Reads what a request asks for; undefined if its caller left meanwhile. */
+	async #createCall(caller: Caller, arrivedMs: number): Promise<Either.Either<Problem, Call> | undefined> {
+		const {core, readTable} = this.#options;
+		const {request} = caller;
+		const limits = readTable()?.catalogue.limits ?? DEFAULT_LIMITS;
+		if (request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0) > limits.headerBytes) {
+			return Either.left(createProblem('headersInvalid', `${limits.headerBytes} bytes at most.`));
+		}
+
+		const head = core.dialect.readCall(request);
+		if (Either.isLeft(head)) {
+			return head;
+		}
+
+		const body = await caller.readBody(limits.bodyBytes);
+		if (body === undefined || Either.isLeft(body)) {
+			return body;
+		}
+
+		// Routes may have changed while the body arrived.
+		return this.#findRoute(caller, {head: head.right, body: body.right, arrivedMs});
+	}
+
+	#findRoute(caller: Caller, parts: Pick<Call, 'head' | 'body' | 'arrivedMs'>): Either.Either<Problem, Call> {
+		const table = this.#options.readTable();
+		if (!table) {
+			return Either.left(createProblem('notPublished', undefined, NOT_PUBLISHED_RETRY_SECONDS));
+		}
+
+		const {request} = caller;
+		const rule = table.find(request.headers.host ?? '', request.url ?? '/');
+		if (!rule) {
+			return Either.left(createProblem('notFound', `No route for ${request.headers.host ?? ''}${request.url ?? ''}.`));
+		}
+
+		const waitMs = Math.min(rule.timeoutMs, parts.head.waitMs ?? NO_DEADLINE_MS);
+		return Either.right({
+			...parts,
+			caller,
+			rule,
+			table,
+			service: chooseService(rule, this.#options.core.random),
+			deadlineMs: parts.arrivedMs + waitMs,
+			trail: {servers: []},
+		});
+	}
+
+	#logEnd(caller: Caller, call: Call | undefined, end: End, arrivedMs: number): void {
+		const {logger, clock, metrics} = this.#options.core;
+		const tookMs = Math.round(clock.monotonicMs() - arrivedMs);
+		const route = call?.rule.name ?? 'none';
+		metrics.requests.inc({route, outcome: end});
+		metrics.duration.observe({route}, tookMs);
+		if (call?.trail.firstMs !== undefined) {
+			metrics.firstByte.observe({route}, call.trail.firstMs);
+		}
+
+		const {problem, status} = caller;
+		logger.info(`Request ${end}.`, {
+			request: call?.head.id, route, service: call?.service, version: call?.table.catalogue.version, status, tookMs, ...call?.trail, code: problem?.code, reason: problem?.text,
+		});
+	}
+}
+
+/** Answers bytes that are not HTTP, or heads that are too long or too slow, and closes only that connection. */
+function refuseMalformed(error: Error & {code?: string}, socket: Socket): void {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const isSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+	const isLarge = error.code === 'HPE_HEADER_OVERFLOW';
+	const problem = createProblem(isSlow ? 'requestTimeout' : (isLarge ? 'headersInvalid' : 'badRequest'));
+	socket.end(`HTTP/1.1 ${problem.status} ${http.STATUS_CODES[problem.status] ?? 'Error'}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+}
+
--- /dev/null
+++ b/src/serving/metrics.ts
@@ -0,0 +1,60 @@
+/**
+ * Counters and latency histograms of the serving core.
+ *
+ * @module
+ */
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+export type ServingMetrics = {
+	readonly registry: Registry;
+	readonly requests: Counter<'route' | 'outcome'>;
+	readonly failures: Counter<'failure'>;
+	readonly repeats: Counter<'service'>;
+	readonly placements: Counter<'by'>;
+	readonly firstByte: Histogram<'route'>;
+	readonly duration: Histogram<'route'>;
+	readonly active: Gauge;
+	readonly dropped: Counter;
+};
+
+/** From a plain read to the longest stream, milliseconds. */
+const BUCKETS_MS = [10, 25, 50, 100, 200, 300, 400, 500, 600, 800, 1000, 1500, 2500, 5000];
+
+/**
+ * Creates the metrics of one process.
+ *
+ * @example
+ * ```ts
+ * const metrics = createServingMetrics();
+ * metrics.requests.inc({route: 'r-1', outcome: 'answered'});
+ * ```
+ */
+export function createServingMetrics(): ServingMetrics {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		requests: new Counter({
+			name: 'carawayhoist_calls_total', help: 'Requests by route and how they ended.', labelNames: ['route', 'outcome'], registers,
+		}),
+		failures: new Counter({
+			name: 'carawayhoist_attempt_failures_total', help: 'Sendings to backend servers that brought no whole answer.', labelNames: ['failure'], registers,
+		}),
+		repeats: new Counter({
+			name: 'carawayhoist_repeats_total', help: 'Sendings beyond the first of a request, by service.', labelNames: ['service'], registers,
+		}),
+		placements: new Counter({
+			name: 'carawayhoist_placements_total', help: 'Streamed requests by the host that placed them.', labelNames: ['by'], registers,
+		}),
+		firstByte: new Histogram({
+			name: 'carawayhoist_call_first_byte_ms', help: 'Time to the head of the answer, milliseconds.', labelNames: ['route'], buckets: BUCKETS_MS, registers,
+		}),
+		duration: new Histogram({
+			name: 'carawayhoist_call_duration_ms', help: 'Time to the end of the answer, milliseconds.', labelNames: ['route'], buckets: BUCKETS_MS, registers,
+		}),
+		active: new Gauge({name: 'carawayhoist_calls_active', help: 'Requests in service.', registers}),
+		dropped: new Counter({name: 'carawayhoist_log_lines_dropped_total', help: 'Log lines over the bound of volume.', registers}),
+	};
+}
--- /dev/null
+++ b/src/serving/streamcall.ts
@@ -0,0 +1,357 @@
+/**
+ * A streamed request: placed, its prompt read where that is quickest, and its events passed on as they come.
+ *
+ * @module
+ */
+import type {Buffer} from 'node:buffer';
+import {createProblem, type Problem} from '../base/problem.js';
+import type {Announcement} from '../generated/types.js';
+import type {PlacingRequest} from '../routing/placer.js';
+import {
+	findMismatch, noteFailure, sendAttempt, type Call, type ServingCore,
+} from './core.js';
+import type {
+	AnswerHead, Prompt, Reading,
+} from './dialect.js';
+import {EventSplitter} from './events.js';
+import type {Exchange} from './upstream.js';
+
+type ReadOutcome
+	= | {readonly type: 'read'; readonly reading: Reading}
+		| {readonly type: 'failed'};
+
+type RunOutcome
+	= | {readonly type: 'done'}
+		| {readonly type: 'notRun'}
+		| {readonly type: 'unsent'}
+		| {readonly type: 'broken'};
+
+/** Callers give a stream up after two seconds, or four times its objective, without an event. */
+const LEAST_PATIENCE_MS = 2000;
+const PATIENCE_FACTOR = 4;
+/** Placings of one request before it is given up. */
+const MAX_PLACINGS = 4;
+const FAILED_RETRY_SECONDS = 0.5;
+const HTTP_OK = 200;
+
+/** Runs one call to its end. */
+export class StreamCall {
+	readonly #core: ServingCore;
+	readonly #call: Call;
+	readonly #prompt: Prompt;
+	readonly #excluded = new Set<string>();
+	readonly #splitter: EventSplitter | undefined;
+	#exchange: Exchange | undefined;
+	#reading: Reading | undefined;
+	#placings = 0;
+	#reads = 0;
+	#runs = 0;
+	#hasFirst = false;
+
+	constructor(core: ServingCore, call: Call, prompt: Prompt) {
+		this.#core = core;
+		this.#call = call;
+		this.#prompt = prompt;
+		this.#splitter = call.rule.isResumable ? new EventSplitter() : undefined;
+		call.caller.onEnd(() => {
+			this.#exchange?.cancel();
+			this.#release();
+		});
+	}
+
+	async run(): Promise<void> {
+		const {caller} = this.#call;
+		while (!caller.isOver) {
+			const runner = await this.#place();
+			if (!runner || caller.isOver) {
+				break;
+			}
+
+			const outcome = await this.#runAt(runner);
+			if (outcome.type === 'done') {
+				this.#core.placing.note(this.#call.head.id, 'done', undefined);
+				return;
+			}
+
+			this.#core.placing.note(this.#call.head.id, 'failed', outcome.type === 'notRun' ? undefined : runner.server);
+			this.#excluded.add(runner.server);
+			const problem = this.#judge(outcome);
+			if (problem) {
+				caller.fail(problem);
+				return;
+			}
+		}
+
+		this.#core.placing.note(this.#call.head.id, 'failed', undefined);
+	}
+
+	/** Finds the engine that runs the request, with its prompt read ahead where that is quicker. */
+	async #place(): Promise<Announcement | undefined> {
+		const {caller, trail} = this.#call;
+		while (!caller.isOver) {
+			if (this.#placings++ >= MAX_PLACINGS) {
+				caller.fail(this.#runs === 0 ? createProblem('notStarted', undefined, FAILED_RETRY_SECONDS) : createProblem('serverFailed'));
+				return undefined;
+			}
+
+			let {decision, by} = await this.#core.placing.offer(this.#createRequest());
+			trail.placedBy = by;
+			trail.placedMs = this.#elapsedMs();
+			if (decision.type === 'assignment' && decision.reader !== undefined) {
+				const reader = this.#core.findServer(decision.reader);
+				const outcome = reader && !caller.isOver ? await this.#readAt(reader) : undefined;
+				if (caller.isOver) {
+					return undefined;
+				}
+
+				if (outcome?.type !== 'read') {
+					this.#core.placing.note(this.#call.head.id, 'failed', decision.reader);
+					this.#excluded.add(decision.reader);
+					continue;
+				}
+
+				this.#reading = outcome.reading;
+				trail.readMs = this.#elapsedMs();
+				({decision, by} = await this.#core.placing.noteRead(this.#createRequest(), decision.reader));
+			}
+
+			this.#core.metrics.placements.inc({by});
+			if (decision.type === 'rejection') {
+				const seconds = Math.ceil(decision.retryAfterMs / 100) / 10;
+				trail.note = decision.reason;
+				caller.fail(this.#runs === 0 ? createProblem('tooLate', decision.reason, seconds) : createProblem('serverFailed'));
+				return undefined;
+			}
+
+			const runner = decision.runner === undefined ? undefined : this.#core.findServer(decision.runner);
+			if (runner) {
+				return runner;
+			}
+		}
+
+		return undefined;
+	}
+
+	#createRequest(): PlacingRequest {
+		const {head, rule, service, arrivedMs, deadlineMs} = this.#call;
+		const nowMs = this.#core.clock.monotonicMs();
+		const patienceMs = Math.max(LEAST_PATIENCE_MS, rule.objectiveMs * PATIENCE_FACTOR);
+		return {
+			id: head.id,
+			service,
+			dataCentre: this.#core.dataCentre,
+			parts: this.#prompt.parts,
+			promptTokens: this.#prompt.promptTokens,
+			outputTokens: this.#prompt.outputTokens,
+			priority: rule.priority,
+			objectiveMs: Math.max(0, arrivedMs + rule.objectiveMs - nowMs),
+			patienceMs: Math.max(0, Math.min(deadlineMs, arrivedMs + patienceMs) - nowMs),
+			excluded: [...this.#excluded],
+		};
+	}
+
+	/** Has the prompt read ahead of the run. */
+	async #readAt(server: Announcement): Promise<ReadOutcome> {
+		const core = this.#core;
+		if (this.#reads > 0 && !this.#takeRepeat()) {
+			return {type: 'failed'};
+		}
+
+		this.#reads++;
+		this.#call.trail.reader = server.server;
+		return new Promise(resolve => {
+			const chunks: Uint8Array[] = [];
+			let head: AnswerHead | undefined;
+			this.#call.caller.onEnd(() => {
+				resolve({type: 'failed'});
+			});
+			this.#exchange = sendAttempt(core, this.#call, server, {
+				phase: 'read', deadlineMs: this.#leftMs(), server: server.server, priority: this.#call.rule.priority,
+			}, {
+				onHead: (status, headers) => {
+					head = core.dialect.readAnswer(status, headers);
+					const mismatch = findMismatch(this.#call, head);
+					if (mismatch !== undefined) {
+						core.logger.warn(`Dropped an answer of ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
+						this.#exchange?.cancel();
+						resolve({type: 'failed'});
+					}
+				},
+				onData(chunk) {
+					chunks.push(chunk);
+				},
+				onEnd() {
+					const handle = head?.status === 200 ? core.dialect.readHandle(concat(chunks)) : undefined;
+					if (handle === undefined) {
+						core.logger.warn(`Server ${server.server} did not read a prompt.`, {server: server.server, status: head?.status});
+						resolve({type: 'failed'});
+						return;
+					}
+
+					core.health.noteSuccess(server.server);
+					resolve({type: 'read', reading: {address: {address: server.address, port: server.port}, handle}});
+				},
+				onFailure(failure, error) {
+					noteFailure(core, server, failure, error);
+					resolve({type: 'failed'});
+				},
+			});
+		});
+	}
+
+	async #runAt(server: Announcement): Promise<RunOutcome> {
+		const core = this.#core;
+		const {caller, rule, trail} = this.#call;
+		if (this.#runs > 0 && !this.#takeRepeat()) {
+			return {type: 'broken'};
+		}
+
+		this.#runs++;
+		trail.servers.push(server.server);
+		const reading = this.#reading;
+		this.#reading = undefined;
+		this.#splitter?.takeRest();
+		const lastEventId = this.#splitter?.lastId ?? this.#call.head.lastEventId;
+		return new Promise(resolve => {
+			let head: AnswerHead | undefined;
+			caller.onEnd(() => {
+				resolve({type: 'broken'});
+			});
+			this.#exchange = sendAttempt(core, this.#call, server, {
+				phase: reading ? 'run' : 'whole', deadlineMs: this.#leftMs(), server: server.server, reading, lastEventId, priority: rule.priority,
+			}, {
+				onHead: (status, headers) => {
+					head = core.dialect.readAnswer(status, headers);
+					const mismatch = findMismatch(this.#call, head);
+					if (mismatch !== undefined) {
+						core.logger.warn(`Dropped an answer of ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
+						this.#exchange?.cancel();
+						resolve({type: 'broken'});
+						return;
+					}
+
+					if (head.isNotRun || head.isOtherServer) {
+						return;
+					}
+
+					if (!caller.hasBegun) {
+						caller.begin(status, core.dialect.writeAnswer(headers));
+					} else if (status !== HTTP_OK) {
+						this.#exchange?.cancel();
+						resolve({type: 'broken'});
+					}
+				},
+				onData: chunk => {
+					if (head && !head.isNotRun && !head.isOtherServer) {
+						this.#forward(chunk, head.status === HTTP_OK);
+					}
+				},
+				onEnd: () => {
+					if (!head || head.isNotRun || head.isOtherServer) {
+						resolve({type: 'notRun'});
+						return;
+					}
+
+					core.health.noteSuccess(server.server);
+					const rest = this.#splitter?.takeRest();
+					if (rest && rest.length > 0) {
+						caller.write(rest, () => undefined);
+					}
+
+					caller.finish();
+					resolve({type: 'done'});
+				},
+				onFailure(failure, error) {
+					noteFailure(core, server, failure, error);
+					resolve({type: failure});
+				},
+			});
+		});
+	}
+
+	#forward(chunk: Buffer, isStream: boolean): void {
+		const {caller, head, trail} = this.#call;
+		if (!this.#hasFirst) {
+			this.#hasFirst = true;
+			trail.firstMs = this.#elapsedMs();
+			this.#core.placing.note(head.id, 'first', undefined);
+		}
+
+		const whole = this.#splitter && isStream ? this.#splitter.add(chunk) : chunk;
+		const exchange = this.#exchange;
+		const isTaken = whole.length === 0 || caller.write(whole, () => {
+			exchange?.resume();
+		});
+		if (!isTaken) {
+			exchange?.pause();
+		}
+	}
+
+	/** The problem to end with after a run that failed; undefined to try again. */
+	#judge(outcome: RunOutcome): Problem | undefined {
+		const {rule, caller} = this.#call;
+		switch (outcome.type) {
+			case 'unsent': {
+				this.#runs--;
+				return undefined;
+			}
+
+			case 'notRun': {
+				return this.#runs <= rule.maxAttempts || caller.hasBegun ? undefined : createProblem('notStarted', undefined, FAILED_RETRY_SECONDS);
+			}
+
+			default: {
+				return rule.isResumable && this.#runs < rule.maxAttempts ? undefined : createProblem('serverFailed');
+			}
+		}
+	}
+
+	/** Frees a read prompt that nobody will take. */
+	#release(): void {
+		const reading = this.#reading;
+		this.#reading = undefined;
+		if (!reading) {
+			return;
+		}
+
+		const ignore = () => undefined;
+		this.#core.upstream.send({
+			address: reading.address, ...this.#core.dialect.writeRelease(reading), headers: [], body: null, maxConnections: 1,
+		}, {
+			onHead: ignore, onData: ignore, onEnd: ignore, onFailure: (failure, error) => {
+				this.#core.logger.warn(`Could not free a read prompt: ${error.message}`, {failure});
+			},
+		});
+	}
+
+	#takeRepeat(): boolean {
+		const {service} = this.#call;
+		const isGranted = this.#core.budget.take(service, this.#core.clock.monotonicMs());
+		if (isGranted) {
+			this.#core.metrics.repeats.inc({service});
+		}
+
+		return isGranted;
+	}
+
+	#leftMs(): number {
+		return this.#call.deadlineMs - this.#core.clock.monotonicMs();
+	}
+
+	#elapsedMs(): number {
+		return Math.round(this.#core.clock.monotonicMs() - this.#call.arrivedMs);
+	}
+}
+
+
+function concat(chunks: readonly Uint8Array[]): Uint8Array {
+	const size = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+	const whole = new Uint8Array(size);
+	let offset = 0;
+	for (const chunk of chunks) {
+		whole.set(chunk, offset);
+		offset += chunk.length;
+	}
+
+	return whole;
+}
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -51,6 +51,11 @@
 		return !this.#socket.destroyed;
 	}
 
+	/** Bytes that wait for the peer to read, as far as this process holds them. */
+	get bufferedBytes(): number {
+		return this.#socket.writableLength;
+	}
+
 	/** Sends a message; a connection whose peer does not read is closed rather than buffered without bound. */
 	send(message: Message): void {
 		if (!this.isOpen) {
--- a/test/fixture.ts
+++ b/test/fixture.ts
@@ -38,7 +38,7 @@
 		peers: [],
 		...extra,
 	};
-	const host = new Host({settings, loggers: createSilentLoggers(), onFatal: () => undefined});
+	const host = new Host({settings, loggers: createSilentLoggers()});
 	const started = await host.start();
 	if (Either.isLeft(started)) {
 		throw new Error(started.left.text);
