Tell callers that left from engines that failed

Ruled out: announcements (all 8 engines known to all control hosts). Change: no blame after the caller has left; suspicion by role; orders that the leader issued itself are known unsent.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -125,6 +125,8 @@
 	readonly #loads: TokenBucket;
 	readonly #demands = new Map<string, readonly ModelDemand[]>();
 	readonly #roleChangedMs = new Map<string, number>();
+	/** Changes whose orders this leader issued itself: it knows which of them it has sent. */
+	readonly #issued = new Set<string>();
 	#nextRoleMs = 0;
 
 	constructor(electedMs: number, timing = DEFAULT_CONTROLLER_TIMING, mechanisms = ALL_ORDER_MECHANISMS) {
@@ -335,6 +337,7 @@
 			return undefined;
 		}
 
+		this.#issued.add(resource.name);
 		return {
 			type: 'issue-order', at: authority.wallMs, change: resource.name, server, action,
 		};
@@ -439,7 +442,8 @@
 			return known;
 		}
 
-		const attempt: Attempt = {order: order.order, state: 'unresolved', triedMs: Number.NEGATIVE_INFINITY};
+		const state = this.#issued.has(order.change) ? 'unsent' : 'unresolved';
+		const attempt: Attempt = {order: order.order, state, triedMs: Number.NEGATIVE_INFINITY};
 		this.#attempts.set(order.server, attempt);
 		return attempt;
 	}
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -19,7 +19,7 @@
 	Announcement, Message, Publication, Put, ViewUpdate,
 } from '../generated/types.js';
 import {FeedPublisher, FeedSubscription} from '../membership/feed.js';
-import {DEFAULT_REGISTRY_TIMING, Registry} from '../membership/registry.js';
+import {DEFAULT_REGISTRY_TIMING, Registry, type Merge} from '../membership/registry.js';
 import {RuleTable, type Catalogue} from '../routing/catalogue.js';
 import {Placer} from '../routing/placer.js';
 import {planReaders} from '../routing/stages.js';
@@ -103,7 +103,7 @@
 			readVersion: () => Number.MAX_SAFE_INTEGER,
 			onFeed: feed => {
 				for (const sighting of feed.sightings) {
-					this.#noteMerge(this.registry.mergeSighting(sighting, clock.monotonicMs()));
+					this.#noteMerge(this.registry.mergeSighting(sighting, clock.monotonicMs()), sighting.announcement);
 				}
 			},
 		});
@@ -170,7 +170,7 @@
 			return Either.left(createProblem('noQuorum', undefined, 1));
 		}
 
-		this.#noteMerge(this.registry.merge(announcement, this.#options.clock.monotonicMs()));
+		this.#noteMerge(this.registry.merge(announcement, this.#options.clock.monotonicMs()), announcement);
 		return Either.right(undefined);
 	}
 
@@ -281,8 +281,11 @@
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceMs * WARM_INTERVALS;
 	}
 
-	#noteMerge(merge: 'none' | 'refresh' | 'change'): void {
+	#noteMerge(merge: Merge, {server, incarnation, sequence, role, leaving}: Announcement): void {
 		if (merge === 'change') {
+			this.#logger.info(`Server ${server} has news.`, {
+				server, incarnation, sequence, role, leaving,
+			});
 			this.#publisher.notify();
 			this.#updateEngines();
 		}
@@ -314,7 +317,9 @@
 	}
 
 	#tick(): void {
-		if (this.registry.expire(this.#options.clock.monotonicMs())) {
+		const silenced = this.registry.expire(this.#options.clock.monotonicMs());
+		if (silenced.length > 0) {
+			this.#logger.warn(`Servers are silent: ${silenced.join(', ')}.`, {servers: silenced});
 			this.#publisher.notify();
 			this.#updateEngines();
 		}
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -135,9 +135,9 @@
 		return true;
 	}
 
-	/** Marks servers that have been silent for long and forgets the ones that stay away; true if something changed. */
-	expire(nowMs: number): boolean {
-		const before = this.#revision;
+	/** Marks servers that have been silent for long and forgets the ones that stay away; returns the newly silent. */
+	expire(nowMs: number): string[] {
+		const silenced: string[] = [];
 		for (const [server, row] of this.#rows) {
 			const silenceMs = nowMs - row.heardMs;
 			if (silenceMs > this.#timing.forgetAfterMs) {
@@ -145,10 +145,11 @@
 			} else if (!row.silent && !row.gone && silenceMs > this.#timing.silentAfterMs) {
 				row.silent = true;
 				row.changed = ++this.#revision;
+				silenced.push(server);
 			}
 		}
 
-		return this.#revision !== before;
+		return silenced;
 	}
 
 	/** An address belongs to the server that started there last; false if that is another one. */
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -112,9 +112,8 @@
 	offer(request: PlacingRequest, nowMs: number): PlacingDecision {
 		this.#expire(nowMs);
 		this.#forget(request.id);
-		const engines = this.#candidates(request, nowMs);
-		const readers = engines.filter(engine => engine.facts.role === ENGINE_ROLES.prefill);
-		const runners = engines.filter(engine => engine.facts.role !== ENGINE_ROLES.prefill);
+		const readers = this.#listReaders(request, nowMs);
+		const runners = this.#listRunners(request, nowMs);
 		const direct = best(runners.map(engine => this.#directOption(engine, request, nowMs)));
 		if (!direct) {
 			return reject(request, 'no engine makes tokens', LEAST_RETRY_AFTER_MS);
@@ -182,7 +181,7 @@
 	#assignRunner(open: Open, nowMs: number): PlacingDecision {
 		const {request} = open;
 		const reader = this.#engines.get(open.reader ?? '');
-		const runners = this.#candidates(request, nowMs).filter(engine => engine.facts.role !== ENGINE_ROLES.prefill);
+		const runners = this.#listRunners(request, nowMs);
 		const chosen = best(runners.map(engine => ({
 			engine,
 			costMs: this.#runCostMs(engine, request) + transferMs(request, reader?.facts.dataCentre, engine.facts.dataCentre),
@@ -196,10 +195,20 @@
 		return {type: 'assignment', id: request.id, runner: open.runner};
 	}
 
-	#candidates(request: PlacingRequest, nowMs: number): EngineState[] {
-		const all = [...this.#engines.values()].filter(({facts}) => facts.service === request.service && !request.excluded.includes(facts.server));
-		const trusted = all.filter(engine => !engine.isSuspected(nowMs));
-		return trusted.length > 0 ? trusted : all;
+	#listReaders(request: PlacingRequest, nowMs: number): EngineState[] {
+		const readers = this.#listEngines(request).filter(engine => engine.facts.role === ENGINE_ROLES.prefill);
+		return readers.filter(engine => !engine.isSuspected(nowMs));
+	}
+
+	/** Engines that make tokens; suspected ones too if there are no others. */
+	#listRunners(request: PlacingRequest, nowMs: number): EngineState[] {
+		const runners = this.#listEngines(request).filter(engine => engine.facts.role !== ENGINE_ROLES.prefill);
+		const trusted = runners.filter(engine => !engine.isSuspected(nowMs));
+		return trusted.length > 0 ? trusted : runners;
+	}
+
+	#listEngines(request: PlacingRequest): EngineState[] {
+		return [...this.#engines.values()].filter(({facts}) => facts.service === request.service && !request.excluded.includes(facts.server));
 	}
 
 	#readOption(engine: EngineState, request: PlacingRequest, nowMs: number): Option {
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -73,6 +73,10 @@
 				return;
 			}
 
+			if (caller.isOver) {
+				break;
+			}
+
 			this.#core.placing.note(this.#call.head.id, 'failed', outcome.type === 'notRun' ? undefined : runner.server);
 			this.#excluded.add(runner.server);
 			const problem = this.#judge(outcome);
