--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -5,7 +5,8 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
-import {Pool, type Dispatcher} from 'undici';
+import net from 'node:net';
+import {Client, Pool, type Dispatcher} from 'undici';
 import type {Address} from '../wire/connection.js';
 
 export type UpstreamRequest = {
@@ -61,12 +62,16 @@
 	/** Sends a request and reports what comes back. */
 	send(request: UpstreamRequest, sink: AnswerSink): Exchange {
 		const exchange = new UpstreamExchange(sink);
-		this.#poolOf(request).dispatch({
+		const options: LineOptions = {
 			method: request.method as Dispatcher.HttpMethod,
 			path: request.path,
 			headers: request.headers,
 			body: request.body,
-		}, exchange.handler);
+			onLine(line) {
+				exchange.line = line;
+			},
+		};
+		this.#poolOf(request).dispatch(options, exchange.handler);
 		exchange.awaitSending();
 		return exchange;
 	}
@@ -92,9 +97,9 @@
 		let pool = this.#pools.get(key);
 		if (!pool) {
 			pool = new Pool(`http://${key}`, {
+				factory: (origin, options) => new Line(origin, options as Client.Options),
 				connections: maxConnections,
 				pipelining: 1,
-				connect: {timeout: CONNECT_TIMEOUT_MS},
 				headersTimeout: 0,
 				bodyTimeout: 0,
 				keepAliveTimeout: IDLE_MS,
@@ -110,7 +115,61 @@
 	}
 }
 
+type LineOptions = Dispatcher.DispatchOptions & {
+	/** Called with the line that takes the request. */
+	readonly onLine: (line: Line) => void;
+};
+
+/**
+ * One connection to a server. It knows whether the connection was reset, which the library does not tell: an answer
+ * without a length that is cut off by a reset would look whole.
+ */
+class Line extends Client {
+	#isReset = false;
+
+	constructor(origin: string | URL, options: Client.Options) {
+		super(origin, {
+			...options,
+			connect: (target: {hostname: string; port: string}, callback: (...result: [null, net.Socket] | [Error, null]) => void) => {
+				this.#connect(target, callback);
+			},
+		} as Client.Options);
+	}
+
+	get isReset(): boolean {
+		return this.#isReset;
+	}
+
+	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		(options as LineOptions).onLine(this);
+		return super.dispatch(options, handler);
+	}
+
+	#connect({hostname, port}: {hostname: string; port: string}, callback: (...result: [null, net.Socket] | [Error, null]) => void): void {
+		this.#isReset = false;
+		const socket = net.connect({host: hostname, port: Number(port), noDelay: true});
+		const timer = setTimeout(() => {
+			socket.destroy(new Error('No connection in time.'));
+		}, CONNECT_TIMEOUT_MS);
+		const fail = (error: Error) => {
+			clearTimeout(timer);
+			callback(error, null);
+		};
+
+		socket.once('error', fail);
+		socket.once('connect', () => {
+			clearTimeout(timer);
+			socket.removeListener('error', fail);
+			socket.on('error', () => {
+				this.#isReset = true;
+			});
+			callback(null, socket);
+		});
+	}
+}
+
 class UpstreamExchange implements Exchange {
+	line: Line | undefined;
 	readonly handler: Dispatcher.DispatchHandler;
 	readonly #sink: AnswerSink;
 	#controller: Dispatcher.DispatchController | undefined;
@@ -134,7 +193,9 @@
 				}
 			},
 			onResponseEnd: () => {
-				if (this.#finish()) {
+				if (this.line?.isReset) {
+					this.#fail(new Error('The connection was reset before the answer ended.'));
+				} else if (this.#finish()) {
 					sink.onEnd();
 				}
 			},
