Fetch shared parts from engines that hold them; spare engines that change their role

Ruled out: announcements (the role was known 2.5 s later). Change: engines under an open change are no candidates, a refusal keeps an engine out for 300 ms, 503 where nothing ran; a reader fetches shared parts from the engine that holds most of them.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -14,7 +14,7 @@
 } from '../control/controller.js';
 import type {OrderPort} from '../control/order.js';
 import {ControlService} from '../control/service.js';
-import {ANY_VERSION, PUBLICATION_NAME} from '../control/state.js';
+import {ANY_VERSION, excludesServer, PUBLICATION_NAME} from '../control/state.js';
 import type {
 	Announcement, Message, Publication, Put, ViewUpdate,
 } from '../generated/types.js';
@@ -292,6 +292,7 @@
 	}
 
 	#onApplied(): void {
+		this.#updateEngines();
 		const publication = this.#service.state.publication;
 		if (!publication || publication.version === this.#table?.catalogue.version) {
 			return;
@@ -313,7 +314,9 @@
 	}
 
 	#updateEngines(): void {
-		this.#placer.updateEngines(listEngineFacts(this.registry.listUsable(), this.#table));
+		const changes = this.#service.state.listOpenChanges();
+		const usable = this.registry.listUsable().filter(({server}) => !changes.some(change => excludesServer(change, server)));
+		this.#placer.updateEngines(listEngineFacts(usable, this.#table));
 	}
 
 	#tick(): void {
--- a/src/routing/enginestate.ts
+++ b/src/routing/enginestate.ts
@@ -72,16 +72,20 @@
 		return nowMs < this.#suspectedUntilMs;
 	}
 
-	/** Prompt tokens that it would have to read. */
-	countUnread({parts, promptTokens}: Pick<Flight, 'parts' | 'promptTokens'>): number {
-		return Math.max(1, promptTokens - this.#cache.countCached(parts));
+	/** Tokens of the leading parts of a prompt that it should hold. */
+	countCached(parts: readonly PromptPart[]): number {
+		return this.#cache.countCached(parts);
 	}
 
-	/** Time that it needs to read a prompt once it begins, milliseconds. */
-	readMs(flight: Pick<Flight, 'parts' | 'promptTokens'>): number {
-		const unread = this.countUnread(flight);
+	/**
+	 * Time that it needs to read a prompt once it begins, milliseconds.
+	 *
+	 * @param cached - Leading tokens that it holds or is given.
+	 */
+	readMs({promptTokens}: Pick<Flight, 'promptTokens'>, cached: number): number {
+		const unread = Math.max(1, promptTokens - cached);
 		const factor = this.facts.role === ENGINE_ROLES.prefill ? 1 : MIXED_READ_FACTOR;
-		return estimateReadMs(unread, flight.promptTokens - unread) * factor * this.#slowness;
+		return estimateReadMs(unread, cached) * factor * this.#slowness;
 	}
 
 	/** Time until what it was given to read is read, milliseconds. */
@@ -96,8 +100,13 @@
 		return sumMs;
 	}
 
-	beginRead(id: string, flight: Flight, nowMs: number): void {
-		this.#reading.set(id, {workMs: this.readMs(flight), startedMs: nowMs});
+	/**
+	 * Notes that it was given a prompt to read.
+	 *
+	 * @param workMs - Time that it should need.
+	 */
+	beginRead(id: string, flight: Flight, workMs: number, nowMs: number): void {
+		this.#reading.set(id, {workMs, startedMs: nowMs});
 		this.#cache.note(flight.parts, this.facts.kvTokens - this.#contextTokens);
 	}
 
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -36,13 +36,23 @@
 		readonly id: string;
 		/** Engine that reads the prompt ahead of the run; absent if the runner reads it. */
 		readonly reader?: string;
+		/** Engine from which the one that reads fetches shared parts. */
+		readonly source?: string;
 		/** Engine that runs the request; absent until its prompt is read. */
 		readonly runner?: string;
 	}
 	| {readonly type: 'rejection'; readonly id: string; readonly reason: string; readonly retryAfterMs: number};
 
 export const MILESTONES = {
-	read: 'read', first: 'first', done: 'done', failed: 'failed',
+	/** The prompt is read. */
+	read: 'read',
+	/** The first event has come. */
+	first: 'first',
+	done: 'done',
+	/** An engine stated that it did not take the request. */
+	refused: 'refused',
+	/** An engine did not answer, or not whole; or the caller has left. */
+	failed: 'failed',
 } as const;
 export type MilestoneName = keyof typeof MILESTONES;
 
@@ -53,12 +63,18 @@
 /** What another data centre costs, milliseconds: the way itself, and a transfer that takes twice as long. */
 const CROSSING_MS = 2;
 const CROSSING_TRANSFER_FACTOR = 2;
-/** A part that is read a second time takes the place of another in the cache: it costs more than its time. */
+/** Weight of reading a shared part against its time. */
 const REREAD_WEIGHT = 0.5;
 /** A prompt that is read between the tokens of running requests delays all of them. */
 const DISTURBANCE_WEIGHT = 1;
 /** How long an engine that failed a request is avoided, milliseconds. */
 const SUSPICION_MS = 1500;
+/** How long an engine that refused a request is avoided: it is full, or changes its role. */
+const REFUSAL_MS = 300;
+/** Shared tokens from which fetching them pays for its set-up. */
+const LEAST_FETCH_TOKENS = 512;
+/** Time that a fetch of shared parts takes beside its tokens, milliseconds. */
+const FETCH_MS = 5;
 /** How long a request is remembered after its caller has given up, milliseconds. */
 const FLIGHT_GRACE_MS = 2000;
 /** What a full engine costs a further request, milliseconds: about the time of a short answer. */
@@ -77,6 +93,14 @@
 type Option = {
 	readonly engine: EngineState;
 	readonly costMs: number;
+	readonly plan: ReadPlan;
+};
+
+/** How an engine would read a prompt. */
+type ReadPlan = {
+	readonly workMs: number;
+	/** Engine to fetch shared parts from. */
+	readonly source: string | undefined;
 };
 
 /** The placer of one or more pools. */
@@ -114,12 +138,13 @@
 		this.#forget(request.id);
 		const readers = this.#listReaders(request, nowMs);
 		const runners = this.#listRunners(request, nowMs);
-		const direct = best(runners.map(engine => this.#directOption(engine, request, nowMs)));
+		const holders = this.#listEngines(request).filter(engine => !engine.isSuspected(nowMs));
+		const direct = best(runners.map(engine => this.#directOption(engine, request, holders, nowMs)));
 		if (!direct) {
 			return reject(request, 'no engine makes tokens', LEAST_RETRY_AFTER_MS);
 		}
 
-		const ahead = best(readers.map(engine => this.#readOption(engine, request, nowMs)));
+		const ahead = best(readers.map(engine => this.#readOption(engine, request, holders, nowMs)));
 		const runCostMs = Math.min(...runners.map(engine => this.#runCostMs(engine, request)));
 		const aheadMs = ahead && ahead.costMs + HANDOVER_MS + runCostMs;
 		const open: Open = {
@@ -128,14 +153,18 @@
 		this.#open.set(request.id, open);
 		if (ahead && aheadMs !== undefined && aheadMs < direct.costMs) {
 			open.reader = ahead.engine.facts.server;
-			ahead.engine.beginRead(request.id, toFlight(request), nowMs);
-			return {type: 'assignment', id: request.id, reader: open.reader};
+			ahead.engine.beginRead(request.id, toFlight(request), ahead.plan.workMs, nowMs);
+			return {
+				type: 'assignment', id: request.id, reader: open.reader, source: ahead.plan.source,
+			};
 		}
 
 		open.runner = direct.engine.facts.server;
-		direct.engine.beginRead(request.id, toFlight(request), nowMs);
+		direct.engine.beginRead(request.id, toFlight(request), direct.plan.workMs, nowMs);
 		direct.engine.beginRun(request.id, toFlight(request));
-		return {type: 'assignment', id: request.id, runner: open.runner};
+		return {
+			type: 'assignment', id: request.id, runner: open.runner, source: direct.plan.source,
+		};
 	}
 
 	/** Decides where a request runs whose prompt was read on another placer's word. */
@@ -151,8 +180,8 @@
 	/** Takes how far a request is; answers with a runner once its prompt is read. */
 	note(id: string, milestone: MilestoneName, server: string | undefined, nowMs: number): PlacingDecision | undefined {
 		const open = this.#open.get(id);
-		if (milestone === MILESTONES.failed && server !== undefined) {
-			this.#engines.get(server)?.suspect(nowMs + SUSPICION_MS);
+		if (server !== undefined && (milestone === MILESTONES.failed || milestone === MILESTONES.refused)) {
+			this.#engines.get(server)?.suspect(nowMs + (milestone === MILESTONES.failed ? SUSPICION_MS : REFUSAL_MS));
 		}
 
 		if (!open) {
@@ -171,6 +200,7 @@
 			}
 
 			case MILESTONES.done:
+			case MILESTONES.refused:
 			case MILESTONES.failed: {
 				this.#forget(id);
 				return undefined;
@@ -184,6 +214,7 @@
 		const runners = this.#listRunners(request, nowMs);
 		const chosen = best(runners.map(engine => ({
 			engine,
+			plan: NOTHING_TO_READ,
 			costMs: this.#runCostMs(engine, request) + transferMs(request, reader?.facts.dataCentre, engine.facts.dataCentre),
 		})));
 		if (!chosen) {
@@ -211,19 +242,17 @@
 		return [...this.#engines.values()].filter(({facts}) => facts.service === request.service && !request.excluded.includes(facts.server));
 	}
 
-	#readOption(engine: EngineState, request: PlacingRequest, nowMs: number): Option {
-		const readMs = engine.readMs(request);
-		const unread = engine.countUnread(request);
-		const rereadMs = estimateReadMs(Math.max(0, unread - ownTokens(request)), 0) * REREAD_WEIGHT;
+	#readOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], nowMs: number): Option {
+		const plan = planRead(engine, request, holders);
 		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
-		return {engine, costMs: engine.backlogMs(nowMs) + readMs + rereadMs + crossingMs};
+		return {engine, plan, costMs: engine.backlogMs(nowMs) + plan.workMs + crossingMs};
 	}
 
-	#directOption(engine: EngineState, request: PlacingRequest, nowMs: number): Option {
-		const readMs = engine.readMs(request);
+	#directOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], nowMs: number): Option {
+		const plan = planRead(engine, request, holders);
 		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
-		const disturbanceMs = readMs * DISTURBANCE_WEIGHT;
-		return {engine, costMs: engine.backlogMs(nowMs) + readMs + disturbanceMs + crossingMs + this.#runCostMs(engine, request)};
+		const disturbanceMs = plan.workMs * DISTURBANCE_WEIGHT;
+		return {engine, plan, costMs: engine.backlogMs(nowMs) + plan.workMs + disturbanceMs + crossingMs + this.#runCostMs(engine, request)};
 	}
 
 	/** What running a request at an engine costs it and the ones beside it, milliseconds. */
@@ -274,12 +303,35 @@
 	return {parts, promptTokens, outputTokens};
 }
 
-/** The last part belongs to the request itself. */
-function ownTokens({parts, promptTokens}: PlacingRequest): number {
-	return parts.at(-1)?.tokens ?? promptTokens;
+const NOTHING_TO_READ: ReadPlan = {workMs: 0, source: undefined};
+
+/** Plans how an engine reads a prompt: with what it holds, and what another engine holds if fetching that is quicker. */
+function planRead(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[]): ReadPlan {
+	const own = engine.countCached(request.parts);
+	let plan: ReadPlan = {workMs: engine.readMs(request, own) + rereadPenaltyMs(request, own), source: undefined};
+	for (const holder of holders) {
+		const held = holder === engine ? 0 : holder.countCached(request.parts);
+		if (held - own < LEAST_FETCH_TOKENS) {
+			continue;
+		}
+
+		const fetchMs = FETCH_MS + transferMs({promptTokens: held - own}, holder.facts.dataCentre, engine.facts.dataCentre);
+		const workMs = engine.readMs(request, held) + fetchMs + rereadPenaltyMs(request, held);
+		if (workMs < plan.workMs) {
+			plan = {workMs, source: holder.facts.server};
+		}
+	}
+
+	return plan;
+}
+
+/** A shared part that is read again costs more than its time: it takes the place of another in the cache. */
+function rereadPenaltyMs({parts, promptTokens}: PlacingRequest, cached: number): number {
+	const own = parts.at(-1)?.tokens ?? promptTokens;
+	return estimateReadMs(Math.max(0, promptTokens - own - cached), 0) * REREAD_WEIGHT;
 }
 
-function transferMs(request: PlacingRequest, from: string | undefined, to: string): number {
+function transferMs(request: Pick<PlacingRequest, 'promptTokens'>, from: string | undefined, to: string): number {
 	const factor = from === undefined || from === to ? 1 : CROSSING_TRANSFER_FACTOR;
 	return (request.promptTokens / 1000) * TRANSFER_MS_PER_THOUSAND * factor;
 }
--- a/src/serving/core.ts
+++ b/src/serving/core.ts
@@ -62,6 +62,8 @@
 	readonly servers: string[];
 	placedBy?: string;
 	reader?: string;
+	/** Engine from which shared parts were fetched. */
+	source?: string;
 	placedMs?: number;
 	readMs?: number;
 	firstMs?: number;
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -24,7 +24,9 @@
 	= | {readonly type: 'done'}
 		| {readonly type: 'notRun'}
 		| {readonly type: 'unsent'}
-		| {readonly type: 'broken'};
+		| {readonly type: 'broken'}
+		/** Not sent: the budget of repeats is used up. */
+		| {readonly type: 'denied'};
 
 /** Callers give a stream up after two seconds, or four times its objective, without an event. */
 const LEAST_PATIENCE_MS = 2000;
@@ -47,6 +49,8 @@
 	#reads = 0;
 	#runs = 0;
 	#hasFirst = false;
+	#mayHaveRun = false;
+	#partSource: Announcement | undefined;
 
 	constructor(core: ServingCore, call: Call, prompt: Prompt) {
 		this.#core = core;
@@ -77,7 +81,8 @@
 				break;
 			}
 
-			this.#core.placing.note(this.#call.head.id, 'failed', outcome.type === 'notRun' ? undefined : runner.server);
+			this.#mayHaveRun ||= outcome.type === 'broken';
+			this.#core.placing.note(this.#call.head.id, outcome.type === 'notRun' ? 'refused' : 'failed', runner.server);
 			this.#excluded.add(runner.server);
 			const problem = this.#judge(outcome);
 			if (problem) {
@@ -94,13 +99,15 @@
 		const {caller, trail} = this.#call;
 		while (!caller.isOver) {
 			if (this.#placings++ >= MAX_PLACINGS) {
-				caller.fail(this.#runs === 0 ? createProblem('notStarted', undefined, FAILED_RETRY_SECONDS) : createProblem('serverFailed'));
+				caller.fail(this.#createFailure());
 				return undefined;
 			}
 
 			let {decision, by} = await this.#core.placing.offer(this.#createRequest());
 			trail.placedBy = by;
 			trail.placedMs = this.#elapsedMs();
+			this.#partSource = decision.type === 'assignment' && decision.source !== undefined ? this.#core.findServer(decision.source) : undefined;
+			trail.source = this.#partSource?.server;
 			if (decision.type === 'assignment' && decision.reader !== undefined) {
 				const reader = this.#core.findServer(decision.reader);
 				const outcome = reader && !caller.isOver ? await this.#readAt(reader) : undefined;
@@ -123,7 +130,7 @@
 			if (decision.type === 'rejection') {
 				const seconds = Math.ceil(decision.retryAfterMs / 100) / 10;
 				trail.note = decision.reason;
-				caller.fail(this.#runs === 0 ? createProblem('tooLate', decision.reason, seconds) : createProblem('serverFailed'));
+				caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createProblem('tooLate', decision.reason, seconds));
 				return undefined;
 			}
 
@@ -170,7 +177,7 @@
 				resolve({type: 'failed'});
 			});
 			this.#exchange = sendAttempt(core, this.#call, server, {
-				phase: 'read', deadlineMs: this.#leftMs(), server: server.server, priority: this.#call.rule.priority,
+				phase: 'read', deadlineMs: this.#leftMs(), server: server.server, priority: this.#call.rule.priority, partSource: this.#partSource,
 			}, {
 				onHead: (status, headers) => {
 					head = core.dialect.readAnswer(status, headers);
@@ -207,7 +214,7 @@
 		const core = this.#core;
 		const {caller, rule, trail} = this.#call;
 		if (this.#runs > 0 && !this.#takeRepeat()) {
-			return {type: 'broken'};
+			return {type: 'denied'};
 		}
 
 		this.#runs++;
@@ -222,7 +229,13 @@
 				resolve({type: 'broken'});
 			});
 			this.#exchange = sendAttempt(core, this.#call, server, {
-				phase: reading ? 'run' : 'whole', deadlineMs: this.#leftMs(), server: server.server, reading, lastEventId, priority: rule.priority,
+				phase: reading ? 'run' : 'whole',
+				deadlineMs: this.#leftMs(),
+				server: server.server,
+				reading,
+				lastEventId,
+				priority: rule.priority,
+				partSource: reading ? undefined : this.#partSource,
 			}, {
 				onHead: (status, headers) => {
 					head = core.dialect.readAnswer(status, headers);
@@ -293,7 +306,7 @@
 
 	/** The problem to end with after a run that failed; undefined to try again. */
 	#judge(outcome: RunOutcome): Problem | undefined {
-		const {rule, caller} = this.#call;
+		const {rule} = this.#call;
 		switch (outcome.type) {
 			case 'unsent': {
 				this.#runs--;
@@ -301,15 +314,24 @@
 			}
 
 			case 'notRun': {
-				return this.#runs <= rule.maxAttempts || caller.hasBegun ? undefined : createProblem('notStarted', undefined, FAILED_RETRY_SECONDS);
+				return this.#runs <= rule.maxAttempts ? undefined : this.#createFailure();
+			}
+
+			case 'denied': {
+				return this.#createFailure();
 			}
 
 			default: {
-				return rule.isResumable && this.#runs < rule.maxAttempts ? undefined : createProblem('serverFailed');
+				return rule.isResumable && this.#runs < rule.maxAttempts ? undefined : this.#createFailure();
 			}
 		}
 	}
 
+	/** What the caller is told: that nothing ran, if that is sure. */
+	#createFailure(): Problem {
+		return this.#mayHaveRun ? createProblem('serverFailed') : createProblem('notStarted', undefined, FAILED_RETRY_SECONDS);
+	}
+
 	/** Frees a read prompt that nobody will take. */
 	#release(): void {
 		const reading = this.#reading;
