Pass answers without a length on as they came

Ruled out: a reset (the connection's events show an end). Change: such an answer goes to the caller without a length too, and ends its connection.

--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -63,8 +63,11 @@
 /** What another data centre costs, milliseconds: the way itself, and a transfer that takes twice as long. */
 const CROSSING_MS = 2;
 const CROSSING_TRANSFER_FACTOR = 2;
-/** Weight of reading a shared part against its time. */
-const REREAD_WEIGHT = 0.5;
+/**
+ * Share of the reading time of shared tokens that it costs others when an engine comes to hold them: they push out
+ * parts that must then be read again.
+ */
+const EVICTION_WEIGHT = 0.7;
 /** A prompt that is read between the tokens of running requests delays all of them. */
 const DISTURBANCE_WEIGHT = 1;
 /** How long an engine that failed a request is avoided, milliseconds. */
@@ -99,6 +102,8 @@
 /** How an engine would read a prompt. */
 type ReadPlan = {
 	readonly workMs: number;
+	/** What it costs others that the engine comes to hold more. */
+	readonly evictionMs: number;
 	/** Engine to fetch shared parts from. */
 	readonly source: string | undefined;
 };
@@ -245,14 +250,15 @@
 	#readOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], nowMs: number): Option {
 		const plan = planRead(engine, request, holders);
 		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
-		return {engine, plan, costMs: engine.backlogMs(nowMs) + plan.workMs + crossingMs};
+		return {engine, plan, costMs: engine.backlogMs(nowMs) + plan.workMs + plan.evictionMs + crossingMs};
 	}
 
 	#directOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], nowMs: number): Option {
 		const plan = planRead(engine, request, holders);
 		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
 		const disturbanceMs = plan.workMs * DISTURBANCE_WEIGHT;
-		return {engine, plan, costMs: engine.backlogMs(nowMs) + plan.workMs + disturbanceMs + crossingMs + this.#runCostMs(engine, request)};
+		const readMs = engine.backlogMs(nowMs) + plan.workMs + plan.evictionMs + disturbanceMs;
+		return {engine, plan, costMs: readMs + crossingMs + this.#runCostMs(engine, request)};
 	}
 
 	/** What running a request at an engine costs it and the ones beside it, milliseconds. */
@@ -303,12 +309,13 @@
 	return {parts, promptTokens, outputTokens};
 }
 
-const NOTHING_TO_READ: ReadPlan = {workMs: 0, source: undefined};
+const NOTHING_TO_READ: ReadPlan = {workMs: 0, evictionMs: 0, source: undefined};
 
 /** Plans how an engine reads a prompt: with what it holds, and what another engine holds if fetching that is quicker. */
 function planRead(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[]): ReadPlan {
 	const own = engine.countCached(request.parts);
-	let plan: ReadPlan = {workMs: engine.readMs(request, own) + rereadPenaltyMs(request, own), source: undefined};
+	const evictionMs = estimateReadMs(Math.max(0, sharedTokens(request) - own), 0) * EVICTION_WEIGHT;
+	let plan: ReadPlan = {workMs: engine.readMs(request, own), evictionMs, source: undefined};
 	for (const holder of holders) {
 		const held = holder === engine ? 0 : holder.countCached(request.parts);
 		if (held - own < LEAST_FETCH_TOKENS) {
@@ -316,19 +323,18 @@
 		}
 
 		const fetchMs = FETCH_MS + transferMs({promptTokens: held - own}, holder.facts.dataCentre, engine.facts.dataCentre);
-		const workMs = engine.readMs(request, held) + fetchMs + rereadPenaltyMs(request, held);
+		const workMs = engine.readMs(request, held) + fetchMs;
 		if (workMs < plan.workMs) {
-			plan = {workMs, source: holder.facts.server};
+			plan = {workMs, evictionMs, source: holder.facts.server};
 		}
 	}
 
 	return plan;
 }
 
-/** A shared part that is read again costs more than its time: it takes the place of another in the cache. */
-function rereadPenaltyMs({parts, promptTokens}: PlacingRequest, cached: number): number {
-	const own = parts.at(-1)?.tokens ?? promptTokens;
-	return estimateReadMs(Math.max(0, promptTokens - own - cached), 0) * REREAD_WEIGHT;
+/** Tokens that other requests may share: all but the last part. */
+function sharedTokens({parts, promptTokens}: PlacingRequest): number {
+	return Math.max(0, promptTokens - (parts.at(-1)?.tokens ?? promptTokens));
 }
 
 function transferMs(request: Pick<PlacingRequest, 'promptTokens'>, from: string | undefined, to: string): number {
--- a/src/serving/caller.ts
+++ b/src/serving/caller.ts
@@ -20,6 +20,14 @@
 } as const;
 export type End = keyof typeof ENDS;
 
+export const FRAMINGS = {
+	/** The end of the answer is marked. */
+	closed: 'closed',
+	/** The answer ends with its connection. */
+	open: 'open',
+} as const;
+export type Framing = keyof typeof FRAMINGS;
+
 /** One request of a caller; it ends exactly once. */
 export class Caller {
 	readonly request: IncomingMessage;
@@ -91,20 +99,26 @@
 		});
 	}
 
-	/** Answers whole. */
-	answer(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
+	/**
+	 * Answers whole.
+	 *
+	 * @param framing - An open answer ends with its connection, as it came: nobody can tell whether it is whole.
+	 */
+	answer(status: number, headers: OutgoingHttpHeaders, body: Buffer, framing: Framing = FRAMINGS.closed): void {
 		if (this.isOver) {
 			return;
 		}
 
-		this.#response.writeHead(status, {...headers, 'content-length': body.length});
+		this.#open(framing);
+		this.#response.writeHead(status, framing === FRAMINGS.open ? headers : {...headers, 'content-length': body.length});
 		this.#response.end(body);
 		this.#finish(ENDS.answered);
 	}
 
 	/** Begins an answer that is passed on as it comes. */
-	begin(status: number, headers: OutgoingHttpHeaders): void {
+	begin(status: number, headers: OutgoingHttpHeaders, framing: Framing = FRAMINGS.closed): void {
 		if (!this.isOver) {
+			this.#open(framing);
 			this.#response.writeHead(status, headers);
 			this.#response.flushHeaders();
 		}
@@ -158,6 +172,13 @@
 		this.#finish(ENDS.refused);
 	}
 
+	#open(framing: Framing): void {
+		if (framing === FRAMINGS.open) {
+			this.#response.useChunkedEncodingByDefault = false;
+			this.#response.shouldKeepAlive = false;
+		}
+	}
+
 	#finish(end: End): void {
 		if (this.isOver) {
 			return;
--- a/src/serving/dialect.ts
+++ b/src/serving/dialect.ts
@@ -9,6 +9,7 @@
 import type {Catalogue} from '../routing/catalogue.js';
 import type {PromptPart} from '../routing/parts.js';
 import type {Address} from '../wire/connection.js';
+import type {Framing} from './caller.js';
 
 /** A prompt for an engine, by its named parts. */
 export type Prompt = {
@@ -59,6 +60,8 @@
 export type AnswerHead = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
+	/** How the answer's end is marked. */
+	readonly framing: Framing;
 	/** The request that the server answers. */
 	readonly echoedId: string | undefined;
 	/** The server states that it did not run the request. */
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -71,7 +71,7 @@
 		const {caller, rule} = this.#call;
 		const mayTryAgain = this.#mayTryAgain(outcome);
 		if (outcome.type === 'answer' && !(isServerFault(outcome.head) && mayTryAgain)) {
-			caller.answer(outcome.head.status, this.#core.dialect.writeAnswer(outcome.head.headers), outcome.body);
+			this.#deliver(outcome.head, outcome.body);
 			return true;
 		}
 
@@ -83,6 +83,10 @@
 		return false;
 	}
 
+	#deliver(head: AnswerHead, body: Buffer): void {
+		this.#call.caller.answer(head.status, this.#core.dialect.writeAnswer(head.headers), body, head.framing);
+	}
+
 	#mayTryAgain(outcome: Outcome): boolean {
 		const {rule} = this.#call;
 		if (outcome.type === 'unsent' || (outcome.type === 'notRun' && outcome.isOtherServer)) {
@@ -115,7 +119,7 @@
 	#giveUp(outcome: Outcome | undefined): void {
 		const {caller} = this.#call;
 		if (outcome?.type === 'answer') {
-			caller.answer(outcome.head.status, this.#core.dialect.writeAnswer(outcome.head.headers), outcome.body);
+			this.#deliver(outcome.head, outcome.body);
 			return;
 		}
 
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -252,7 +252,7 @@
 					}
 
 					if (!caller.hasBegun) {
-						caller.begin(status, core.dialect.writeAnswer(headers));
+						caller.begin(status, core.dialect.writeAnswer(headers), head.framing);
 					} else if (status !== HTTP_OK) {
 						this.#exchange?.cancel();
 						resolve({type: 'broken'});
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -128,6 +128,20 @@
 	assert.doesNotMatch(answer.text, /secret/v);
 });
 
+test('an answer that ends with its connection is passed on as such, not as one that is known to be whole', async t => {
+	const site = await startSite(t, [{
+		id: 'p1', service: 'plain', intercept(request, response) {
+			response.socket?.end(`HTTP/1.1 200 OK\r\ncarawayhoist-attempt-id: ${String(request.headers['carawayhoist-attempt-id'])}\r\n\r\nhalf`);
+			return true;
+		},
+	}]);
+	const answer = await site.call('/book/1', {}, 'seat');
+	assert.equal(answer.text, 'half');
+	assert.equal(answer.headers['content-length'], undefined);
+	assert.equal(answer.headers['transfer-encoding'], undefined);
+	assert.equal(answer.headers.connection, 'close');
+});
+
 test('a read goes to another server after a failure of the first', async t => {
 	const site = await startSite(t, ['p1', 'p2'].map(id => ({
 		id, service: 'plain', intercept(_request, response) {
