Put late long prompts last, refuse hopeless ones, leave silent engines out, shadow the placer

Change: an engine whose work is overdue by 600 ms without any sign is left out; a read that is long overdue is given up; long prompts that waiting has made late go last; what would begin after 1.5 times its caller's patience is refused at once; the next placing host is told what was placed.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -242,6 +242,12 @@
 				break;
 			}
 
+			case 'shadow': {
+				const {type: _type, reader, runner, ...request} = message;
+				this.#placer.observe(request, reader, runner, this.#options.clock.monotonicMs());
+				break;
+			}
+
 			case 'milestone': {
 				const decision = this.#placer.note(message.id, message.stage, message.server, this.#options.clock.monotonicMs());
 				if (decision) {
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -30,6 +30,9 @@
 	readonly excluded: readonly string[];
 };
 
+/** What a placer needs to know of a request that another one placed. */
+export type ObservedRequest = Pick<PlacingRequest, 'id' | 'service' | 'parts' | 'promptTokens' | 'outputTokens' | 'patienceMs'>;
+
 export type PlacingDecision
 	= | {
 		readonly type: 'assignment';
@@ -38,6 +41,12 @@
 		readonly reader?: string;
 		/** Engine from which the one that reads fetches shared parts. */
 		readonly source?: string;
+		/** Tokens of the prompt that need not be read. */
+		readonly cachedTokens?: number;
+		/** Expected time until the first event, milliseconds. */
+		readonly expectedMs?: number;
+		/** Whether it cannot be in time any more and waits behind what can. */
+		readonly isLate?: boolean;
 		/** Engine that runs the request; absent until its prompt is read. */
 		readonly runner?: string;
 	}
@@ -84,10 +93,21 @@
 const FULL_MS = 400;
 /** Context that a step handles in addition per thousand tokens, milliseconds. */
 const STEP_MS_PER_THOUSAND = 0.0262;
+/** Share of its objective that a prompt's own reading may take before it counts as late by its size. */
+const LARGE_SHARE = 0.8;
+/** Reading that holds others up by less than this is not put off, milliseconds. */
+const LEAST_DELAY_MS = 50;
+/** Expectations under load are too high by about this factor, so that less would refuse what can be served. */
+const HOPELESS_FACTOR = 1.5;
 const LEAST_RETRY_AFTER_MS = 200;
+/** When to come back if no engine is known: engines announce themselves about once a second. */
+const NO_ENGINE_RETRY_MS = 1000;
+/** Time from a read prompt to the first event, milliseconds: about two exchanges and some steps. */
+const FIRST_EVENT_MS = 30;
 
 type Open = {
-	readonly request: PlacingRequest;
+	/** Undefined if another placer decided. */
+	readonly request: PlacingRequest | undefined;
 	readonly expiresMs: number;
 	reader: string | undefined;
 	runner: string | undefined;
@@ -95,13 +115,26 @@
 
 type Option = {
 	readonly engine: EngineState;
+	readonly plan: ReadPlan;
+	/** Time until the prompt is read. */
+	readonly readMs: number;
+	/** The same, with what it costs others. */
 	readonly costMs: number;
+};
+
+type Choice = {
+	/** Engine that reads ahead; without it the runner reads. */
+	readonly reader: EngineState | undefined;
+	readonly runner: EngineState | undefined;
 	readonly plan: ReadPlan;
+	/** Time until the first event. */
+	readonly firstMs: number;
 };
 
 /** How an engine would read a prompt. */
 type ReadPlan = {
 	readonly workMs: number;
+	readonly cachedTokens: number;
 	/** What it costs others that the engine comes to hold more. */
 	readonly evictionMs: number;
 	/** Engine to fetch shared parts from. */
@@ -140,46 +173,45 @@
 	/** Decides for a new request, or again for one whose engine failed. */
 	offer(request: PlacingRequest, nowMs: number): PlacingDecision {
 		this.#expire(nowMs);
-		this.#forget(request.id);
-		const readers = this.#listReaders(request, nowMs);
-		const runners = this.#listRunners(request, nowMs);
-		const holders = this.#listEngines(request).filter(engine => !engine.isSuspected(nowMs));
-		const direct = best(runners.map(engine => this.#directOption(engine, request, holders, nowMs)));
-		if (!direct) {
-			return reject(request, 'no engine makes tokens', LEAST_RETRY_AFTER_MS);
+		this.#forget(request.id, nowMs);
+		const inTime = this.#choose(request, nowMs, false);
+		if (!inTime) {
+			return reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS);
 		}
 
-		const ahead = best(readers.map(engine => this.#readOption(engine, request, holders, nowMs)));
-		const runCostMs = Math.min(...runners.map(engine => this.#runCostMs(engine, request)));
-		const aheadMs = ahead && ahead.costMs + HANDOVER_MS + runCostMs;
-		const open: Open = {
-			request, expiresMs: nowMs + request.patienceMs + FLIGHT_GRACE_MS, reader: undefined, runner: undefined,
-		};
-		this.#open.set(request.id, open);
-		if (ahead && aheadMs !== undefined && aheadMs < direct.costMs) {
-			open.reader = ahead.engine.facts.server;
-			ahead.engine.beginRead(request.id, toFlight(request), ahead.plan.workMs, nowMs);
-			return {
-				type: 'assignment', id: request.id, reader: open.reader, source: ahead.plan.source,
-			};
+		// What waiting has made late goes behind what can be in time. A prompt that is late by its size alone keeps its turn,
+		// since it would never get one otherwise, and a short one too, since it holds nobody up.
+		const {workMs} = inTime.plan;
+		const mayWait = workMs > LEAST_DELAY_MS && workMs < request.objectiveMs * LARGE_SHARE;
+		const isLate = mayWait && inTime.firstMs > request.objectiveMs;
+		const choice = isLate ? this.#choose(request, nowMs, true) ?? inTime : inTime;
+		if (choice.firstMs > request.patienceMs * HOPELESS_FACTOR) {
+			const reason = `the first event would come in ${Math.round(choice.firstMs)} ms, its caller waits ${Math.round(request.patienceMs)} ms`;
+			return reject(request, reason, Math.max(LEAST_RETRY_AFTER_MS, choice.firstMs - request.objectiveMs));
 		}
 
-		open.runner = direct.engine.facts.server;
-		direct.engine.beginRead(request.id, toFlight(request), direct.plan.workMs, nowMs);
-		direct.engine.beginRun(request.id, toFlight(request));
-		return {
-			type: 'assignment', id: request.id, runner: open.runner, source: direct.plan.source,
+		return this.#assign(request, choice, isLate, nowMs);
+	}
+
+	/** Notes where a request runs on another placer's word, to take over from it if need be. */
+	observe(request: ObservedRequest, reader: string | undefined, runner: string, nowMs: number): void {
+		this.#forget(request.id, nowMs);
+		const open: Open = {
+			request: undefined, expiresMs: nowMs + request.patienceMs + FLIGHT_GRACE_MS, reader, runner,
 		};
+		this.#open.set(request.id, open);
+		this.#engines.get(reader ?? '')?.learn(request.parts);
+		this.#engines.get(runner)?.beginRun(request.id, toFlight(request), undefined);
 	}
 
 	/** Decides where a request runs whose prompt was read on another placer's word. */
 	goOn(request: PlacingRequest, reader: string, nowMs: number): PlacingDecision {
-		this.#forget(request.id);
+		this.#forget(request.id, nowMs);
 		const open: Open = {
 			request, expiresMs: nowMs + request.patienceMs + FLIGHT_GRACE_MS, reader, runner: undefined,
 		};
 		this.#open.set(request.id, open);
-		return this.#assignRunner(open, nowMs);
+		return this.#assignRunner(open, request, nowMs);
 	}
 
 	/** Takes how far a request is; answers with a runner once its prompt is read. */
@@ -196,44 +228,86 @@
 		switch (milestone) {
 			case MILESTONES.read: {
 				this.#engines.get(open.reader ?? '')?.endRead(id, nowMs);
-				return this.#assignRunner(open, nowMs);
+				return open.request && this.#assignRunner(open, open.request, nowMs);
 			}
 
 			case MILESTONES.first: {
-				this.#engines.get(open.runner ?? '')?.endRead(id, nowMs);
+				const runner = this.#engines.get(open.runner ?? '');
+				runner?.endRead(id, nowMs);
+				runner?.noteFirst(id, nowMs);
 				return undefined;
 			}
 
 			case MILESTONES.done:
 			case MILESTONES.refused:
 			case MILESTONES.failed: {
-				this.#forget(id);
+				this.#forget(id, nowMs);
 				return undefined;
 			}
 		}
 	}
 
-	#assignRunner(open: Open, nowMs: number): PlacingDecision {
-		const {request} = open;
-		const reader = this.#engines.get(open.reader ?? '');
+	/** The engines that bring the first event soonest; undefined if none makes tokens. */
+	#choose(request: PlacingRequest, nowMs: number, isLate: boolean): Choice | undefined {
+		const holders = this.#listEngines(request).filter(engine => !engine.isSuspected(nowMs));
+		const readers = holders.filter(({facts}) => facts.role === ENGINE_ROLES.prefill);
 		const runners = this.#listRunners(request, nowMs);
-		const chosen = best(runners.map(engine => ({
-			engine,
-			plan: NOTHING_TO_READ,
-			costMs: this.#runCostMs(engine, request) + transferMs(request, reader?.facts.dataCentre, engine.facts.dataCentre),
-		})));
-		if (!chosen) {
-			return reject(request, 'no engine makes tokens', LEAST_RETRY_AFTER_MS);
+		const direct = best(runners.map(engine => this.#readOption(engine, request, holders, {nowMs, isLate})));
+		if (!direct) {
+			return undefined;
 		}
 
-		open.runner = chosen.engine.facts.server;
-		chosen.engine.beginRun(request.id, toFlight(request));
-		return {type: 'assignment', id: request.id, runner: open.runner};
+		const runCostMs = Math.min(...runners.map(engine => this.#runCostMs(engine, request)));
+		const ahead = best(readers.map(engine => this.#readOption(engine, request, holders, {nowMs, isLate})));
+		if (ahead && ahead.costMs + HANDOVER_MS + runCostMs < direct.costMs) {
+			return {
+				reader: ahead.engine, runner: undefined, plan: ahead.plan, firstMs: ahead.readMs + HANDOVER_MS + FIRST_EVENT_MS,
+			};
+		}
+
+		return {
+			reader: undefined, runner: direct.engine, plan: direct.plan, firstMs: direct.readMs + FIRST_EVENT_MS,
+		};
 	}
 
-	#listReaders(request: PlacingRequest, nowMs: number): EngineState[] {
-		const readers = this.#listEngines(request).filter(engine => engine.facts.role === ENGINE_ROLES.prefill);
-		return readers.filter(engine => !engine.isSuspected(nowMs));
+	#assign(request: PlacingRequest, {reader, runner, plan, firstMs}: Choice, isLate: boolean, nowMs: number): PlacingDecision {
+		const engine = reader ?? runner!;
+		this.#open.set(request.id, {
+			request, expiresMs: nowMs + request.patienceMs + FLIGHT_GRACE_MS, reader: reader?.facts.server, runner: runner?.facts.server,
+		});
+		engine.beginRead(request.id, toFlight(request), {workMs: plan.workMs, isLate}, nowMs);
+		runner?.beginRun(request.id, toFlight(request), nowMs + firstMs);
+		return {
+			type: 'assignment',
+			id: request.id,
+			reader: reader?.facts.server,
+			runner: runner?.facts.server,
+			source: plan.source,
+			cachedTokens: plan.cachedTokens,
+			expectedMs: Math.round(firstMs),
+			isLate,
+		};
+	}
+
+	#assignRunner(open: Open, request: PlacingRequest, nowMs: number): PlacingDecision {
+		const reader = this.#engines.get(open.reader ?? '');
+		let chosen: EngineState | undefined;
+		let lowestMs = Number.POSITIVE_INFINITY;
+		for (const engine of this.#listRunners(request, nowMs)) {
+			const costMs = this.#runCostMs(engine, request) + transferMs(request, reader?.facts.dataCentre, engine.facts.dataCentre);
+			if (costMs < lowestMs) {
+				lowestMs = costMs;
+				chosen = engine;
+			}
+		}
+
+		if (!chosen) {
+			return reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS);
+		}
+
+		open.runner = chosen.facts.server;
+		chosen.beginRun(request.id, toFlight(request), nowMs + lowestMs + FIRST_EVENT_MS);
+		return {type: 'assignment', id: request.id, runner: open.runner};
 	}
 
 	/** Engines that make tokens; suspected ones too if there are no others. */
@@ -247,18 +321,14 @@
 		return [...this.#engines.values()].filter(({facts}) => facts.service === request.service && !request.excluded.includes(facts.server));
 	}
 
-	#readOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], nowMs: number): Option {
+	#readOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], {nowMs, isLate}: {nowMs: number; isLate: boolean}): Option {
 		const plan = planRead(engine, request, holders);
 		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
-		return {engine, plan, costMs: engine.backlogMs(nowMs) + plan.workMs + plan.evictionMs + crossingMs};
-	}
-
-	#directOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], nowMs: number): Option {
-		const plan = planRead(engine, request, holders);
-		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
-		const disturbanceMs = plan.workMs * DISTURBANCE_WEIGHT;
-		const readMs = engine.backlogMs(nowMs) + plan.workMs + plan.evictionMs + disturbanceMs;
-		return {engine, plan, costMs: readMs + crossingMs + this.#runCostMs(engine, request)};
+		const readMs = engine.backlogMs(nowMs, isLate) + plan.workMs + crossingMs;
+		const othersMs = engine.facts.role === ENGINE_ROLES.prefill ? 0 : (plan.workMs * DISTURBANCE_WEIGHT) + this.#runCostMs(engine, request);
+		return {
+			engine, plan, readMs, costMs: readMs + plan.evictionMs + othersMs,
+		};
 	}
 
 	/** What running a request at an engine costs it and the ones beside it, milliseconds. */
@@ -271,18 +341,18 @@
 		return (stepMs * (request.outputTokens + engine.runningCount)) + (isFull ? FULL_MS * (1 + excess) : 0);
 	}
 
-	#forget(id: string): void {
+	#forget(id: string, nowMs: number): void {
 		const open = this.#open.get(id);
 		this.#open.delete(id);
 		for (const server of [open?.reader, open?.runner]) {
-			this.#engines.get(server ?? '')?.end(id);
+			this.#engines.get(server ?? '')?.end(id, nowMs);
 		}
 	}
 
 	#expire(nowMs: number): void {
 		for (const [id, open] of this.#open) {
 			if (open.expiresMs < nowMs) {
-				this.#forget(id);
+				this.#forget(id, nowMs);
 			}
 		}
 	}
@@ -305,17 +375,17 @@
 	};
 }
 
-function toFlight({parts, promptTokens, outputTokens}: PlacingRequest): Flight {
+function toFlight({parts, promptTokens, outputTokens}: Flight): Flight {
 	return {parts, promptTokens, outputTokens};
 }
 
-const NOTHING_TO_READ: ReadPlan = {workMs: 0, evictionMs: 0, source: undefined};
-
 /** Plans how an engine reads a prompt: with what it holds, and what another engine holds if fetching that is quicker. */
 function planRead(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[]): ReadPlan {
 	const own = engine.countCached(request.parts);
 	const evictionMs = estimateReadMs(Math.max(0, sharedTokens(request) - own), 0) * EVICTION_WEIGHT;
-	let plan: ReadPlan = {workMs: engine.readMs(request, own), evictionMs, source: undefined};
+	let plan: ReadPlan = {
+		workMs: engine.readMs(request, own), cachedTokens: own, evictionMs, source: undefined,
+	};
 	for (const holder of holders) {
 		const held = holder === engine ? 0 : holder.countCached(request.parts);
 		if (held - own < LEAST_FETCH_TOKENS) {
@@ -325,7 +395,9 @@
 		const fetchMs = FETCH_MS + transferMs({promptTokens: held - own}, holder.facts.dataCentre, engine.facts.dataCentre);
 		const workMs = engine.readMs(request, held) + fetchMs;
 		if (workMs < plan.workMs) {
-			plan = {workMs, evictionMs, source: holder.facts.server};
+			plan = {
+				workMs, cachedTokens: held, evictionMs, source: holder.facts.server,
+			};
 		}
 	}
 
--- a/src/serving/core.ts
+++ b/src/serving/core.ts
@@ -70,6 +70,13 @@
 	/** Engine from which shared parts were fetched. */
 	source?: string;
 	placedMs?: number;
+	/** Tokens of the prompt, and those that the placer took for held. */
+	promptTokens?: number;
+	cachedTokens?: number;
+	/** What the placer expected until the prompt is read, milliseconds. */
+	expectedMs?: number;
+	/** Whether the placer put it behind what can still be in time. */
+	isLate?: boolean;
 	readMs?: number;
 	firstMs?: number;
 	note?: string;
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -42,6 +42,7 @@
 	readonly #clock: Clock;
 	readonly #waiting = new Map<string, Waiting>();
 	readonly #owners = new Map<string, string>();
+	readonly #backups = new Map<string, string>();
 	readonly #distrustedUntilMs = new Map<string, number>();
 
 	constructor(hosts: PlacingHosts, local: Placer, clock: Clock) {
@@ -52,7 +53,7 @@
 
 	/** Asks where a request runs. */
 	async offer(request: PlacingRequest): Promise<Placed> {
-		const host = this.#chooseHost(request.service);
+		const [host] = this.#rankHosts(request.service);
 		if (host !== undefined) {
 			const decision = await this.#ask(host, request.id, {
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded],
@@ -84,11 +85,29 @@
 		return {decision: this.#local.goOn(request, reader, this.#clock.monotonicMs()), by: SELF};
 	}
 
+	/** Tells the host that would place next where a request runs, so that it knows what engines hold. */
+	shadow({id, service, parts, promptTokens, outputTokens, patienceMs}: PlacingRequest, reader: string | undefined, runner: string): void {
+		const backup = this.#rankHosts(service).find(host => host !== this.#owners.get(id));
+		if (backup === undefined) {
+			return;
+		}
+
+		this.#backups.set(id, backup);
+		this.#hosts.send(backup, {
+			type: 'shadow', id, service, parts: [...parts], promptTokens, outputTokens, patienceMs, runner, ...(reader === undefined ? {} : {reader}),
+		});
+	}
+
 	/** Tells how far a request is. */
 	note(id: string, milestone: Exclude<MilestoneName, 'read'>, server: string | undefined): void {
 		const host = this.#owners.get(id);
+		const backup = this.#backups.get(id);
 		if (milestone !== MILESTONES.first) {
 			this.#owners.delete(id);
+			this.#backups.delete(id);
+			if (backup !== undefined) {
+				this.#hosts.send(backup, {type: 'milestone', id, stage: MILESTONES.done});
+			}
 		}
 
 		if (host === SELF || host === undefined) {
@@ -132,19 +151,13 @@
 		});
 	}
 
-	/** All hosts that see the same placing hosts choose the same one for a pool (rendezvous hashing). */
-	#chooseHost(service: string): string | undefined {
+	/** Hosts to ask, best first; all that see the same placing hosts rank them alike (rendezvous hashing). */
+	#rankHosts(service: string): string[] {
 		const nowMs = this.#clock.monotonicMs();
-		let chosen: string | undefined;
-		let highest = -1;
-		for (const host of this.#hosts.listLive()) {
-			const score = crc32(`${service} ${host}`);
-			if ((this.#distrustedUntilMs.get(host) ?? 0) <= nowMs && score > highest) {
-				chosen = host;
-				highest = score;
-			}
-		}
-
-		return chosen;
+		return this.#hosts.listLive()
+			.filter(host => (this.#distrustedUntilMs.get(host) ?? 0) <= nowMs)
+			.map(host => ({host, score: crc32(`${service} ${host}`)}))
+			.toSorted((a, b) => b.score - a.score)
+			.map(({host}) => host);
 	}
 }
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -176,6 +176,7 @@
 			};
 
 			const timer = this.#createSilenceTimer(() => {
+				this.#core.health.noteFailure(server.server, this.#core.clock.monotonicMs());
 				this.#exchange?.cancel();
 				settle({type: 'silent'});
 			});
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -33,8 +33,12 @@
 const PATIENCE_FACTOR = 4;
 /** Placings of one request before it is given up. */
 const MAX_PLACINGS = 4;
+/** A reader that needs this multiple of what was expected is given up, but not before this time, milliseconds. */
+const READ_TIMEOUT_FACTOR = 3;
+const LEAST_READ_TIMEOUT_MS = 700;
 const FAILED_RETRY_SECONDS = 0.5;
 const HTTP_OK = 200;
+const LAST_PRIORITY = 9;
 
 /** Runs one call to its end. */
 export class StreamCall {
@@ -108,9 +112,16 @@
 			trail.placedMs = this.#elapsedMs();
 			this.#partSource = decision.type === 'assignment' && decision.source !== undefined ? this.#core.findServer(decision.source) : undefined;
 			trail.source = this.#partSource?.server;
+			if (decision.type === 'assignment') {
+				trail.cachedTokens = decision.cachedTokens;
+				trail.expectedMs = decision.expectedMs;
+				trail.isLate = decision.isLate;
+			}
+
+			trail.promptTokens = this.#prompt.promptTokens;
 			if (decision.type === 'assignment' && decision.reader !== undefined) {
 				const reader = this.#core.findServer(decision.reader);
-				const outcome = reader && !caller.isOver ? await this.#readAt(reader) : undefined;
+				const outcome = reader && !caller.isOver ? await this.#readAt(reader, decision.expectedMs ?? 0) : undefined;
 				if (caller.isOver) {
 					return undefined;
 				}
@@ -136,6 +147,7 @@
 
 			const runner = decision.runner === undefined ? undefined : this.#core.findServer(decision.runner);
 			if (runner) {
+				this.#core.placing.shadow(this.#createRequest(), trail.reader, runner.server);
 				return runner;
 			}
 		}
@@ -162,7 +174,7 @@
 	}
 
 	/** Has the prompt read ahead of the run. */
-	async #readAt(server: Announcement): Promise<ReadOutcome> {
+	async #readAt(server: Announcement, expectedMs: number): Promise<ReadOutcome> {
 		const core = this.#core;
 		if (this.#reads > 0 && !this.#takeRepeat()) {
 			return {type: 'failed'};
@@ -173,11 +185,18 @@
 		return new Promise(resolve => {
 			const chunks: Uint8Array[] = [];
 			let head: AnswerHead | undefined;
+			// Reading may be repeated, so a reader that is long overdue is given up.
+			const timer = setTimeout(() => {
+				core.logger.warn(`Server ${server.server} is overdue with a prompt.`, {request: this.#call.head.id, server: server.server, expectedMs});
+				this.#exchange?.cancel();
+				resolve({type: 'failed'});
+			}, Math.max(LEAST_READ_TIMEOUT_MS, expectedMs * READ_TIMEOUT_FACTOR));
 			this.#call.caller.onEnd(() => {
+				clearTimeout(timer);
 				resolve({type: 'failed'});
 			});
 			this.#exchange = sendAttempt(core, this.#call, {
-				server, phase: 'read', deadlineMs: this.#leftMs(), priority: this.#call.rule.priority, partSource: this.#partSource,
+				server, phase: 'read', deadlineMs: this.#leftMs(), priority: this.#priority(), partSource: this.#partSource,
 			}, {
 				onHead: (status, headers) => {
 					head = core.dialect.readAnswer(status, headers);
@@ -192,6 +211,7 @@
 					chunks.push(chunk);
 				},
 				onEnd() {
+					clearTimeout(timer);
 					const handle = head?.status === 200 ? core.dialect.readHandle(concat(chunks)) : undefined;
 					if (handle === undefined) {
 						core.logger.warn(`Server ${server.server} did not read a prompt.`, {server: server.server, status: head?.status});
@@ -203,6 +223,7 @@
 					resolve({type: 'read', reading: {address: {address: server.address, port: server.port}, handle}});
 				},
 				onFailure(failure, error) {
+					clearTimeout(timer);
 					noteFailure(core, server, failure, error);
 					resolve({type: 'failed'});
 				},
@@ -212,7 +233,7 @@
 
 	async #runAt(server: Announcement): Promise<RunOutcome> {
 		const core = this.#core;
-		const {caller, rule, trail} = this.#call;
+		const {caller, trail} = this.#call;
 		if (this.#runs > 0 && !this.#takeRepeat()) {
 			return {type: 'denied'};
 		}
@@ -234,7 +255,7 @@
 				deadlineMs: this.#leftMs(),
 				reading,
 				lastEventId,
-				priority: rule.priority,
+				priority: this.#priority(),
 				partSource: reading ? undefined : this.#partSource,
 			}, {
 				onHead: (status, headers) => {
@@ -360,6 +381,11 @@
 		return isGranted;
 	}
 
+	/** What is late already goes behind everything else. */
+	#priority(): number {
+		return this.#call.trail.isLate === true ? LAST_PRIORITY : this.#call.rule.priority;
+	}
+
 	#leftMs(): number {
 		return this.#call.deadlineMs - this.#core.clock.monotonicMs();
 	}
