--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -71,6 +71,50 @@
 	assert.equal(second.source, undefined);
 });
 
+test('a long prompt that waiting has made late is put behind what can be in time; a short one and one too large are not', () => {
+	const placer = createPlacer();
+	for (let index = 0; index < 24; index++) {
+		placer.offer(long(`load-${index}`, 16_000), 0);
+	}
+
+	const late = placer.offer(long('late', 16_000), 1);
+	const huge = placer.offer(long('huge', 60_000), 1);
+	assert.equal(late.type === 'assignment' && late.isLate, true);
+	assert.equal(huge.type === 'assignment' && huge.isLate, false);
+	assert.equal(isLateOf(placer.offer(short('short'), 1)), false);
+});
+
+test('what cannot begin before its caller gives up is refused at once, with the time to come back', () => {
+	const placer = createPlacer();
+	const decisions = Array.from({length: 200}, (_, index) => placer.offer(long(`r${index}`, 16_000), 0));
+	const rejected = decisions.filter(decision => decision.type === 'rejection');
+	assert.ok(rejected.length > 0);
+	assert.equal(decisions.findIndex(decision => decision.type === 'rejection') > 20, true);
+	for (const {retryAfterMs} of rejected) {
+		assert.ok(retryAfterMs > 600, `${retryAfterMs} ms`);
+	}
+});
+
+test('an engine that falls silent with work in hand is left out until it shows a sign', () => {
+	const placer = createPlacer();
+	const silent = readerOf(placer.offer(request({id: 'a', patienceMs: 5000}), 0));
+	assert.notEqual(readerOf(placer.offer(request({id: 'b'}), 3000)), silent);
+	placer.note('a', 'read', silent, 3100);
+	assert.equal(readerOf(placer.offer(request({id: 'c'}), 3200)), silent);
+});
+
+test('the host that takes over knows what engines hold', () => {
+	const [first, next] = [createPlacer(), createPlacer()];
+	const offer = request({id: 'a'});
+	const reader = readerOf(first.offer(offer, 0));
+	const run = first.note('a', 'read', reader, 200);
+	assert.ok(run?.type === 'assignment');
+	next.observe(offer, reader, run.runner!, 200);
+	const second = next.offer(request({id: 'b', parts: [{key: 'topic', tokens: 13_000}, {key: 'own-b', tokens: 3000}]}), 300);
+	assert.equal(readerOf(second), reader);
+	assert.equal(second.type === 'assignment' && second.cachedTokens, 13_000);
+});
+
 test('the decisions of a mixed load', async () => {
 	const placer = createPlacer();
 	const decisions = Array.from({length: 12}, (_, index) => {
@@ -122,6 +166,14 @@
 	return request({id, parts: [{key: `own-${id}`, tokens: 100}], promptTokens: 100});
 }
 
+function long(id: string, promptTokens: number): PlacingRequest {
+	return request({id, parts: [{key: `own-${id}`, tokens: promptTokens}], promptTokens});
+}
+
+function isLateOf(decision: {type: string; isLate?: boolean}): boolean | undefined {
+	return decision.isLate;
+}
+
 function readerOf(decision: {type: string; reader?: string}): string | undefined {
 	return decision.reader;
 }
