--- a/dev/fuzz/checks.ts
+++ b/dev/fuzz/checks.ts
@@ -188,6 +188,11 @@
 		this.#sentOrders.set(`${server}/${order}`, order);
 	}
 
+	/** Highest order that a server has carried out; 0 if none. */
+	highestExecuted(server: string): number {
+		return this.#executed.get(server) ?? 0;
+	}
+
 	noteOrderExecuted(server: string, order: number): void {
 		const highest = this.#executed.get(server) ?? 0;
 		if (order < highest) {
--- a/dev/fuzz/control.ts
+++ b/dev/fuzz/control.ts
@@ -33,6 +33,8 @@
 	readonly engines: Map<string, FakeEngineProcess>;
 	readonly maxEntriesPerAppend: number;
 	readonly timing: ControllerTiming;
+	/** Called when a leader has learned that an order of its was not sent, just before it sends it. */
+	readonly onUnsent?: (control: ControlProcess, server: string, order: number) => void;
 	readonly onLeader: (control: ControlProcess) => void;
 };
 
@@ -327,6 +329,10 @@
 	}
 
 	#onReport(report: OrderReport): void {
+		if (report.type === 'absent') {
+			this.#context.onUnsent?.(this, report.server, report.order);
+		}
+
 		if (this.controller && this.replica?.isLeaderReady) {
 			for (const effect of this.controller.report(report, this.#authority())) {
 				this.#runController(effect);
--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import {createRandom, pick, type Random} from '../../src/base/random.js';
+import {
+	createRandom, pick, shuffle, type Random,
+} from '../../src/base/random.js';
 import {DEFAULT_CONTROLLER_TIMING, type ControllerTiming} from '../../src/control/controller.js';
 import type {
 	Configuration, Member, Outcome, Specification,
@@ -61,6 +63,8 @@
 	readonly entriesPerAppend: number;
 	/** Share of new leaders that are killed right away. */
 	readonly coups: number;
+	/** Share of new leaders that reach only a few others from the start. */
+	readonly isolations: number;
 	/** Share of looks at an open order that find its leader about to be paused for long. */
 	readonly orderPauses: number;
 	readonly timing: ControllerTiming;
@@ -95,6 +99,9 @@
 			world: this.#world, checks: this.#checks, mutation, controls: this.#controls, engines: this.#engines, plains: this.#plains, maxEntriesPerAppend: this.#temper.entriesPerAppend, timing: this.#temper.timing, onLeader: (control: ControlProcess) => {
 				this.#onLeader(control);
 			},
+			onUnsent: (control: ControlProcess, server: string, order: number) => {
+				this.#pauseBeforeOrder(control, server, order);
+			},
 		};
 		this.#startProcesses(context, configuration);
 	}
@@ -137,8 +144,10 @@
 		const draw = (most: number) => Math.floor(this.#random() * (most + 1));
 		// In some runs little happens beside orders and long pauses of the leader that has one open.
 		const isOrderRun = this.#random() < 0.25;
+		// In some runs leaders follow each other quickly, with entries of many terms on few replicas each.
+		const isDuelRun = !isOrderRun && this.#random() < 0.25;
 		return {
-			controls: this.#random() < 0.6 ? 3 : 5,
+			controls: this.#random() < 0.6 && !isDuelRun ? 3 : 5,
 			faultEveryMs: (isOrderRun ? 3000 : 150) + draw(900),
 			kills: draw(4),
 			wipes: draw(2),
@@ -147,9 +156,10 @@
 			storms: draw(2),
 			handOvers: draw(2),
 			coups: this.#random() < 0.3 ? this.#random() * 0.8 : 0,
+			isolations: isDuelRun ? 0.8 : 0,
 			orderPauses: isOrderRun ? 0.3 : 0,
 			timing: this.#random() < 0.5 && !isOrderRun ? DEFAULT_CONTROLLER_TIMING : QUICK_TIMING,
-			entriesPerAppend: this.#random() < 0.5 ? 1 + draw(3) : 512,
+			entriesPerAppend: isDuelRun ? 1 : (this.#random() < 0.5 ? 1 + draw(3) : 512),
 			stormDelayMs: this.#random() < 0.3 ? 1500 : 250,
 		};
 	}
@@ -286,8 +296,61 @@
 		}
 	}
 
+	/** A leader is paused right before it sends an order, until its successor has had another one carried out there. */
+	#pauseBeforeOrder({process, host}: ControlProcess, server: string, order: number): void {
+		const isHardest = server.startsWith('unfenced') && !this.#isHealed && !process.isPaused;
+		if (!isHardest || this.#random() >= this.#temper.orderPauses) {
+			return;
+		}
+
+		this.#fault('pause', `${host} before order ${order} to ${server}`);
+		this.#world.pause(process);
+		const untilMs = this.#world.nowMs + LONGEST_PAUSE_MS;
+		const look = () => {
+			if (this.#checks.highestExecuted(server) > order || this.#world.nowMs > untilMs || this.#isHealed) {
+				this.#world.resume(process);
+				return;
+			}
+
+			this.#world.schedule(20 + (this.#random() * 100), look);
+		};
+
+		look();
+	}
+
+	/**
+	 * Some leaders reach only a few others from the moment of their election, and die or are reached again a moment
+	 * later: entries of many terms come to lie on few replicas each.
+	 */
+	#isolateLeader(control: ControlProcess): void {
+		const others = [...this.#controls.values()].filter(other => other !== control);
+		const reached = Math.floor(this.#random() * ((others.length / 2) + 1));
+		const left = shuffle(others, this.#random).slice(reached);
+		this.#fault('cut', `${control.host}, just elected, from ${left.map(({host}) => host).join(' ')}`);
+		for (const {host} of left) {
+			this.#world.cut(control.host, host);
+			this.#world.cut(host, control.host);
+		}
+
+		this.#world.schedule(10 + (this.#random() * 200), () => {
+			this.#world.healCuts();
+			if (control.process.isAlive && this.#random() < 0.7) {
+				this.#fault('kill', `${control.host}, cut off since its election`);
+				control.kill({wipe: false});
+				this.#world.schedule(50 + (this.#random() * 1500), () => {
+					control.restart();
+				});
+			}
+		});
+	}
+
 	/** Some leaders die before anybody has heard of them. */
 	#onLeader(control: ControlProcess): void {
+		if (!this.#isHealed && this.#random() < this.#temper.isolations) {
+			this.#isolateLeader(control);
+			return;
+		}
+
 		if (!this.#isHealed && this.#random() < this.#temper.coups) {
 			this.#world.schedule(this.#random() * 25, () => {
 				if (control.process.isAlive) {
--- a/test/storage.test.ts
+++ b/test/storage.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
+import {EventEmitter, once} from 'node:events';
 import {
-	mkdtemp, readdir, readFile, rm, writeFile,
+	mkdtemp, open, readdir, readFile, rm, writeFile,
 } from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
@@ -73,6 +74,41 @@
 	});
 });
 
+test('a write that fails is tried again, counts as synced only then, and leaves no damage behind', async t => {
+	await withFolder(async folder => {
+		const probe = await open(path.join(folder, 'probe'), 'w');
+		const prototype = Object.getPrototypeOf(probe) as typeof probe;
+		await probe.close();
+		let failures = 0;
+		const {datasync} = prototype;
+		t.mock.method(prototype, 'datasync', async function (this: typeof probe) {
+			failures++;
+			if (failures <= 2) {
+				throw new Error('ENOSPC');
+			}
+
+			return datasync.call(this);
+		});
+		const failed: number[] = [];
+		const opened = await Storage.open(folder, {
+			onSynced(sequence) {
+				synced.emit('synced', sequence);
+			}, onFailed(problem) {
+				failed.push(problem.code);
+			},
+		});
+		const synced = new EventEmitter();
+		assert.ok(Either.isRight(opened));
+		const done = once(synced, 'synced');
+		opened.right.write(1, [{type: 'entries', entries: [entry(1), entry(2)]}]);
+		await done;
+		assert.deepEqual(failed, [1102, 1102]);
+		await opened.right.close();
+		const {entries} = await openImage(folder);
+		assert.deepEqual(entries.map(({index}) => index), [1, 2]);
+	});
+});
+
 test('the identity is made in the folder and stays with it', async () => {
 	await withFolder(async folder => {
 		const first = await readIdentity(folder);
