Let the fuzzer find both mutations that it missed

Cause: a paused leader's successor was paused too, and no leader died between its first commit and its next message; steps of a killed process went on to their end. Change: one control host is paused at a time; isolated leaders are killed at their first commit; a killed process does not do the rest of its step.

--- a/dev/fuzz/control.ts
+++ b/dev/fuzz/control.ts
@@ -33,6 +33,8 @@
 	readonly engines: Map<string, FakeEngineProcess>;
 	readonly maxEntriesPerAppend: number;
 	readonly timing: ControllerTiming;
+	/** Called when a replica's commit index rises. */
+	readonly onCommit?: (control: ControlProcess) => void;
 	/** Called when a leader has learned that an order of its was not sent, just before it sends it. */
 	readonly onUnsent?: (control: ControlProcess, server: string, order: number) => void;
 	readonly onLeader: (control: ControlProcess) => void;
@@ -341,8 +343,12 @@
 	}
 
 	#run(effects: readonly Effect[]): void {
+		const {start} = this.process;
 		for (const effect of effects) {
-			this.#runOne(effect);
+			// A process that is killed in the middle of a step does not do the rest of it.
+			if (this.process.isAlive && this.process.start === start) {
+				this.#runOne(effect);
+			}
 		}
 	}
 
@@ -361,6 +367,7 @@
 			}
 
 			case 'commit': {
+				this.#context.onCommit?.(this);
 				this.#apply(effect.entries);
 				break;
 			}
--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -83,6 +83,8 @@
 	readonly #plains: FakePlainProcess[] = [];
 	readonly #entries: EntryProcess[] = [];
 	readonly #unanswered = new Set<string>();
+	/** Leaders that have been cut off since their election. */
+	readonly #isolated = new Set<ControlProcess>();
 	#nextKey = 1;
 	#nextPut = 1;
 	#nextModel = 1;
@@ -99,6 +101,9 @@
 			world: this.#world, checks: this.#checks, mutation, controls: this.#controls, engines: this.#engines, plains: this.#plains, maxEntriesPerAppend: this.#temper.entriesPerAppend, timing: this.#temper.timing, onLeader: (control: ControlProcess) => {
 				this.#onLeader(control);
 			},
+			onCommit: (control: ControlProcess) => {
+				this.#killAtCommit(control);
+			},
 			onUnsent: (control: ControlProcess, server: string, order: number) => {
 				this.#pauseBeforeOrder(control, server, order);
 			},
@@ -287,7 +292,7 @@
 	#pauseDuringOrder(): void {
 		const leader = [...this.#controls.values()].find(control => control.isLeader && !control.process.isPaused);
 		const isOpen = leader?.state.listOpenOrders().some(order => order.server.startsWith('unfenced')) ?? false;
-		if (leader && isOpen && !this.#isHealed && this.#random() < this.#temper.orderPauses) {
+		if (leader && isOpen && !this.#isHealed && !this.#isControlPaused() && this.#random() < this.#temper.orderPauses) {
 			this.#fault('pause', `${leader.host} during an order`);
 			this.#world.pause(leader.process);
 			this.#world.schedule(4500 + (this.#random() * 4000), () => {
@@ -296,9 +301,14 @@
 		}
 	}
 
+	/** While one control host is paused its successor is left to work. */
+	#isControlPaused(): boolean {
+		return [...this.#controls.values()].some(({process}) => process.isPaused);
+	}
+
 	/** A leader is paused right before it sends an order, until its successor has had another one carried out there. */
 	#pauseBeforeOrder({process, host}: ControlProcess, server: string, order: number): void {
-		const isHardest = server.startsWith('unfenced') && !this.#isHealed && !process.isPaused;
+		const isHardest = server.startsWith('unfenced') && !this.#isHealed && !this.#isControlPaused();
 		if (!isHardest || this.#random() >= this.#temper.orderPauses) {
 			return;
 		}
@@ -332,18 +342,31 @@
 			this.#world.cut(host, control.host);
 		}
 
+		this.#isolated.add(control);
 		this.#world.schedule(10 + (this.#random() * 200), () => {
 			this.#world.healCuts();
-			if (control.process.isAlive && this.#random() < 0.7) {
-				this.#fault('kill', `${control.host}, cut off since its election`);
-				control.kill({wipe: false});
-				this.#world.schedule(50 + (this.#random() * 1500), () => {
-					control.restart();
-				});
+			if (this.#isolated.delete(control) && control.process.isAlive && this.#random() < 0.7) {
+				this.#killForAMoment(control, 'cut off since its election');
 			}
 		});
 	}
 
+	/** A leader that reaches few others dies at the moment of its first commit. */
+	#killAtCommit(control: ControlProcess): void {
+		if (this.#isolated.has(control) && control.isLeader && !this.#isHealed) {
+			this.#isolated.delete(control);
+			this.#killForAMoment(control, 'at its first commit');
+		}
+	}
+
+	#killForAMoment(control: ControlProcess, detail: string): void {
+		this.#fault('kill', `${control.host}, ${detail}`);
+		control.kill({wipe: false});
+		this.#world.schedule(50 + (this.#random() * 1500), () => {
+			control.restart();
+		});
+	}
+
 	/** Some leaders die before anybody has heard of them. */
 	#onLeader(control: ControlProcess): void {
 		if (!this.#isHealed && this.#random() < this.#temper.isolations) {
@@ -354,11 +377,7 @@
 		if (!this.#isHealed && this.#random() < this.#temper.coups) {
 			this.#world.schedule(this.#random() * 25, () => {
 				if (control.process.isAlive) {
-					this.#fault('kill', `${control.host}, just elected`);
-					control.kill({wipe: false});
-					this.#world.schedule(50 + (this.#random() * 600), () => {
-						control.restart();
-					});
+					this.#killForAMoment(control, 'just elected');
 				}
 			});
 		}
