Acquit requests of crashes they did not cause; spend repeats on repeats only; learn control hosts while running

A look at the process before the connection broke showed a second way: an engine that dies accepts connections for a moment, so the probe took it for alive and its crash was never told. Ruled out: a crash of an entry host (no log shows one), a caller that does not read, lost gossip.

Also: seeds and the budget of repeats follow the settings file, with a signal and without; control hosts count; two settings that nothing read are gone.

--- a/fakes/backend.ts
+++ b/fakes/backend.ts
@@ -75,6 +75,11 @@
 		}
 	}
 
+	/** Breaks every open connection; new ones are still accepted. */
+	breakConnections(): void {
+		this.#server.closeAllConnections();
+	}
+
 	stop(): void {
 		clearInterval(this.#timer);
 		this.#server.close();
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -13,6 +13,7 @@
 	ALL_ORDER_MECHANISMS, createRoleChange, DEFAULT_CONTROLLER_TIMING,
 } from '../control/controller.js';
 import type {OrderPort} from '../control/order.js';
+import type {ControlMetrics} from '../control/metrics.js';
 import {ControlService} from '../control/service.js';
 import {ANY_VERSION, excludesServer, PUBLICATION_NAME} from '../control/state.js';
 import type {
@@ -38,6 +39,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly loggers: LoggerFactory;
+	readonly metrics: ControlMetrics;
 	readonly dialect: Pick<Dialect, 'readCatalogue'>;
 	readonly createOrders: (findServer: (server: string) => Announcement | undefined) => OrderPort;
 	/** Time between the orders of two control hosts, milliseconds. */
@@ -164,13 +166,21 @@
 		return [...this.#subscription.listAddresses(), ...own];
 	}
 
+	/** Takes control hosts that the settings name now. */
+	applySettings({seeds}: Pick<ControlHostOptions, 'seeds'>): void {
+		this.#subscription.addSeeds(seeds.filter(seed => !isSame(seed, this.#options.peer)));
+	}
+
 	/** Takes an announcement; refused without a majority, so that the server turns to another host. */
 	announce(announcement: Announcement): Either.Either<Problem, void> {
 		if (!this.#service.hasQuorum) {
+			this.#options.metrics.announcements.inc({outcome: 'refused'});
 			return Either.left(createProblem('noQuorum', undefined, 1));
 		}
 
-		this.#noteMerge(this.registry.merge(announcement, this.#options.clock.monotonicMs()), announcement);
+		const merge = this.registry.merge(announcement, this.#options.clock.monotonicMs());
+		this.#options.metrics.announcements.inc({outcome: merge});
+		this.#noteMerge(merge, announcement);
 		return Either.right(undefined);
 	}
 
@@ -191,14 +201,18 @@
 
 	/** Puts a publication in force, unless a later one is; returns once it cannot be lost any more. */
 	async publish(text: string): Promise<Either.Either<Problem, void>> {
-		const catalogue = this.#options.dialect.readCatalogue(text);
+		const {dialect, metrics} = this.#options;
+		const catalogue = dialect.readCatalogue(text);
 		if (Either.isLeft(catalogue)) {
+			metrics.publications.inc({outcome: 'invalid'});
+			this.#logger.warn(`Refused a publication: ${catalogue.left.text}`, {bytes: text.length});
 			return catalogue;
 		}
 
 		const {version} = catalogue.right;
 		const current = this.#service.state.publication;
 		if (current && current.version >= version) {
+			metrics.publications.inc({outcome: 'superseded'});
 			return Either.right(undefined);
 		}
 
@@ -211,6 +225,7 @@
 			specification: {kind: 'publication', version, body: text},
 		};
 		const proposed = await this.#client.propose(command, PUBLISH_DEADLINE_MS)();
+		metrics.publications.inc({outcome: Either.isRight(proposed) ? 'accepted' : 'unanswered'});
 		this.#logger.info(`Publication ${version} is ${Either.isRight(proposed) ? 'accepted' : 'not accepted'}.`, {
 			version, bytes: text.length, reason: Either.isLeft(proposed) ? proposed.left.text : undefined,
 		});
@@ -221,6 +236,7 @@
 	async readPublication(): Promise<Either.Either<Problem, string>> {
 		const {state} = this.#service;
 		const listing = await this.#client.read(state.viewVersion, READ_DEADLINE_MS)();
+		this.#options.metrics.reads.inc({outcome: Either.isRight(listing) ? 'answered' : 'unanswered'});
 		if (Either.isLeft(listing)) {
 			return listing;
 		}
@@ -238,6 +254,7 @@
 
 			case 'offer': {
 				const decision = this.#placer.offer(message, this.#options.clock.monotonicMs());
+				this.#options.metrics.placements.inc({decision: decision.type});
 				connection.send(decision);
 				break;
 			}
@@ -334,9 +351,20 @@
 		}
 
 		this.#client.updateMembers(this.#service.listMembers());
+		this.#updateGauges();
 		void this.#planRoles();
 	}
 
+	#updateGauges(): void {
+		const {metrics} = this.#options;
+		metrics.placed.set(this.#placer.openCount);
+		metrics.servers.set(this.registry.listUsable().length);
+		metrics.subscribers.set(this.#publisher.entryCount);
+		metrics.leads.set(this.#service.hasAuthority ? 1 : 0);
+		metrics.majority.set(this.#service.hasQuorum ? 1 : 0);
+		metrics.version.set(this.#table?.catalogue.version ?? 0);
+	}
+
 	async #planRoles(): Promise<void> {
 		const {clock} = this.#options;
 		const nowMs = clock.monotonicMs();
@@ -354,6 +382,7 @@
 		for (const change of changes) {
 			const command = createRoleChange(`${change.server}-${state.version}`, change, {nowMs, wallMs: clock.wallMs(), leaseUntilMs: nowMs});
 			this.#logger.info(`Plans that ${change.server} becomes ${change.role}.`, change);
+			this.#options.metrics.roleChanges.inc({role: change.role});
 			await this.#service.propose(command);
 		}
 	}
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -119,6 +119,12 @@
 		return !this.#isStopping && this.#table !== undefined && this.#roster.listUsable().length > 0;
 	}
 
+	/** Takes what may change while it runs: control hosts to know, and the budget of repeats. */
+	applySettings({seeds, budget}: Pick<EntryHostOptions, 'seeds' | 'budget'>): void {
+		this.#subscription.addSeeds(seeds);
+		this.#budget.updateLimits(budget);
+	}
+
 	/** Names of the servers that take new work, as this host sees it. */
 	listServers(): string[] {
 		return this.#roster.listUsable().map(({server}) => server);
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -176,12 +176,15 @@
 
 	#mergePoison(fact: PoisonFact): Novelty {
 		const known = this.#poison.get(fact.fingerprint);
-		const servers = [...new Set([...known?.servers ?? [], ...fact.servers])].toSorted();
-		if (known?.servers.length === servers.length) {
+		const servers = unite(known?.servers, fact.servers);
+		const acquitted = unite(known?.acquitted, fact.acquitted);
+		if (known?.servers.length === servers.length && (known.acquitted ?? []).length === acquitted.length) {
 			return NOVELTIES.none;
 		}
 
-		this.#poison.set(fact.fingerprint, {...fact, servers, at: Math.max(fact.at, known?.at ?? 0)});
+		this.#poison.set(fact.fingerprint, {
+			...fact, servers, acquitted, at: Math.max(fact.at, known?.at ?? 0),
+		});
 		for (const [fingerprint, {at}] of this.#poison) {
 			if (fact.at - at > POISON_RETENTION_MS || this.#poison.size > MAX_POISON_FACTS) {
 				this.#poison.delete(fingerprint);
@@ -212,6 +215,10 @@
 		: candidate.incarnation > known.incarnation;
 }
 
+function unite(first: readonly string[] = [], second: readonly string[] = []): string[] {
+	return [...new Set([...first, ...second])].toSorted();
+}
+
 function factKey(fact: Fact): string {
 	switch (fact.type) {
 		case 'server': {
@@ -239,7 +246,7 @@
 		}
 
 		case 'poison': {
-			return `${fact.fingerprint} ${fact.servers.join(' ')}`;
+			return `${fact.fingerprint} ${fact.servers.join(' ')} / ${(fact.acquitted ?? []).join(' ')}`;
 		}
 	}
 }
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -201,21 +201,27 @@
 export class FeedSubscription {
 	readonly #options: SubscriptionOptions;
 	readonly #sources = new Map<string, Source>();
+	readonly #told = new Set<string>();
 	readonly #timer: NodeJS.Timeout;
 	#isClosed = false;
 
 	constructor(options: SubscriptionOptions) {
 		this.#options = options;
-		for (const seed of options.seeds) {
-			this.#learn(seed);
-		}
-
+		this.addSeeds(options.seeds);
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, FEED_INTERVAL_MS);
 		this.#tick();
 	}
 
+	/** Takes control hosts that the settings name now; earlier ones stay known. */
+	addSeeds(seeds: readonly Address[]): void {
+		for (const seed of seeds) {
+			this.#told.add(toKey(seed));
+			this.#learn(seed);
+		}
+	}
+
 	/** Control hosts heard of, live or not. */
 	listAddresses(): Address[] {
 		return [...this.#sources.values()].map(source => source.address);
@@ -267,7 +273,7 @@
 			}
 
 			source.connection?.close();
-			if (nowMs - source.namedMs > FORGET_MS && !this.#options.seeds.some(seed => toKey(seed) === key)) {
+			if (nowMs - source.namedMs > FORGET_MS && !this.#told.has(key)) {
 				this.#sources.delete(key);
 				continue;
 			}
--- a/src/routing/budget.ts
+++ b/src/routing/budget.ts
@@ -22,7 +22,7 @@
 
 /** Counts requests and repeats by service. A step machine: time is handed in. */
 export class RepeatBudget {
-	readonly #limits: BudgetLimits;
+	#limits: BudgetLimits;
 	readonly #services = new Map<string, Window>();
 	#hosts = 1;
 
@@ -30,6 +30,11 @@
 		this.#limits = limits;
 	}
 
+	/** Replaces the limits; what was counted stays counted. */
+	updateLimits(limits: BudgetLimits): void {
+		this.#limits = limits;
+	}
+
 	/** Takes the number of hosts that share the allowance. */
 	shareAmong(hosts: number): void {
 		this.#hosts = Math.max(1, hosts);
--- a/src/routing/poison.ts
+++ b/src/routing/poison.ts
@@ -2,44 +2,41 @@
  * Requests that crash the servers that run them.
  *
  * Every request that was in flight at a server when it died becomes a suspect. A suspect is tried again only at a
- * server that no other suspect uses, so that a second crash proves it. One that ends well is cleared.
+ * server that no other suspect uses, so that a second crash proves it. One that runs on alone beyond the point of the
+ * crash is acquitted of it: another crash later makes it a suspect again, no more.
  *
  * @module
  */
 
-/** Crashes after which a request is refused for good. */
+/** Crashes not accounted for after which a request is refused for good. */
 export const POISON_LIMIT = 2;
-const MAX_CLEARED = 10_000;
+/** Crashes, accounted for or not, after which it is refused: some crash their server now and then. */
+export const CRASH_LIMIT = 4;
 
 export const VERDICTS = {clear: 'clear', suspect: 'suspect', poisoned: 'poisoned'} as const;
 export type PoisonVerdict = keyof typeof VERDICTS;
 
-/** Judges requests by the starts of servers that died while they ran them. */
-export class PoisonJudge {
-	readonly #cleared = new Set<string>();
+/** What all hosts know of a request that was running when servers died. */
+export type CrashRecord = {
+	/** Starts of servers that died while they ran it. */
+	readonly servers: readonly string[];
+	/** Those of them that it did not crash. */
+	readonly acquitted?: readonly string[];
+};
 
-	/**
-	 * Judges a request.
-	 *
-	 * @param crashes - Starts of servers that died while they ran it, from all hosts.
-	 */
-	judge(fingerprint: string, crashes: readonly string[]): PoisonVerdict {
-		if (crashes.length >= POISON_LIMIT) {
-			return VERDICTS.poisoned;
-		}
-
-		return crashes.length > 0 && !this.#cleared.has(fingerprint) ? VERDICTS.suspect : VERDICTS.clear;
+/**
+ * Judges a request by the servers that died while they ran it.
+ *
+ * @example
+ * ```ts
+ * judgeRequest({servers: ['e1#1'], acquitted: []}); // 'suspect'
+ * ```
+ */
+export function judgeRequest({servers, acquitted = []}: CrashRecord): PoisonVerdict {
+	const open = servers.filter(server => !acquitted.includes(server)).length;
+	if (open >= POISON_LIMIT || servers.length >= CRASH_LIMIT) {
+		return VERDICTS.poisoned;
 	}
 
-	/** Notes that a suspect ran to its end. */
-	clear(fingerprint: string): void {
-		this.#cleared.add(fingerprint);
-		for (const oldest of this.#cleared) {
-			if (this.#cleared.size <= MAX_CLEARED) {
-				return;
-			}
-
-			this.#cleared.delete(oldest);
-		}
-	}
+	return open > 0 ? VERDICTS.suspect : VERDICTS.clear;
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -4,11 +4,10 @@
  * @module
  */
 import {
-	Counter, Gauge, Histogram, Registry,
+	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
 
 export type ServingMetrics = {
-	readonly registry: Registry;
 	readonly requests: Counter<'route' | 'outcome'>;
 	readonly failures: Counter<'failure'>;
 	readonly repeats: Counter<'service'>;
@@ -16,7 +15,6 @@
 	readonly firstByte: Histogram<'route'>;
 	readonly duration: Histogram<'route'>;
 	readonly active: Gauge;
-	readonly dropped: Counter;
 };
 
 /** From a plain read to the longest stream, milliseconds. */
@@ -27,15 +25,13 @@
  *
  * @example
  * ```ts
- * const metrics = createServingMetrics();
+ * const metrics = createServingMetrics(new Registry());
  * metrics.requests.inc({route: 'r-1', outcome: 'answered'});
  * ```
  */
-export function createServingMetrics(): ServingMetrics {
-	const registry = new Registry();
+export function createServingMetrics(registry: Registry): ServingMetrics {
 	const registers = [registry];
 	return {
-		registry,
 		requests: new Counter({
 			name: 'carawayhoist_calls_total', help: 'Requests by route and how they ended.', labelNames: ['route', 'outcome'], registers,
 		}),
@@ -55,6 +51,5 @@
 			name: 'carawayhoist_call_duration_ms', help: 'Time to the end of the answer, milliseconds.', labelNames: ['route'], buckets: BUCKETS_MS, registers,
 		}),
 		active: new Gauge({name: 'carawayhoist_calls_active', help: 'Requests in service.', registers}),
-		dropped: new Counter({name: 'carawayhoist_log_lines_dropped_total', help: 'Log lines over the bound of volume.', registers}),
 	};
 }
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -55,7 +55,7 @@
 		while (!caller.isOver) {
 			const server = this.#choose();
 			if (!server) {
-				this.#giveUp(last);
+				this.#finish(last);
 				return;
 			}
 
@@ -68,19 +68,13 @@
 
 	/** Delivers an answer, or a failure that must not be repeated; false to try again. */
 	#settle(outcome: Outcome): boolean {
-		const {caller, rule} = this.#call;
-		const mayTryAgain = this.#mayTryAgain(outcome);
-		if (outcome.type === 'answer' && !(isServerFault(outcome.head) && mayTryAgain)) {
-			this.#deliver(outcome.head, outcome.body);
-			return true;
-		}
-
-		if (!mayTryAgain || rule.maxAttempts <= 0) {
-			this.#giveUp(outcome);
-			return true;
+		const isGood = outcome.type === 'answer' && !isServerFault(outcome.head);
+		if (!isGood && this.#mayTryAgain(outcome)) {
+			return false;
 		}
 
-		return false;
+		this.#finish(outcome);
+		return true;
 	}
 
 	#deliver(head: AnswerHead, body: Buffer): void {
@@ -116,7 +110,8 @@
 		return this.#choose() !== undefined;
 	}
 
-	#giveUp(outcome: Outcome | undefined): void {
+	/** Ends the call with the last outcome: a whole answer as it is, otherwise what is true about it. */
+	#finish(outcome: Outcome | undefined): void {
 		const {caller} = this.#call;
 		if (outcome?.type === 'answer') {
 			this.#deliver(outcome.head, outcome.body);
--- a/test/budget.test.ts
+++ b/test/budget.test.ts
@@ -43,3 +43,11 @@
 	assert.equal(budget.take('b', 1), true);
 	assert.equal(budget.take('a', 1001), true);
 });
+
+test('new limits hold at once and for what was counted before', () => {
+	const budget = new RepeatBudget({ratio: 0, allowance: 8, windowMs: 1000});
+	assert.equal(budget.take('a', 0), true);
+	assert.equal(budget.take('a', 1), true);
+	budget.updateLimits({ratio: 0, allowance: 4, windowMs: 1000});
+	assert.equal(budget.take('a', 2), false);
+});
--- /dev/null
+++ b/test/model.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {streamCompletion} from '../dev/calls.js';
+import {FakeEngine, POISON_WORD} from '../fakes/engine.js';
+import {startFixture} from './fixture.js';
+
+/** A process that dies may lose its connections a moment before its listening socket. */
+const LISTENS_ON_MS = 60;
+
+test('an engine that still accepts connections while it dies counts as crashed: the request is stopped after two', async t => {
+	const fixture = await startFixture();
+	t.after(async () => fixture.stop());
+	const crashed = new Set<string>();
+	for (const name of ['frail-1', 'frail-2', 'frail-3', 'frail-4']) {
+		const holder: {engine?: FakeEngine} = {};
+		holder.engine = await fixture.add(entries => new FakeEngine({
+			name,
+			entries,
+			announceEveryMs: 50,
+			models: ['chat-1'],
+			onPoison() {
+				crashed.add(name);
+				holder.engine!.breakConnections();
+				setTimeout(() => {
+					holder.engine!.stop();
+				}, LISTENS_ON_MS);
+			},
+		}));
+	}
+
+	const answer = await streamCompletion(fixture.url, {model: 'chat-1', content: `please ${POISON_WORD}`});
+	assert.equal(answer.code, 3003);
+	assert.equal(crashed.size, 2);
+});
+
+test('a request that was acquitted of one crash survives the crash of another engine that it runs at', async t => {
+	const fixture = await startFixture();
+	t.after(async () => fixture.stop());
+	const engines: FakeEngine[] = [];
+	for (const name of ['mortal-1', 'mortal-2', 'mortal-3']) {
+		engines.push(await fixture.add(entries => new FakeEngine({
+			name, entries, announceEveryMs: 50, models: ['chat-1'],
+		})));
+	}
+
+	const stopRunning = () => {
+		engines.find(engine => engine.runningCount > 0)?.stop();
+	};
+
+	const answer = await streamCompletion(fixture.url, {
+		model: 'chat-1',
+		content: 'innocent',
+		onToken(count) {
+			// The second crash comes after the request has run on alone for some tokens.
+			if (count === 5 || count === 20) {
+				stopRunning();
+			}
+		},
+	});
+	assert.ok(answer.isWhole, `code ${answer.code}, ${answer.tokens} tokens`);
+});
--- /dev/null
+++ b/test/program.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import {execFile, spawn} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {before, test} from 'node:test';
+import {promisify} from 'node:util';
+import * as Either from 'fp-ts/lib/Either.js';
+import {findPort, waitUntil} from '../dev/fleet.js';
+import {Listener} from '../src/wire/connection.js';
+
+const ROOT = path.resolve(import.meta.dirname, '../..');
+const PROGRAM = path.join(ROOT, 'target/carawayhoist-platform.cjs');
+const SETTINGS_VARIABLE = 'CARAWAYHOIST_NODE_FILE';
+const BOUNDS = {
+	graceMs: 2000, leaseMs: 500, repeatRatio: 0.2, repeatWindowMs: 10_000, repeatAllowance: 100, announceMs: 400,
+};
+
+before(async () => {
+	await promisify(execFile)(process.execPath, ['deploy/build.js'], {cwd: ROOT});
+});
+
+test('a wrong setting is told by its pointer', async () => {
+	const run = promisify(execFile)(process.execPath, [PROGRAM], {env: {[SETTINGS_VARIABLE]: path.join(ROOT, 'package.json')}});
+	await assert.rejects(run, (error: {code?: number; stderr?: string}) => error.code === 2 && (error.stderr ?? '').includes('/host is required'));
+});
+
+test('an entry host turns to control hosts that its settings name later, with and without a signal, and ends with 0', async t => {
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'program-'));
+	const file = path.join(folder, 'settings.json');
+	const peerPort = await findPort();
+	const heard = new Set<string>();
+	const listeners: Listener[] = [];
+	for (const address of ['127.0.0.2', '127.0.0.3', '127.0.0.4']) {
+		const listener = new Listener(message => {
+			if (message.type === 'watch') {
+				heard.add(address);
+			}
+		});
+		assert.ok(Either.isRight(await listener.listen({address, port: peerPort})));
+		listeners.push(listener);
+	}
+
+	const settings = {
+		host: 'h1', dataCentre: 'a', role: 'entry', address: '127.0.0.1', peerPort, callers: `127.0.0.1:${await findPort()}`, readiness: `127.0.0.1:${await findPort()}`, firstStart: true, bounds: BOUNDS,
+	};
+	const name = async (...seeds: string[]) => writeFile(file, JSON.stringify({...settings, seeds}));
+	await name('127.0.0.2:80');
+	const child = spawn(process.execPath, [PROGRAM], {env: {[SETTINGS_VARIABLE]: file}, stdio: ['ignore', 'pipe', 'inherit']});
+	const lines: string[] = [];
+	child.stdout.on('data', (chunk: Uint8Array) => {
+		lines.push(String(chunk));
+	});
+	t.after(async () => {
+		child.kill('SIGKILL');
+		for (const listener of listeners) {
+			listener.close();
+		}
+
+		await rm(folder, {recursive: true});
+	});
+
+	await waitUntil(async () => heard.has('127.0.0.2'), 'the first control host is asked');
+	await name('127.0.0.3:80');
+	child.kill('SIGHUP');
+	await waitUntil(async () => heard.has('127.0.0.3'), 'the second control host is asked after the signal');
+	await writeFile(file, '{"host": ');
+	child.kill('SIGHUP');
+	await waitUntil(async () => lines.some(line => line.includes('Keeps its settings')), 'unreadable settings are told');
+	await name('127.0.0.4:80');
+	await waitUntil(async () => heard.has('127.0.0.4'), 'the third control host is asked without a signal');
+
+	const ended = new Promise<number | null>(resolve => {
+		child.once('exit', resolve);
+	});
+	child.kill('SIGTERM');
+	assert.equal(await ended, 0);
+});
