--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -23,7 +23,7 @@
 import {DEFAULT_REGISTRY_TIMING, Registry, type Merge} from '../membership/registry.js';
 import {RuleTable, type Catalogue} from '../routing/catalogue.js';
 import {Placer} from '../routing/placer.js';
-import {planReaders} from '../routing/stages.js';
+import {RolePlanner} from '../routing/stages.js';
 import {listEngineFacts} from '../serving/engines.js';
 import type {Dialect} from '../serving/dialect.js';
 import {Listener, type Address, type Connection} from '../wire/connection.js';
@@ -60,6 +60,8 @@
 const SUCCESSION_MARGIN_MS = 1000;
 /** Pause after a role change before the next one is planned, milliseconds. */
 const ROLE_DWELL_MS = 6000;
+/** A system that starts for the first time counts as new for this long, milliseconds: before its callers come. */
+const NEW_MS = 10_000;
 
 /** A running control host. Whoever started it stops it. */
 export class ControlHost {
@@ -72,6 +74,7 @@
 	readonly #subscription: FeedSubscription;
 	readonly #listener: Listener;
 	readonly #placer = new Placer();
+	readonly #roles = new RolePlanner();
 	readonly #timer: NodeJS.Timeout;
 	readonly #startedMs: number;
 	#table: RuleTable | undefined;
@@ -304,6 +307,11 @@
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceMs * WARM_INTERVALS;
 	}
 
+	#isNew(): boolean {
+		const {firstStart, clock} = this.#options;
+		return firstStart && clock.monotonicMs() - this.#startedMs < NEW_MS;
+	}
+
 	#noteMerge(merge: Merge, {server, incarnation, sequence, role, leaving}: Announcement): void {
 		if (merge === 'change') {
 			this.#logger.info(`Server ${server} has news.`, {
@@ -374,7 +382,7 @@
 			return;
 		}
 
-		const changes = planReaders(listEngineFacts(this.registry.listUsable(), this.#table));
+		const changes = this.#roles.plan(listEngineFacts(this.registry.listUsable(), this.#table), {nowMs, isNew: this.#isNew()});
 		if (changes.length > 0) {
 			this.#roleChangedMs = nowMs;
 		}
--- a/src/routing/enginestate.ts
+++ b/src/routing/enginestate.ts
@@ -5,6 +5,7 @@
  */
 import {ENGINE_ROLES, type EngineRole} from './choice.js';
 import {PartCache, type PromptPart} from './parts.js';
+import {ReadQueue, type ReadReport, type ReadTask} from './readqueue.js';
 
 export type EngineFacts = {
 	readonly server: string;
@@ -25,21 +26,6 @@
 	readonly outputTokens: number;
 };
 
-/** A prompt that an engine was given to read. */
-export type ReadTask = {
-	readonly workMs: number;
-	/** Whether it waits behind everything that can still be in time. */
-	readonly isLate: boolean;
-};
-
-type Reading = ReadTask & {
-	readonly givenMs: number;
-	/** Time that it should take, with what was before it, milliseconds. */
-	readonly expectedMs: number;
-	/** When the one before it ended. */
-	headMs: number;
-};
-
 type Run = {
 	readonly tokens: number;
 	/** When its first event should come; undefined once it has. */
@@ -50,12 +36,27 @@
 const READ_TOKENS_PER_MS = 93;
 /** Cost of attention between a prompt's tokens, milliseconds for a million pairs, as the users' servers show it. */
 const READ_MS_PER_MILLION_PAIRS = 0.442;
-/** An engine that makes tokens reads at half the speed. */
+/** Prompt tokens that an engine reads in one step, as the users state it. */
+const CHUNK_TOKENS = 1024;
+/** An engine that makes tokens reads at half the speed, and a quarter as many tokens in one step. */
 const MIXED_READ_FACTOR = 2;
+const MIXED_CHUNK_FACTOR = 4;
+/** Time of one step beside what it reads, and what each thousand tokens of running requests add, as the users state it. */
+const STEP_MS = 3.29;
+const STEP_MS_PER_THOUSAND = 0.0262;
+/** Time from a prompt's arrival to its first token that keeps the engine from no other work, until it is measured. */
+const LATENCY_MS = 80;
+/** Work below which the time that a prompt took tells more of the latency than of the speed, milliseconds. */
+const SMALL_WORK_MS = 40;
+const LATENCY_WEIGHT = 0.05;
 /** Bounds of the measured slowness, and the weight of one measurement. */
 const SLOWEST = 6;
 const FASTEST = 0.7;
 const SLOWNESS_WEIGHT = 0.08;
+/** A sign of life counts against a suspicion from this long after it on: earlier ones were on their way, milliseconds. */
+const TRANSIT_MS = 30;
+/** Weight of one outcome in the share of requests that an engine fails. */
+const FAILURE_WEIGHT = 0.1;
 /** An engine whose work is overdue by this much, with no sign of any other, is taken for gone, milliseconds. */
 const SILENCE_MS = 600;
 
@@ -63,13 +64,16 @@
 export class EngineState {
 	facts: EngineFacts;
 	readonly #cache = new PartCache();
-	readonly #reading = new Map<string, Reading>();
+	readonly #queue = new ReadQueue();
 	readonly #running = new Map<string, Run>();
 	#contextTokens = 0;
+	#suspectedMs = Number.NEGATIVE_INFINITY;
 	#suspectedUntilMs = Number.NEGATIVE_INFINITY;
+	#failureShare = 0;
 	#progressMs = Number.NEGATIVE_INFINITY;
 	/** Measured reading time over the expected one. */
 	#slowness = 1;
+	#latencyMs = LATENCY_MS;
 
 	constructor(facts: EngineFacts) {
 		this.facts = facts;
@@ -84,13 +88,41 @@
 		return this.#contextTokens;
 	}
 
-	suspect(untilMs: number): void {
+	/** Time to a prompt's first token beside what it waits and is read, milliseconds. */
+	get latencyMs(): number {
+		return this.#latencyMs;
+	}
+
+	/** Time of one step with what runs here, milliseconds. */
+	get stepMs(): number {
+		return STEP_MS + this.contextMs(0);
+	}
+
+	/** Part of a step that the context of running requests takes with some tokens more, milliseconds. */
+	contextMs(moreTokens: number): number {
+		return (this.#contextTokens + moreTokens) / 1000 * STEP_MS_PER_THOUSAND;
+	}
+
+	/** Share of its recent requests that it failed. */
+	get failureShare(): number {
+		return this.#failureShare;
+	}
+
+	/** Leaves it out for a while, unless it shows a sign of life before. */
+	suspect(untilMs: number, nowMs: number): void {
+		this.#suspectedMs = nowMs;
 		this.#suspectedUntilMs = untilMs;
 	}
 
-	/** Whether it failed a moment ago, or has fallen silent with work in hand. */
+	/** Notes how a request ended here. */
+	noteOutcome(isFailure: boolean): void {
+		this.#failureShare += ((isFailure ? 1 : 0) - this.#failureShare) * FAILURE_WEIGHT;
+	}
+
+	/** Whether it failed a moment ago and has shown no sign of life since, or has fallen silent with work in hand. */
 	isSuspected(nowMs: number): boolean {
-		return nowMs < this.#suspectedUntilMs || this.#isSilent(nowMs);
+		const isAlive = this.#progressMs > this.#suspectedMs + TRANSIT_MS;
+		return (nowMs < this.#suspectedUntilMs && !isAlive) || this.#isSilent(nowMs);
 	}
 
 	/** Tokens of the leading parts of a prompt that it should hold. */
@@ -105,35 +137,27 @@
 	 */
 	readMs({promptTokens}: Pick<Flight, 'promptTokens'>, cached: number): number {
 		const unread = Math.max(1, promptTokens - cached);
-		const factor = this.facts.role === ENGINE_ROLES.prefill ? 1 : MIXED_READ_FACTOR;
-		return estimateReadMs(unread, cached) * factor * this.#slowness;
-	}
+		if (this.facts.role === ENGINE_ROLES.prefill) {
+			return estimateReadMs(unread, cached) * this.#slowness;
+		}
 
-	/**
-	 * Time until what it was given to read is read, milliseconds.
-	 *
-	 * @param withLate - Whether prompts that are late already count: they wait behind the others.
-	 */
-	backlogMs(nowMs: number, withLate: boolean): number {
-		let sumMs = 0;
-		let isHead = true;
-		for (const {workMs, headMs, isLate} of this.#reading.values()) {
-			if (withLate || !isLate || isHead) {
-				sumMs += isHead ? Math.max(0, workMs - (nowMs - headMs)) : workMs;
-			}
+		const steps = Math.ceil(unread / (CHUNK_TOKENS / MIXED_CHUNK_FACTOR));
+		return ((estimateWorkMs(unread, cached) * MIXED_READ_FACTOR) + (steps * this.stepMs)) * this.#slowness;
+	}
 
-			isHead = false;
-		}
+	/** Time until it would begin to read a prompt of some urgency, milliseconds. */
+	waitMs(priority: number, nowMs: number): number {
+		return this.#queue.waitMs(priority, nowMs);
+	}
 
-		return sumMs;
+	/** Prompts that would wait behind one of some urgency. */
+	countBehind(priority: number, nowMs: number): number {
+		return this.#queue.countBehind(priority, nowMs);
 	}
 
 	/** Notes that it was given a prompt to read. */
 	beginRead(id: string, flight: Flight, task: ReadTask, nowMs: number): void {
-		const expectedMs = this.backlogMs(nowMs, task.isLate) + task.workMs;
-		this.#reading.set(id, {
-			...task, givenMs: nowMs, headMs: nowMs, expectedMs,
-		});
+		this.#queue.add(id, task, nowMs);
 		this.#cache.note(flight.parts, this.facts.kvTokens - this.#contextTokens);
 	}
 
@@ -144,16 +168,10 @@
 
 	/** Notes that a prompt is read, and learns from how long it took. */
 	endRead(id: string, nowMs: number): void {
-		const reading = this.#reading.get(id);
 		this.#progressMs = nowMs;
-		if (!reading) {
-			return;
-		}
-
-		this.#dropReading(id, nowMs);
-		if (!reading.isLate) {
-			const measured = ((nowMs - reading.givenMs) / reading.expectedMs) * this.#slowness;
-			this.#slowness += (Math.min(SLOWEST, Math.max(FASTEST, measured)) - this.#slowness) * SLOWNESS_WEIGHT;
+		const report = this.#queue.finish(id, nowMs - this.#latencyMs);
+		if (report) {
+			this.#learnSpeed(report);
 		}
 	}
 
@@ -179,18 +197,20 @@
 	}
 
 	end(id: string, nowMs: number): void {
-		this.#dropReading(id, nowMs);
+		this.#queue.remove(id, nowMs);
 		this.#contextTokens -= this.#running.get(id)?.tokens ?? 0;
 		this.#running.delete(id);
 	}
 
-	#dropReading(id: string, nowMs: number): void {
-		const [head] = this.#reading.keys();
-		this.#reading.delete(id);
-		const [next] = this.#reading.values();
-		if (head === id && next) {
-			next.headMs = nowMs;
+	#learnSpeed({busyMs, workMs, tookMs, wasAlone}: ReadReport): void {
+		if (workMs < SMALL_WORK_MS) {
+			const latencyMs = Math.max(0, tookMs + this.#latencyMs - workMs);
+			this.#latencyMs += wasAlone ? (latencyMs - this.#latencyMs) * LATENCY_WEIGHT : 0;
+			return;
 		}
+
+		const measured = (busyMs / workMs) * this.#slowness;
+		this.#slowness += (Math.min(SLOWEST, Math.max(FASTEST, measured)) - this.#slowness) * SLOWNESS_WEIGHT;
 	}
 
 	#isSilent(nowMs: number): boolean {
@@ -198,10 +218,8 @@
 			return false;
 		}
 
-		for (const {givenMs, expectedMs} of this.#reading.values()) {
-			if (nowMs - (givenMs + expectedMs) > SILENCE_MS) {
-				return true;
-			}
+		if (this.#queue.overdueMs(nowMs - this.#latencyMs) > SILENCE_MS) {
+			return true;
 		}
 
 		for (const {dueMs} of this.#running.values()) {
@@ -215,16 +233,20 @@
 }
 
 /**
- * Estimates how long an engine of ordinary speed reads.
+ * Estimates how long an engine of ordinary speed that only reads is busy with a prompt.
  *
  * @param unread - Tokens to read.
  * @param context - Tokens before them that it holds.
  * @example
  * ```ts
- * estimateReadMs(9300, 0); // 100 ms of reading and 19 ms of attention
+ * estimateReadMs(9300, 0); // 100 ms of reading, 19 ms of attention, 10 steps of 3.29 ms
  * ```
  */
 export function estimateReadMs(unread: number, context: number): number {
+	return estimateWorkMs(unread, context) + (Math.ceil(unread / CHUNK_TOKENS) * STEP_MS);
+}
+
+function estimateWorkMs(unread: number, context: number): number {
 	const pairs = unread * (context + (unread / 2));
 	return (unread / READ_TOKENS_PER_MS) + (pairs / 1_000_000 * READ_MS_PER_MILLION_PAIRS);
 }
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -65,6 +65,8 @@
 } as const;
 export type MilestoneName = keyof typeof MILESTONES;
 
+/** Urgency of what is late already: behind everything else. */
+export const LATE_PRIORITY = 9;
 /** Time to hand a read prompt over: two exchanges and the set-up of a transfer, milliseconds. */
 const HANDOVER_MS = 8;
 /** Transfer of a thousand tokens of KV cache between two engines, milliseconds. */
@@ -77,8 +79,12 @@
  * parts that must then be read again.
  */
 const EVICTION_WEIGHT = 0.7;
-/** A prompt that is read between the tokens of running requests delays all of them. */
-const DISTURBANCE_WEIGHT = 1;
+/** A prompt that is read between the tokens of running requests delays them all: weight of each of them. */
+const DISTURBANCE_WEIGHT = 0.02;
+/** Weight of the delay of each less urgent prompt that waits behind. */
+const BEHIND_WEIGHT = 0.25;
+/** What a failed request costs, milliseconds: about an objective. */
+const FAILURE_MS = 600;
 /** How long an engine that failed a request is avoided, milliseconds. */
 const SUSPICION_MS = 1500;
 /** How long an engine that refused a request is avoided: it is full, or changes its role. */
@@ -91,19 +97,19 @@
 const FLIGHT_GRACE_MS = 2000;
 /** What a full engine costs a further request, milliseconds: about the time of a short answer. */
 const FULL_MS = 400;
-/** Context that a step handles in addition per thousand tokens, milliseconds. */
-const STEP_MS_PER_THOUSAND = 0.0262;
 /** Share of its objective that a prompt's own reading may take before it counts as late by its size. */
 const LARGE_SHARE = 0.8;
 /** Reading that holds others up by less than this is not put off, milliseconds. */
 const LEAST_DELAY_MS = 50;
-/** Expectations under load are too high by about this factor, so that less would refuse what can be served. */
-const HOPELESS_FACTOR = 1.5;
+/** A request is refused if it would begin only after this multiple of its caller's patience: estimates may be too high. */
+const HOPELESS_FACTOR = 1.2;
 const LEAST_RETRY_AFTER_MS = 200;
 /** When to come back if no engine is known: engines announce themselves about once a second. */
 const NO_ENGINE_RETRY_MS = 1000;
-/** Time from a read prompt to the first event, milliseconds: about two exchanges and some steps. */
+/** Time from a prompt read elsewhere to the first event, milliseconds: about two exchanges, a transfer and some steps. */
 const FIRST_EVENT_MS = 30;
+/** The same at the engine that read it. */
+const DIRECT_EVENT_MS = 10;
 
 type Open = {
 	/** Undefined if another placer decided. */
@@ -218,7 +224,7 @@
 	note(id: string, milestone: MilestoneName, server: string | undefined, nowMs: number): PlacingDecision | undefined {
 		const open = this.#open.get(id);
 		if (server !== undefined && (milestone === MILESTONES.failed || milestone === MILESTONES.refused)) {
-			this.#engines.get(server)?.suspect(nowMs + (milestone === MILESTONES.failed ? SUSPICION_MS : REFUSAL_MS));
+			this.#suspect(server, milestone === MILESTONES.failed, nowMs);
 		}
 
 		if (!open) {
@@ -238,7 +244,12 @@
 				return undefined;
 			}
 
-			case MILESTONES.done:
+			case MILESTONES.done: {
+				this.#engines.get(open.runner ?? '')?.noteOutcome(false);
+				this.#forget(id, nowMs);
+				return undefined;
+			}
+
 			case MILESTONES.refused:
 			case MILESTONES.failed: {
 				this.#forget(id, nowMs);
@@ -247,6 +258,14 @@
 		}
 	}
 
+	#suspect(server: string, isFailure: boolean, nowMs: number): void {
+		const engine = this.#engines.get(server);
+		engine?.suspect(nowMs + (isFailure ? SUSPICION_MS : REFUSAL_MS), nowMs);
+		if (isFailure) {
+			engine?.noteOutcome(true);
+		}
+	}
+
 	/** The engines that bring the first event soonest; undefined if none makes tokens. */
 	#choose(request: PlacingRequest, nowMs: number, isLate: boolean): Choice | undefined {
 		const holders = this.#listEngines(request).filter(engine => !engine.isSuspected(nowMs));
@@ -266,7 +285,7 @@
 		}
 
 		return {
-			reader: undefined, runner: direct.engine, plan: direct.plan, firstMs: direct.readMs + FIRST_EVENT_MS,
+			reader: undefined, runner: direct.engine, plan: direct.plan, firstMs: direct.readMs + DIRECT_EVENT_MS,
 		};
 	}
 
@@ -275,7 +294,7 @@
 		this.#open.set(request.id, {
 			request, expiresMs: nowMs + request.patienceMs + FLIGHT_GRACE_MS, reader: reader?.facts.server, runner: runner?.facts.server,
 		});
-		engine.beginRead(request.id, toFlight(request), {workMs: plan.workMs, isLate}, nowMs);
+		engine.beginRead(request.id, toFlight(request), {workMs: plan.workMs, priority: isLate ? LATE_PRIORITY : request.priority}, nowMs);
 		runner?.beginRun(request.id, toFlight(request), nowMs + firstMs);
 		return {
 			type: 'assignment',
@@ -324,10 +343,13 @@
 	#readOption(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[], {nowMs, isLate}: {nowMs: number; isLate: boolean}): Option {
 		const plan = planRead(engine, request, holders);
 		const crossingMs = engine.facts.dataCentre === request.dataCentre ? 0 : CROSSING_MS;
-		const readMs = engine.backlogMs(nowMs, isLate) + plan.workMs + crossingMs;
-		const othersMs = engine.facts.role === ENGINE_ROLES.prefill ? 0 : (plan.workMs * DISTURBANCE_WEIGHT) + this.#runCostMs(engine, request);
+		const priority = isLate ? LATE_PRIORITY : request.priority;
+		const readMs = engine.latencyMs + engine.waitMs(priority, nowMs) + plan.workMs + crossingMs;
+		const behindMs = engine.countBehind(priority, nowMs) * plan.workMs * BEHIND_WEIGHT;
+		const disturbance = 1 + (engine.runningCount * DISTURBANCE_WEIGHT);
+		const othersMs = engine.facts.role === ENGINE_ROLES.prefill ? 0 : (plan.workMs * disturbance) + this.#runCostMs(engine, request);
 		return {
-			engine, plan, readMs, costMs: readMs + plan.evictionMs + othersMs,
+			engine, plan, readMs, costMs: readMs + plan.evictionMs + behindMs + othersMs + (engine.failureShare * FAILURE_MS),
 		};
 	}
 
@@ -337,8 +359,8 @@
 		const need = request.promptTokens + request.outputTokens;
 		const isFull = engine.runningCount >= slots || engine.contextTokens + need > kvTokens;
 		const excess = Math.max(0, engine.runningCount + 1 - slots) + Math.max(0, (engine.contextTokens + need - kvTokens) / need);
-		const stepMs = ((engine.contextTokens + need) / 1000) * STEP_MS_PER_THOUSAND;
-		return (stepMs * (request.outputTokens + engine.runningCount)) + (isFull ? FULL_MS * (1 + excess) : 0);
+		const waitMs = isFull ? FULL_MS * (1 + excess) : 0;
+		return (engine.contextMs(need) * (request.outputTokens + engine.runningCount)) + waitMs + (engine.failureShare * FAILURE_MS);
 	}
 
 	#forget(id: string, nowMs: number): void {
--- a/src/routing/stages.ts
+++ b/src/routing/stages.ts
@@ -16,34 +16,59 @@
 const READER_SHARE = 0.6;
 /** Smallest pool in which roles are told apart. */
 const SMALLEST_POOL = 3;
+/** A wrong share must last this long: engines that restart are back within seconds, milliseconds. */
+const SETTLE_MS = 3000;
 
-/**
- * Plans the changes that bring every pool to its share of readers; none if it has them.
- *
- * @example
- * ```ts
- * planReaders(engines); // [{server: 'e3', role: 'prefill', reason: '3 of 8 engines read, 5 should'}]
- * ```
- */
-export function planReaders(engines: readonly EngineFacts[]): StageChange[] {
-	const pools = new Map<string, EngineFacts[]>();
-	for (const engine of engines) {
-		pools.set(engine.service, [...pools.get(engine.service) ?? [], engine]);
-	}
+export type Moment = {
+	readonly nowMs: number;
+	readonly isNew: boolean;
+};
 
-	return [...pools.values()].flatMap(pool => planPool(pool));
-}
+/** Plans role changes for the pools of a system. A step machine: time is handed in. */
+export class RolePlanner {
+	/** Since when each pool has had the wrong number of readers. */
+	readonly #wrongSinceMs = new Map<string, number>();
 
-function planPool(pool: readonly EngineFacts[]): StageChange[] {
-	const readers = pool.filter(({role}) => role === ENGINE_ROLES.prefill);
-	const runners = pool.filter(({role}) => role === ENGINE_ROLES.decode);
-	const wanted = Math.min(pool.length - 1, Math.round(pool.length * READER_SHARE));
-	if (pool.length < SMALLEST_POOL || readers.length >= wanted) {
-		return [];
+	/**
+	 * Plans the changes that bring every pool to its share of readers; none if it has them.
+	 *
+	 * @param isNew - Whether the system starts: then nothing runs that a change could hold up.
+	 * @example
+	 * ```ts
+	 * planner.plan(engines, {nowMs, isNew: true}); // [{server: 'e3', role: 'prefill', reason: '3 of 8 engines read, 5 should'}]
+	 * ```
+	 */
+	plan(engines: readonly EngineFacts[], when: Moment): StageChange[] {
+		const pools = new Map<string, EngineFacts[]>();
+		for (const engine of engines) {
+			pools.set(engine.service, [...pools.get(engine.service) ?? [], engine]);
+		}
+
+		return [...pools].flatMap(([service, pool]) => this.#planPool(service, pool, when));
 	}
 
-	const reason = `${readers.length} of ${pool.length} engines read, ${wanted} should`;
-	return pickSpread(runners, wanted - readers.length).map(({server}) => ({server, role: ENGINE_ROLES.prefill, reason}));
+	#planPool(service: string, pool: readonly EngineFacts[], {nowMs, isNew}: Moment): StageChange[] {
+		const readers = pool.filter(({role}) => role === ENGINE_ROLES.prefill);
+		const runners = pool.filter(({role}) => role === ENGINE_ROLES.decode);
+		const wanted = Math.min(pool.length - 1, Math.round(pool.length * READER_SHARE));
+		const excess = readers.length - wanted;
+		if (pool.length < SMALLEST_POOL || excess === 0) {
+			this.#wrongSinceMs.delete(service);
+			return [];
+		}
+
+		const sinceMs = this.#wrongSinceMs.get(service) ?? nowMs;
+		this.#wrongSinceMs.set(service, sinceMs);
+		if (!isNew && nowMs - sinceMs < SETTLE_MS) {
+			return [];
+		}
+
+		this.#wrongSinceMs.delete(service);
+		const reason = `${readers.length} of ${pool.length} engines read, ${wanted} should`;
+		const changed = excess < 0 ? pickSpread(runners, -excess) : pickSpread(readers, excess);
+		const role = excess < 0 ? ENGINE_ROLES.prefill : ENGINE_ROLES.decode;
+		return changed.map(({server}) => ({server, role, reason}));
+	}
 }
 
 /** Picks engines from the data centres that have most of them. */
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -6,7 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
-import type {PlacingRequest} from '../routing/placer.js';
+import {LATE_PRIORITY, type PlacingRequest} from '../routing/placer.js';
 import {
 	findMismatch, noteFailure, sendAttempt, type Call, type ServingCore,
 } from './core.js';
@@ -21,7 +21,7 @@
 		| {readonly type: 'failed'};
 
 type RunOutcome
-	= | {readonly type: 'done'}
+	= | {readonly type: 'done'; readonly isServerFault: boolean}
 		| {readonly type: 'notRun'}
 		| {readonly type: 'unsent'}
 		| {readonly type: 'broken'}
@@ -38,7 +38,7 @@
 const LEAST_READ_TIMEOUT_MS = 700;
 const FAILED_RETRY_SECONDS = 0.5;
 const HTTP_OK = 200;
-const LAST_PRIORITY = 9;
+const SERVER_FAULT = 500;
 
 /** Runs one call to its end. */
 export class StreamCall {
@@ -77,7 +77,7 @@
 
 			const outcome = await this.#runAt(runner);
 			if (outcome.type === 'done') {
-				this.#core.placing.note(this.#call.head.id, 'done', undefined);
+				this.#core.placing.note(this.#call.head.id, outcome.isServerFault ? 'failed' : 'done', outcome.isServerFault ? runner.server : undefined);
 				return;
 			}
 
@@ -297,7 +297,7 @@
 					}
 
 					caller.finish();
-					resolve({type: 'done'});
+					resolve({type: 'done', isServerFault: head.status >= SERVER_FAULT});
 				},
 				onFailure(failure, error) {
 					noteFailure(core, server, failure, error);
@@ -383,7 +383,7 @@
 
 	/** What is late already goes behind everything else. */
 	#priority(): number {
-		return this.#call.trail.isLate === true ? LAST_PRIORITY : this.#call.rule.priority;
+		return this.#call.trail.isLate === true ? LATE_PRIORITY : this.#call.rule.priority;
 	}
 
 	#leftMs(): number {
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -24,6 +24,7 @@
 	'routing/health',
 	'routing/poison',
 	'routing/placer',
+	'routing/readqueue',
 	'routing/enginestate',
 	'routing/parts',
 	'routing/stages',
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {estimateReadMs, type EngineFacts} from '../src/routing/enginestate.js';
 import {Placer, type PlacingRequest} from '../src/routing/placer.js';
-import {planReaders} from '../src/routing/stages.js';
+import {RolePlanner} from '../src/routing/stages.js';
 import {assertSnapshot} from './snapshot.js';
 
 test('a long prompt is read ahead and the next one with the same part goes where it is held', () => {
@@ -39,6 +39,25 @@
 	assert.notEqual(runnerOf(placer.offer(short('d'), 1500)), runner);
 });
 
+test('an engine that failed one request and goes on with others is not left out', () => {
+	const placer = new Placer();
+	placer.updateEngines([engine('decode-1', 'decode', 'x'), engine('decode-2', 'decode', 'x')]);
+	const placed = Array.from({length: 20}, (_, index) => {
+		const id = `a${index}`;
+		return {id, runner: runnerOf(placer.offer(short(id), index))};
+	});
+	const there = placed.filter(({runner}) => runner === 'decode-1');
+	placer.note(there[0]!.id, 'failed', 'decode-1', 100);
+	assert.equal(runnerOf(placer.offer(short('b'), 110)), 'decode-2');
+	for (const {id} of there.slice(1)) {
+		placer.note(id, 'first', undefined, 150);
+		placer.note(id, 'done', undefined, 300);
+	}
+
+	const next = Array.from({length: 40}, (_, index) => runnerOf(placer.offer(long(`c${index}`, 900), 310)));
+	assert.ok(next.includes('decode-1'));
+});
+
 test('suspected engines are used when there are no others', () => {
 	const placer = new Placer();
 	placer.updateEngines([engine('decode-1', 'decode', 'x')]);
@@ -131,9 +150,20 @@
 });
 
 test('a pool gets its share of readers, from the data centres with most engines that make tokens', () => {
-	const changes = planReaders(ENGINES);
+	const start = {nowMs: 0, isNew: true};
+	const changes = new RolePlanner().plan(ENGINES, start);
 	assert.deepEqual(changes.map(({server, role}) => ({server, role})), [{server: 'decode-1', role: 'prefill'}, {server: 'decode-2', role: 'prefill'}]);
-	assert.deepEqual(planReaders(ENGINES.slice(0, 2)), []);
+	assert.deepEqual(new RolePlanner().plan(ENGINES.slice(0, 2), start), []);
+});
+
+test('a pool that lost engines that make tokens gets some back, but not while they may only be restarting', () => {
+	const planner = new RolePlanner();
+	const readers = ['a', 'b', 'c', 'd', 'e'].map(name => engine(name, 'prefill', 'x'));
+	const left = [...readers, engine('f', 'decode', 'x')];
+	assert.deepEqual(planner.plan(left, {nowMs: 0, isNew: false}), []);
+	assert.deepEqual(planner.plan([...left, engine('g', 'decode', 'x'), engine('h', 'decode', 'x')], {nowMs: 2000, isNew: false}), []);
+	assert.deepEqual(planner.plan(left, {nowMs: 4000, isNew: false}), []);
+	assert.deepEqual(planner.plan(left, {nowMs: 7000, isNew: false}).map(({server, role}) => ({server, role})), [{server: 'a', role: 'decode'}]);
 });
 
 const ENGINES: readonly EngineFacts[] = [
