--- a/src/routing/enginestate.ts
+++ b/src/routing/enginestate.ts
@@ -65,6 +65,8 @@
 	facts: EngineFacts;
 	readonly #cache = new PartCache();
 	readonly #queue = new ReadQueue();
+	/** Parts that each prompt in the queue is to bring: nobody can fetch them yet. */
+	readonly #pending = new Map<string, ReadonlySet<string>>();
 	readonly #running = new Map<string, Run>();
 	#contextTokens = 0;
 	#suspectedMs = Number.NEGATIVE_INFINITY;
@@ -130,6 +132,12 @@
 		return this.#cache.countCached(parts);
 	}
 
+	/** Tokens of the leading parts that another engine can fetch now. */
+	countFetchable(parts: readonly PromptPart[]): number {
+		const firstPending = parts.findIndex(({key}) => this.#isPending(key));
+		return this.#cache.countCached(firstPending === -1 ? parts : parts.slice(0, firstPending));
+	}
+
 	/**
 	 * Time that it needs to read a prompt once it begins, milliseconds.
 	 *
@@ -158,6 +166,8 @@
 	/** Notes that it was given a prompt to read. */
 	beginRead(id: string, flight: Flight, task: ReadTask, nowMs: number): void {
 		this.#queue.add(id, task, nowMs);
+		const missing = flight.parts.filter(({key}) => !this.#cache.has(key)).map(({key}) => key);
+		this.#pending.set(id, new Set(missing));
 		this.#cache.note(flight.parts, this.facts.kvTokens - this.#contextTokens);
 	}
 
@@ -169,6 +179,7 @@
 	/** Notes that a prompt is read, and learns from how long it took. */
 	endRead(id: string, nowMs: number): void {
 		this.#progressMs = nowMs;
+		this.#pending.delete(id);
 		const report = this.#queue.finish(id, nowMs - this.#latencyMs);
 		if (report) {
 			this.#learnSpeed(report);
@@ -198,10 +209,22 @@
 
 	end(id: string, nowMs: number): void {
 		this.#queue.remove(id, nowMs);
+		this.#cache.drop(this.#pending.get(id) ?? []);
+		this.#pending.delete(id);
 		this.#contextTokens -= this.#running.get(id)?.tokens ?? 0;
 		this.#running.delete(id);
 	}
 
+	#isPending(key: string): boolean {
+		for (const keys of this.#pending.values()) {
+			if (keys.has(key)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	#learnSpeed({busyMs, workMs, tookMs, wasAlone}: ReadReport): void {
 		if (workMs < SMALL_WORK_MS) {
 			const latencyMs = Math.max(0, tookMs + this.#latencyMs - workMs);
--- a/src/routing/parts.ts
+++ b/src/routing/parts.ts
@@ -56,8 +56,15 @@
 		}
 	}
 
-	clear(): void {
-		this.#parts.clear();
-		this.#tokens = 0;
+	/** Drops parts that were noted but not read after all. */
+	drop(keys: Iterable<string>): void {
+		for (const key of keys) {
+			this.#tokens -= this.#parts.get(key) ?? 0;
+			this.#parts.delete(key);
+		}
+	}
+
+	has(key: string): boolean {
+		return this.#parts.has(key);
 	}
 }
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -78,7 +78,7 @@
  * Share of the reading time of shared tokens that it costs others when an engine comes to hold them: they push out
  * parts that must then be read again.
  */
-const EVICTION_WEIGHT = 0.7;
+const EVICTION_WEIGHT = 1;
 /** A prompt that is read between the tokens of running requests delays them all: weight of each of them. */
 const DISTURBANCE_WEIGHT = 0.02;
 /** Weight of the delay of each less urgent prompt that waits behind. */
@@ -409,7 +409,7 @@
 		workMs: engine.readMs(request, own), cachedTokens: own, evictionMs, source: undefined,
 	};
 	for (const holder of holders) {
-		const held = holder === engine ? 0 : holder.countCached(request.parts);
+		const held = holder === engine ? 0 : holder.countFetchable(request.parts);
 		if (held - own < LEAST_FETCH_TOKENS) {
 			continue;
 		}
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -29,7 +29,9 @@
 /** Largest head that is parsed at all; what operators allow is checked behind it. */
 const PARSER_HEADER_BYTES = 65_536;
 const BACKLOG = 1024;
-const NOT_PUBLISHED_RETRY_SECONDS = 0.5;
+/** Time from a start of all hosts at once until callers are served again: an election and a round of announcements. */
+const RECOVERY_MS = 1600;
+const LEAST_RETRY_MS = 500;
 /** A caller that gives no deadline is not kept longer than its route says. */
 const NO_DEADLINE_MS = Number.POSITIVE_INFINITY;
 
@@ -37,11 +39,13 @@
 export class Gateway {
 	readonly #options: GatewayOptions;
 	readonly #server: http.Server;
+	readonly #startedMs: number;
 	#active = 0;
 	#isStopping = false;
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
+		this.#startedMs = options.core.clock.monotonicMs();
 		this.#server = http.createServer({maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true}, (request, response) => {
 			void this.#serve(request, response);
 		});
@@ -165,7 +169,7 @@
 	#findRoute(caller: Caller, parts: Pick<Call, 'head' | 'body' | 'arrivedMs'>): Either.Either<Problem, Call> {
 		const table = this.#options.readTable();
 		if (!table) {
-			return Either.left(createProblem('notPublished', undefined, NOT_PUBLISHED_RETRY_SECONDS));
+			return Either.left(createProblem('notPublished', undefined, this.#recoverySeconds()));
 		}
 
 		const {request} = caller;
@@ -186,6 +190,12 @@
 		});
 	}
 
+	/** When to come back to a host that knows no routes: it, or all of them, started a moment ago. */
+	#recoverySeconds(): number {
+		const upMs = this.#options.core.clock.monotonicMs() - this.#startedMs;
+		return Math.ceil(Math.max(LEAST_RETRY_MS, RECOVERY_MS - upMs) / 100) / 10;
+	}
+
 	#logEnd(caller: Caller, call: Call | undefined, end: End, arrivedMs: number): void {
 		const {logger, clock, metrics} = this.#options.core;
 		const tookMs = Math.round(clock.monotonicMs() - arrivedMs);
