--- a/src/routing/enginestate.ts
+++ b/src/routing/enginestate.ts
@@ -57,6 +57,8 @@
 const TRANSIT_MS = 30;
 /** Weight of one outcome in the share of requests that an engine fails. */
 const FAILURE_WEIGHT = 0.1;
+/** An engine that fails gets nothing, so its past must fade for it to be tried again, milliseconds. */
+const FAILURE_HALF_LIFE_MS = 3000;
 /** An engine whose work is overdue by this much, with no sign of any other, is taken for gone, milliseconds. */
 const SILENCE_MS = 600;
 
@@ -72,6 +74,7 @@
 	#suspectedMs = Number.NEGATIVE_INFINITY;
 	#suspectedUntilMs = Number.NEGATIVE_INFINITY;
 	#failureShare = 0;
+	#outcomeMs = 0;
 	#progressMs = Number.NEGATIVE_INFINITY;
 	/** Measured reading time over the expected one. */
 	#slowness = 1;
@@ -105,9 +108,9 @@
 		return (this.#contextTokens + moreTokens) / 1000 * STEP_MS_PER_THOUSAND;
 	}
 
-	/** Share of its recent requests that it failed. */
-	get failureShare(): number {
-		return this.#failureShare;
+	/** Share of its recent requests that it failed; what is long ago counts less. */
+	failureShare(nowMs: number): number {
+		return this.#failureShare * (0.5 ** ((nowMs - this.#outcomeMs) / FAILURE_HALF_LIFE_MS));
 	}
 
 	/** Leaves it out for a while, unless it shows a sign of life before. */
@@ -117,8 +120,10 @@
 	}
 
 	/** Notes how a request ended here. */
-	noteOutcome(isFailure: boolean): void {
-		this.#failureShare += ((isFailure ? 1 : 0) - this.#failureShare) * FAILURE_WEIGHT;
+	noteOutcome(isFailure: boolean, nowMs: number): void {
+		const share = this.failureShare(nowMs);
+		this.#failureShare = share + (((isFailure ? 1 : 0) - share) * FAILURE_WEIGHT);
+		this.#outcomeMs = nowMs;
 	}
 
 	/** Whether it failed a moment ago and has shown no sign of life since, or has fallen silent with work in hand. */
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -83,8 +83,8 @@
 const DISTURBANCE_WEIGHT = 0.02;
 /** Weight of the delay of each less urgent prompt that waits behind. */
 const BEHIND_WEIGHT = 0.25;
-/** What a failed request costs, milliseconds: about an objective. */
-const FAILURE_MS = 600;
+/** What a failed request costs, milliseconds: about what its caller would have waited. */
+const FAILURE_MS = 4000;
 /** How long an engine that failed a request is avoided, milliseconds. */
 const SUSPICION_MS = 1500;
 /** How long an engine that refused a request is avoided: it is full, or changes its role. */
@@ -245,7 +245,7 @@
 			}
 
 			case MILESTONES.done: {
-				this.#engines.get(open.runner ?? '')?.noteOutcome(false);
+				this.#engines.get(open.runner ?? '')?.noteOutcome(false, nowMs);
 				this.#forget(id, nowMs);
 				return undefined;
 			}
@@ -262,7 +262,7 @@
 		const engine = this.#engines.get(server);
 		engine?.suspect(nowMs + (isFailure ? SUSPICION_MS : REFUSAL_MS), nowMs);
 		if (isFailure) {
-			engine?.noteOutcome(true);
+			engine?.noteOutcome(true, nowMs);
 		}
 	}
 
@@ -276,7 +276,7 @@
 			return undefined;
 		}
 
-		const runCostMs = Math.min(...runners.map(engine => this.#runCostMs(engine, request)));
+		const runCostMs = Math.min(...runners.map(engine => this.#runCostMs(engine, request, nowMs)));
 		const ahead = best(readers.map(engine => this.#readOption(engine, request, holders, {nowMs, isLate})));
 		if (ahead && ahead.costMs + HANDOVER_MS + runCostMs < direct.costMs) {
 			return {
@@ -313,7 +313,7 @@
 		let chosen: EngineState | undefined;
 		let lowestMs = Number.POSITIVE_INFINITY;
 		for (const engine of this.#listRunners(request, nowMs)) {
-			const costMs = this.#runCostMs(engine, request) + transferMs(request, reader?.facts.dataCentre, engine.facts.dataCentre);
+			const costMs = this.#runCostMs(engine, request, nowMs) + transferMs(request, reader?.facts.dataCentre, engine.facts.dataCentre);
 			if (costMs < lowestMs) {
 				lowestMs = costMs;
 				chosen = engine;
@@ -347,20 +347,22 @@
 		const readMs = engine.latencyMs + engine.waitMs(priority, nowMs) + plan.workMs + crossingMs;
 		const behindMs = engine.countBehind(priority, nowMs) * plan.workMs * BEHIND_WEIGHT;
 		const disturbance = 1 + (engine.runningCount * DISTURBANCE_WEIGHT);
-		const othersMs = engine.facts.role === ENGINE_ROLES.prefill ? 0 : (plan.workMs * disturbance) + this.#runCostMs(engine, request);
+		const othersMs = engine.facts.role === ENGINE_ROLES.prefill
+			? engine.failureShare(nowMs) * FAILURE_MS
+			: (plan.workMs * disturbance) + this.#runCostMs(engine, request, nowMs);
 		return {
-			engine, plan, readMs, costMs: readMs + plan.evictionMs + behindMs + othersMs + (engine.failureShare * FAILURE_MS),
+			engine, plan, readMs, costMs: readMs + plan.evictionMs + behindMs + othersMs,
 		};
 	}
 
 	/** What running a request at an engine costs it and the ones beside it, milliseconds. */
-	#runCostMs(engine: EngineState, request: PlacingRequest): number {
+	#runCostMs(engine: EngineState, request: PlacingRequest, nowMs: number): number {
 		const {slots, kvTokens} = engine.facts;
 		const need = request.promptTokens + request.outputTokens;
 		const isFull = engine.runningCount >= slots || engine.contextTokens + need > kvTokens;
 		const excess = Math.max(0, engine.runningCount + 1 - slots) + Math.max(0, (engine.contextTokens + need - kvTokens) / need);
 		const waitMs = isFull ? FULL_MS * (1 + excess) : 0;
-		return (engine.contextMs(need) * (request.outputTokens + engine.runningCount)) + waitMs + (engine.failureShare * FAILURE_MS);
+		return (engine.contextMs(need) * (request.outputTokens + engine.runningCount)) + waitMs + (engine.failureShare(nowMs) * FAILURE_MS);
 	}
 
 	#forget(id: string, nowMs: number): void {
--- a/src/routing/stages.ts
+++ b/src/routing/stages.ts
@@ -12,12 +12,8 @@
 	readonly reason: string;
 };
 
-/** Share of a pool that makes tokens; the rest reads, since prompts are long and answers short. */
-const MAKER_SHARE = 0.4;
-/** Small pools round in favour of making: read too late, an answer is late; made too slowly, it never ends in time. */
-const MAKER_BIAS = 0.15;
-/** Readers that a pool may lack while it serves: a change takes an engine away for seconds. */
-const TOLERATED_LACK = 1;
+/** Share of a pool that reads before its caches are warm: the first prompts are read whole, the answers are short. */
+const READER_SHARE = 0.6;
 /** Smallest pool in which roles are told apart. */
 const SMALLEST_POOL = 3;
 /** A wrong share must last this long: engines that restart are back within seconds, milliseconds. */
@@ -54,10 +50,9 @@
 	#planPool(service: string, pool: readonly EngineFacts[], {nowMs, isNew}: Moment): StageChange[] {
 		const readers = pool.filter(({role}) => role === ENGINE_ROLES.prefill);
 		const runners = pool.filter(({role}) => role === ENGINE_ROLES.decode);
-		const wanted = pool.length - Math.max(1, Math.round((pool.length * MAKER_SHARE) + MAKER_BIAS));
+		const wanted = Math.min(pool.length - 1, Math.round(pool.length * READER_SHARE));
 		const excess = readers.length - wanted;
-		const isRight = excess === 0 || (!isNew && excess < 0 && excess >= -TOLERATED_LACK);
-		if (pool.length < SMALLEST_POOL || isRight) {
+		if (pool.length < SMALLEST_POOL || excess === 0) {
 			this.#wrongSinceMs.delete(service);
 			return [];
 		}
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -272,6 +272,12 @@
 						return;
 					}
 
+					if (status >= SERVER_FAULT && this.#mayRepeat()) {
+						this.#exchange?.cancel();
+						resolve({type: 'broken'});
+						return;
+					}
+
 					if (!caller.hasBegun) {
 						caller.begin(status, core.dialect.writeAnswer(headers), head.framing);
 					} else if (status !== HTTP_OK) {
@@ -309,7 +315,7 @@
 
 	#forward(chunk: Buffer, isStream: boolean): void {
 		const {caller, head, trail} = this.#call;
-		if (!this.#hasFirst) {
+		if (!this.#hasFirst && isStream) {
 			this.#hasFirst = true;
 			trail.firstMs = this.#elapsedMs();
 			this.#core.placing.note(head.id, 'first', undefined);
@@ -343,11 +349,17 @@
 			}
 
 			default: {
-				return rule.isResumable && this.#runs < rule.maxAttempts ? undefined : this.#createFailure();
+				return this.#mayRepeat() ? undefined : this.#createFailure();
 			}
 		}
 	}
 
+	/** Whether a run that failed may go on at another engine. */
+	#mayRepeat(): boolean {
+		const {rule} = this.#call;
+		return rule.isResumable && this.#runs < rule.maxAttempts;
+	}
+
 	/** What the caller is told: that nothing ran, if that is sure. */
 	#createFailure(): Problem {
 		return this.#mayHaveRun ? createProblem('serverFailed') : createProblem('notStarted', undefined, FAILED_RETRY_SECONDS);
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -222,6 +222,27 @@
 	assert.equal(new Set(fences).size, 3);
 });
 
+test('a stream that may be resumed goes to another engine when the first one fails it', async t => {
+	let failures = 0;
+	const failOnce: StandinOptions['intercept'] = (request, response) => {
+		if (request.headers['carawayhoist-serving-stage'] !== undefined || failures > 0) {
+			return false;
+		}
+
+		failures++;
+		response.writeHead(500, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'content-length': 0});
+		response.end();
+		return true;
+	};
+
+	const site = await startSite(t, ['d1', 'd2', 'd3'].map(id => ({
+		id, service: 'llm', stage: 'decode' as const, intercept: failOnce,
+	})));
+	const answer = await site.call('/ask/1', {...LONG_PROMPT, 'carawayhoist-deadline-ms': '2000'});
+	assert.equal(failures, 1);
+	assert.equal(answer.status, 200);
+});
+
 test('the names of the platform stand in platform/ and deploy/ only', async () => {
 	// The project's own interface has had a header of the same name since before the platform.
 	const own = new Set(['src/entry/model.ts: carawayhoist-deadline']);
