--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -83,6 +83,8 @@
 const DISTURBANCE_WEIGHT = 0.02;
 /** Weight of the delay of each less urgent prompt that waits behind. */
 const BEHIND_WEIGHT = 0.25;
+/** Share of failures that sound engines have now and then: a lost answer, a connection that was reset. */
+const FAILURE_TOLERANCE = 0.3;
 /** What a failed request costs, milliseconds: about what its caller would have waited. */
 const FAILURE_MS = 4000;
 /** How long an engine that failed a request is avoided, milliseconds. */
@@ -348,7 +350,7 @@
 		const behindMs = engine.countBehind(priority, nowMs) * plan.workMs * BEHIND_WEIGHT;
 		const disturbance = 1 + (engine.runningCount * DISTURBANCE_WEIGHT);
 		const othersMs = engine.facts.role === ENGINE_ROLES.prefill
-			? engine.failureShare(nowMs) * FAILURE_MS
+			? failureCostMs(engine, nowMs)
 			: (plan.workMs * disturbance) + this.#runCostMs(engine, request, nowMs);
 		return {
 			engine, plan, readMs, costMs: readMs + plan.evictionMs + behindMs + othersMs,
@@ -362,7 +364,7 @@
 		const isFull = engine.runningCount >= slots || engine.contextTokens + need > kvTokens;
 		const excess = Math.max(0, engine.runningCount + 1 - slots) + Math.max(0, (engine.contextTokens + need - kvTokens) / need);
 		const waitMs = isFull ? FULL_MS * (1 + excess) : 0;
-		return (engine.contextMs(need) * (request.outputTokens + engine.runningCount)) + waitMs + (engine.failureShare(nowMs) * FAILURE_MS);
+		return (engine.contextMs(need) * (request.outputTokens + engine.runningCount)) + waitMs + failureCostMs(engine, nowMs);
 	}
 
 	#forget(id: string, nowMs: number): void {
@@ -382,6 +384,11 @@
 	}
 }
 
+/** What it costs that an engine is likely to fail a request, milliseconds. */
+function failureCostMs(engine: EngineState, nowMs: number): number {
+	return Math.max(0, engine.failureShare(nowMs) - FAILURE_TOLERANCE) * FAILURE_MS;
+}
+
 function best(options: readonly Option[]): Option | undefined {
 	let found: Option | undefined;
 	for (const option of options) {
