--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -8,10 +8,9 @@
  * @module
  */
 import {ENGINE_ROLES} from './choice.js';
-import {
-	EngineState, estimateReadMs, type EngineFacts, type Flight,
-} from './enginestate.js';
+import {EngineState, type EngineFacts, type Flight} from './enginestate.js';
 import type {PromptPart} from './parts.js';
+import {planRead, transferMs, type ReadPlan} from './reading.js';
 
 export type PlacingRequest = {
 	readonly id: string;
@@ -69,16 +68,8 @@
 export const LATE_PRIORITY = 9;
 /** Time to hand a read prompt over: two exchanges and the set-up of a transfer, milliseconds. */
 const HANDOVER_MS = 8;
-/** Transfer of a thousand tokens of KV cache between two engines, milliseconds. */
-const TRANSFER_MS_PER_THOUSAND = 0.7;
-/** What another data centre costs, milliseconds: the way itself, and a transfer that takes twice as long. */
+/** What the way to another data centre costs, milliseconds. */
 const CROSSING_MS = 2;
-const CROSSING_TRANSFER_FACTOR = 2;
-/**
- * Share of the reading time of shared tokens that it costs others when an engine comes to hold them: they push out
- * parts that must then be read again.
- */
-const EVICTION_WEIGHT = 1;
 /** A prompt that is read between the tokens of running requests delays them all: weight of each of them. */
 const DISTURBANCE_WEIGHT = 0.02;
 /** Weight of the delay of each less urgent prompt that waits behind. */
@@ -91,10 +82,6 @@
 const SUSPICION_MS = 1500;
 /** How long an engine that refused a request is avoided: it is full, or changes its role. */
 const REFUSAL_MS = 300;
-/** Shared tokens from which fetching them pays for its set-up. */
-const LEAST_FETCH_TOKENS = 512;
-/** Time that a fetch of shared parts takes beside its tokens, milliseconds. */
-const FETCH_MS = 5;
 /** How long a request is remembered after its caller has given up, milliseconds. */
 const FLIGHT_GRACE_MS = 2000;
 /** What a full engine costs a further request, milliseconds: about the time of a short answer. */
@@ -139,16 +126,6 @@
 	readonly firstMs: number;
 };
 
-/** How an engine would read a prompt. */
-type ReadPlan = {
-	readonly workMs: number;
-	readonly cachedTokens: number;
-	/** What it costs others that the engine comes to hold more. */
-	readonly evictionMs: number;
-	/** Engine to fetch shared parts from. */
-	readonly source: string | undefined;
-};
-
 /** The placer of one or more pools. */
 export class Placer {
 	readonly #engines = new Map<string, EngineState>();
@@ -409,38 +386,3 @@
 function toFlight({parts, promptTokens, outputTokens}: Flight): Flight {
 	return {parts, promptTokens, outputTokens};
 }
-
-/** Plans how an engine reads a prompt: with what it holds, and what another engine holds if fetching that is quicker. */
-function planRead(engine: EngineState, request: PlacingRequest, holders: readonly EngineState[]): ReadPlan {
-	const own = engine.countCached(request.parts);
-	const evictionMs = estimateReadMs(Math.max(0, sharedTokens(request) - own), 0) * EVICTION_WEIGHT;
-	let plan: ReadPlan = {
-		workMs: engine.readMs(request, own), cachedTokens: own, evictionMs, source: undefined,
-	};
-	for (const holder of holders) {
-		const held = holder === engine ? 0 : holder.countFetchable(request.parts);
-		if (held - own < LEAST_FETCH_TOKENS) {
-			continue;
-		}
-
-		const fetchMs = FETCH_MS + transferMs({promptTokens: held - own}, holder.facts.dataCentre, engine.facts.dataCentre);
-		const workMs = engine.readMs(request, held) + fetchMs;
-		if (workMs < plan.workMs) {
-			plan = {
-				workMs, cachedTokens: held, evictionMs, source: holder.facts.server,
-			};
-		}
-	}
-
-	return plan;
-}
-
-/** Tokens that other requests may share: all but the last part. */
-function sharedTokens({parts, promptTokens}: PlacingRequest): number {
-	return Math.max(0, promptTokens - (parts.at(-1)?.tokens ?? promptTokens));
-}
-
-function transferMs(request: Pick<PlacingRequest, 'promptTokens'>, from: string | undefined, to: string): number {
-	const factor = from === undefined || from === to ? 1 : CROSSING_TRANSFER_FACTOR;
-	return (request.promptTokens / 1000) * TRANSFER_MS_PER_THOUSAND * factor;
-}
--- a/src/serving/core.ts
+++ b/src/serving/core.ts
@@ -145,6 +145,23 @@
 	return createProblem('noServer', `Service ${call.service}.`, NO_SERVER_RETRY_SECONDS);
 }
 
+/**
+ * Takes one repeat of a service's budget; false if none is left.
+ *
+ * @example
+ * ```ts
+ * if (!takeRepeat(core, call.service)) { … }
+ * ```
+ */
+export function takeRepeat(core: ServingCore, service: string): boolean {
+	const isGranted = core.budget.take(service, core.clock.monotonicMs());
+	if (isGranted) {
+		core.metrics.repeats.inc({service});
+	}
+
+	return isGranted;
+}
+
 /** Notes what a failed exchange says about its server. */
 export function noteFailure(core: ServingCore, server: Announcement, failure: Failure, error: Error): void {
 	core.metrics.failures.inc({failure});
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -8,7 +8,7 @@
 import type {Announcement} from '../generated/types.js';
 import {REPEATS} from '../routing/catalogue.js';
 import {
-	findMismatch, noServer, noteFailure, sendAttempt, type Call, type ServingCore,
+	findMismatch, noServer, noteFailure, sendAttempt, takeRepeat, type Call, type ServingCore,
 } from './core.js';
 import type {AnswerHead} from './dialect.js';
 import type {Exchange} from './upstream.js';
@@ -89,17 +89,7 @@
 		}
 
 		const isSafe = outcome.type === 'notRun' ? !this.#mayHaveRun : rule.repeat === REPEATS.repeatable;
-		return isSafe && this.#sent < rule.maxAttempts && !this.#isLate() && this.#hasOther() && this.#takeRepeat();
-	}
-
-	#takeRepeat(): boolean {
-		const {service} = this.#call;
-		const isGranted = this.#core.budget.take(service, this.#core.clock.monotonicMs());
-		if (isGranted) {
-			this.#core.metrics.repeats.inc({service});
-		}
-
-		return isGranted;
+		return isSafe && this.#sent < rule.maxAttempts && !this.#isLate() && this.#hasOther() && takeRepeat(this.#core, this.#call.service);
 	}
 
 	#isLate(): boolean {
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
 import {LATE_PRIORITY, type PlacingRequest} from '../routing/placer.js';
 import {
-	findMismatch, noteFailure, sendAttempt, type Call, type ServingCore,
+	findMismatch, noteFailure, sendAttempt, takeRepeat, type Call, type ServingCore,
 } from './core.js';
 import type {
 	AnswerHead, Prompt, Reading,
@@ -176,14 +176,14 @@
 	/** Has the prompt read ahead of the run. */
 	async #readAt(server: Announcement, expectedMs: number): Promise<ReadOutcome> {
 		const core = this.#core;
-		if (this.#reads > 0 && !this.#takeRepeat()) {
+		if (this.#reads > 0 && !takeRepeat(this.#core, this.#call.service)) {
 			return {type: 'failed'};
 		}
 
 		this.#reads++;
 		this.#call.trail.reader = server.server;
 		return new Promise(resolve => {
-			const chunks: Uint8Array[] = [];
+			const chunks: Buffer[] = [];
 			let head: AnswerHead | undefined;
 			// Reading may be repeated, so a reader that is long overdue is given up.
 			const timer = setTimeout(() => {
@@ -212,7 +212,7 @@
 				},
 				onEnd() {
 					clearTimeout(timer);
-					const handle = head?.status === 200 ? core.dialect.readHandle(concat(chunks)) : undefined;
+					const handle = head?.status === 200 ? core.dialect.readHandle(Buffer.concat(chunks)) : undefined;
 					if (handle === undefined) {
 						core.logger.warn(`Server ${server.server} did not read a prompt.`, {server: server.server, status: head?.status});
 						resolve({type: 'failed'});
@@ -234,7 +234,7 @@
 	async #runAt(server: Announcement): Promise<RunOutcome> {
 		const core = this.#core;
 		const {caller, trail} = this.#call;
-		if (this.#runs > 0 && !this.#takeRepeat()) {
+		if (this.#runs > 0 && !takeRepeat(this.#core, this.#call.service)) {
 			return {type: 'denied'};
 		}
 
@@ -383,16 +383,6 @@
 		});
 	}
 
-	#takeRepeat(): boolean {
-		const {service} = this.#call;
-		const isGranted = this.#core.budget.take(service, this.#core.clock.monotonicMs());
-		if (isGranted) {
-			this.#core.metrics.repeats.inc({service});
-		}
-
-		return isGranted;
-	}
-
 	/** What is late already goes behind everything else. */
 	#priority(): number {
 		return this.#call.trail.isLate === true ? LATE_PRIORITY : this.#call.rule.priority;
@@ -406,15 +396,3 @@
 		return Math.round(this.#core.clock.monotonicMs() - this.#call.arrivedMs);
 	}
 }
-
-function concat(chunks: readonly Uint8Array[]): Uint8Array {
-	const size = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-	const whole = new Uint8Array(size);
-	let offset = 0;
-	for (const chunk of chunks) {
-		whole.set(chunk, offset);
-		offset += chunk.length;
-	}
-
-	return whole;
-}
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -25,6 +25,7 @@
 	'routing/poison',
 	'routing/placer',
 	'routing/readqueue',
+	'routing/reading',
 	'routing/enginestate',
 	'routing/parts',
 	'routing/stages',
