--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -279,7 +279,8 @@
 			}
 
 			case 'milestone': {
-				const decision = this.#scheduler.recordMilestone(message.id, message.stage, message.server, this.#options.clock.monotonicMs());
+				const {id, stage, server, connected} = message;
+				const decision = this.#scheduler.recordMilestone(id, stage, {server, connected}, this.#options.clock.monotonicMs());
 				if (decision) {
 					connection.send(decision);
 				}
--- a/src/routing/prefill.ts
+++ b/src/routing/prefill.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {estimateMoveCostMs, type ResourceWeights} from './cost.js';
 import {estimatePrefillMs, type EngineState, type RequestSize} from './engine.js';
 
 /** How an engine would prefill a prompt. */
@@ -15,48 +16,79 @@
 	readonly evictionCostMs: number;
 	/** Engine from which shared parts are fetched; undefined without a fetch. */
 	readonly source: string | undefined;
+	/** Cost of the KV cache that is fetched, milliseconds. */
+	readonly moveCostMs: number;
+};
+
+/** An engine from which leading parts of a prompt can be fetched. */
+export type FetchSource = {
+	readonly server: string;
+	readonly dataCentre: string;
+	/** Tokens of the leading parts that it can provide. */
+	readonly tokens: number;
 };
 
 /** Time to transfer a thousand tokens of KV cache between two engines, milliseconds. */
 const TRANSFER_MS_PER_THOUSAND = 0.7;
 /** Factor by which a transfer to another data centre takes longer. */
 const CROSS_DATA_CENTRE_FACTOR = 2;
-/**
- * Cost of caching additional shared tokens, as a share of their prefill time: they evict parts that must then be
- * prefilled again.
- */
+/** Cost of evicting shared parts, as a share of the time to prefill them again. */
 const EVICTION_WEIGHT = 1;
 /** Minimum number of additional cached tokens for which a fetch is worth its setup time. */
 const MIN_FETCH_TOKENS = 512;
 /** Fixed time per fetch of shared parts, milliseconds. */
 const FETCH_SETUP_MS = 5;
 
+/**
+ * Finds the engine of each data centre that has most of a prompt cached. The others of that data centre are never a
+ * better source.
+ *
+ * @example
+ * ```ts
+ * listFetchSources(engines, request); // [{server: 'e3', dataCentre: 'a', tokens: 13300}]
+ * ```
+ */
+export function listFetchSources(engines: readonly EngineState[], {parts}: Pick<RequestSize, 'parts'>): FetchSource[] {
+	const sources = new Map<string, FetchSource>();
+	for (const engine of engines) {
+		const {server, dataCentre} = engine.info;
+		const tokens = engine.countFetchable(parts);
+		if (tokens >= MIN_FETCH_TOKENS && tokens > (sources.get(dataCentre)?.tokens ?? 0)) {
+			sources.set(dataCentre, {server, dataCentre, tokens});
+		}
+	}
+
+	return [...sources.values()];
+}
+
 /**
  * Plans the prefill of a prompt at an engine, with the fetch that shortens it most, if any does.
  *
- * @param holders - Engines from which shared parts may be fetched.
  * @example
  * ```ts
- * planPrefill(engine, request, engines); // {workMs: 65, cachedTokens: 13300, evictionCostMs: 0, source: 'e3'}
+ * planPrefill(engine, request, listFetchSources(engines, request), weights);
+ * // {workMs: 65, cachedTokens: 13300, evictionCostMs: 0, source: 'e3', moveCostMs: 27}
  * ```
  */
-export function planPrefill(engine: EngineState, request: RequestSize, holders: readonly EngineState[]): PrefillPlan {
+export function planPrefill(engine: EngineState, request: RequestSize, sources: readonly FetchSource[], weights: ResourceWeights): PrefillPlan {
 	const cached = engine.countCached(request.parts);
-	const evictionCostMs = estimatePrefillMs(Math.max(0, countSharedTokens(request) - cached), 0) * EVICTION_WEIGHT;
+	const addedTokens = Math.max(0, countSharedTokens(request) - cached);
+	const evictionCostMs = estimatePrefillMs(engine.countEvictedShared(addedTokens), 0) * EVICTION_WEIGHT;
 	let plan: PrefillPlan = {
-		workMs: engine.prefillMs(request, cached), cachedTokens: cached, evictionCostMs, source: undefined,
+		workMs: engine.prefillMs(request, cached), cachedTokens: cached, evictionCostMs, source: undefined, moveCostMs: 0,
 	};
-	for (const holder of holders) {
-		const available = holder === engine ? 0 : holder.countFetchable(request.parts);
-		if (available - cached < MIN_FETCH_TOKENS) {
+	for (const {server, dataCentre, tokens} of sources) {
+		const fetchedTokens = tokens - cached;
+		if (fetchedTokens < MIN_FETCH_TOKENS) {
 			continue;
 		}
 
-		const fetchMs = FETCH_SETUP_MS + estimateTransferMs({promptTokens: available - cached}, holder.info.dataCentre, engine.info.dataCentre);
-		const workMs = engine.prefillMs(request, available) + fetchMs;
-		if (workMs < plan.workMs) {
+		const fetchMs = FETCH_SETUP_MS + estimateTransferMs({promptTokens: fetchedTokens}, dataCentre, engine.info.dataCentre);
+		const workMs = engine.prefillMs(request, tokens) + fetchMs;
+		const moveCostMs = estimateMoveCostMs(fetchedTokens, dataCentre, engine.info.dataCentre, weights);
+		if (workMs + moveCostMs < plan.workMs + plan.moveCostMs) {
 			plan = {
-				workMs, cachedTokens: available, evictionCostMs, source: holder.info.server,
+				workMs, cachedTokens: tokens, evictionCostMs, source: server, moveCostMs,
 			};
 		}
 	}
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -9,15 +9,19 @@
  * @module
  */
 import {ENGINE_ROLES} from './choice.js';
+import {
+	DEFAULT_RESOURCE_WEIGHTS, estimateMoveCostMs, estimateSendCostMs, type RequestOrigin, type ResourceWeights,
+} from './cost.js';
 import {EngineState, type EngineInfo, type RequestSize} from './engine.js';
 import type {PromptPart} from './kvcache.js';
-import {planPrefill, estimateTransferMs, type PrefillPlan} from './prefill.js';
+import {
+	estimateTransferMs, listFetchSources, planPrefill, type FetchSource, type PrefillPlan,
+} from './prefill.js';
 
 /** A streamed request to be placed. */
-export type PlacementRequest = {
+export type PlacementRequest = RequestOrigin & {
 	readonly id: string;
 	readonly service: string;
-	readonly dataCentre: string;
 	readonly parts: readonly PromptPart[];
 	readonly promptTokens: number;
 	readonly outputTokens: number;
@@ -70,6 +74,14 @@
 } as const;
 export type MilestoneName = keyof typeof MILESTONES;
 
+/** What is reported with a milestone. */
+export type MilestoneDetails = {
+	/** Engine that reached the milestone. */
+	readonly server?: string | undefined;
+	/** Engines to which the entry host has an idle connection now; absent if that has not changed. */
+	readonly connected?: readonly string[] | undefined;
+};
+
 /** Priority of requests that will be late: behind all others. */
 export const LATE_PRIORITY = 9;
 /** Fixed time of a handoff from reader to runner, milliseconds: two exchanges and the setup of a transfer. */
@@ -127,10 +139,27 @@
 	readonly plan: PrefillPlan;
 	/** Time until the prefill is completed. */
 	readonly prefilledMs: number;
-	/** `prefilledMs` plus the cost to other requests and the risk of a failure. */
+	/** `prefilledMs` plus the cost to other requests, of the resources used and of the risk of a failure. */
 	readonly costMs: number;
 };
 
+/** An engine that would decode a request after a handoff. */
+type RunnerOption = {
+	readonly engine: EngineState;
+	/** Time that decoding there adds for the request and those in the same batch. */
+	readonly delayMs: number;
+	/** `delayMs` plus the cost of the resources used. */
+	readonly costMs: number;
+};
+
+/** What the options for one placement are evaluated with. */
+type Evaluation = {
+	readonly request: PlacementRequest;
+	readonly fetchSources: readonly FetchSource[];
+	readonly priority: number;
+	readonly nowMs: number;
+};
+
 /** The engines for a request: a reader, or a runner that also prefills. */
 type EngineSelection = {
 	/** Engine that prefills for a runner that is chosen later; undefined if the runner prefills itself. */
@@ -145,6 +174,11 @@
 export class Scheduler {
 	readonly #engines = new Map<string, EngineState>();
 	readonly #openRequests = new Map<string, OpenRequest>();
+	readonly #weights: ResourceWeights;
+
+	constructor(weights = DEFAULT_RESOURCE_WEIGHTS) {
+		this.#weights = weights;
+	}
 
 	/** Replaces the set of engines; keeps the state of those whose incarnation is unchanged. */
 	updateEngines(engines: readonly EngineInfo[]): void {
@@ -216,7 +250,7 @@
 	}
 
 	/** Records a request's progress; returns the choice of a runner once the reader has completed the prefill. */
-	recordMilestone(id: string, milestone: MilestoneName, server: string | undefined, nowMs: number): PlacementDecision | undefined {
+	recordMilestone(id: string, milestone: MilestoneName, {server, connected}: MilestoneDetails, nowMs: number): PlacementDecision | undefined {
 		const openRequest = this.#openRequests.get(id);
 		if (server !== undefined && (milestone === MILESTONES.failed || milestone === MILESTONES.refused)) {
 			this.#suspect(server, milestone === MILESTONES.failed, nowMs);
@@ -229,7 +263,8 @@
 		switch (milestone) {
 			case MILESTONES.read: {
 				this.#engines.get(openRequest.reader ?? '')?.completePrefill(id, nowMs);
-				return openRequest.request && this.#assignRunner(openRequest, openRequest.request, nowMs);
+				const {request} = openRequest;
+				return request && this.#assignRunner(openRequest, {...request, connected: connected ?? request.connected}, nowMs);
 			}
 
 			case MILESTONES.first: {
@@ -261,19 +296,22 @@
 		}
 	}
 
-	/** Selects the engines with the lowest cost for the first event; undefined if no engine decodes. */
+	/** Selects the engines with the lowest cost; undefined if no engine decodes. */
 	#selectEngines(request: PlacementRequest, nowMs: number, isLate: boolean): EngineSelection | undefined {
 		const healthyEngines = this.#listEngines(request).filter(engine => !engine.isSuspected(nowMs));
 		const prefillEngines = healthyEngines.filter(({info}) => info.role === ENGINE_ROLES.prefill);
 		const runners = this.#listRunners(request, nowMs);
-		const direct = findCheapest(runners.map(engine => this.#evaluatePrefill(engine, request, healthyEngines, {nowMs, isLate})));
+		const evaluation: Evaluation = {
+			request, fetchSources: listFetchSources(healthyEngines, request), priority: isLate ? LATE_PRIORITY : request.priority, nowMs,
+		};
+		const direct = findCheapest(runners.map(engine => this.#evaluateDirect(engine, evaluation)));
 		if (!direct) {
 			return undefined;
 		}
 
-		const runCostMs = Math.min(...runners.map(engine => this.#estimateRunCostMs(engine, request, nowMs)));
-		const separate = findCheapest(prefillEngines.map(engine => this.#evaluatePrefill(engine, request, healthyEngines, {nowMs, isLate})));
-		if (separate && separate.costMs + HANDOFF_MS + runCostMs < direct.costMs) {
+		const separate = findCheapest(prefillEngines.map(engine => this.#evaluateReader(engine, evaluation)));
+		const continuation = separate && this.#findRunner(request, separate.engine, nowMs);
+		if (separate && continuation && separate.costMs + HANDOFF_MS + HANDOFF_FIRST_EVENT_MS + continuation.costMs < direct.costMs + DIRECT_FIRST_EVENT_MS) {
 			return {
 				reader: separate.engine, runner: undefined, plan: separate.plan, firstEventMs: separate.prefilledMs + HANDOFF_MS + HANDOFF_FIRST_EVENT_MS,
 			};
@@ -304,26 +342,31 @@
 	}
 
 	#assignRunner(openRequest: OpenRequest, request: PlacementRequest, nowMs: number): PlacementDecision {
-		const reader = this.#engines.get(openRequest.reader ?? '');
-		let chosen: EngineState | undefined;
-		let lowestMs = Number.POSITIVE_INFINITY;
-		for (const engine of this.#listRunners(request, nowMs)) {
-			const costMs = this.#estimateRunCostMs(engine, request, nowMs) + estimateTransferMs(request, reader?.info.dataCentre, engine.info.dataCentre);
-			if (costMs < lowestMs) {
-				lowestMs = costMs;
-				chosen = engine;
-			}
-		}
-
-		if (!chosen) {
+		const found = this.#findRunner(request, this.#engines.get(openRequest.reader ?? ''), nowMs);
+		if (!found) {
 			return reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS);
 		}
 
-		openRequest.runner = chosen.info.server;
-		chosen.startRun(request.id, toRequestSize(request), nowMs + lowestMs + HANDOFF_FIRST_EVENT_MS);
+		openRequest.runner = found.engine.info.server;
+		found.engine.startRun(request.id, toRequestSize(request), nowMs + found.delayMs + HANDOFF_FIRST_EVENT_MS);
 		return {type: 'assignment', id: request.id, runner: openRequest.runner};
 	}
 
+	/** Finds the runner with the lowest cost for a request that was prefilled at a reader; undefined if no engine decodes. */
+	#findRunner(request: PlacementRequest, reader: EngineState | undefined, nowMs: number): RunnerOption | undefined {
+		let cheapest: RunnerOption | undefined;
+		for (const engine of this.#listRunners(request, nowMs)) {
+			const {dataCentre} = engine.info;
+			const delayMs = this.#estimateRunCostMs(engine, request, nowMs) + estimateTransferMs(request, reader?.info.dataCentre, dataCentre);
+			const resourceMs = estimateSendCostMs(request, engine.info, this.#weights) + estimateMoveCostMs(request.promptTokens, reader?.info.dataCentre, dataCentre, this.#weights);
+			if (!cheapest || delayMs + resourceMs < cheapest.costMs) {
+				cheapest = {engine, delayMs, costMs: delayMs + resourceMs};
+			}
+		}
+
+		return cheapest;
+	}
+
 	/** Lists engines that decode; suspected ones only if there are no others. */
 	#listRunners(request: PlacementRequest, nowMs: number): EngineState[] {
 		const runners = this.#listEngines(request).filter(engine => engine.info.role !== ENGINE_ROLES.prefill);
@@ -335,18 +378,27 @@
 		return [...this.#engines.values()].filter(({info}) => info.service === request.service && !request.excluded.includes(info.server));
 	}
 
-	#evaluatePrefill(engine: EngineState, request: PlacementRequest, healthyEngines: readonly EngineState[], {nowMs, isLate}: {nowMs: number; isLate: boolean}): PrefillOption {
-		const plan = planPrefill(engine, request, healthyEngines);
+	/** Evaluates an engine that would prefill for a runner. */
+	#evaluateReader(engine: EngineState, evaluation: Evaluation): PrefillOption {
+		const option = this.#evaluatePrefill(engine, evaluation);
+		return {...option, costMs: option.costMs + estimateFailureCostMs(engine, evaluation.nowMs)};
+	}
+
+	/** Evaluates an engine that would prefill and decode. */
+	#evaluateDirect(engine: EngineState, evaluation: Evaluation): PrefillOption {
+		const option = this.#evaluatePrefill(engine, evaluation);
+		const interferenceMs = option.plan.workMs * (1 + (engine.runningCount * INTERFERENCE_WEIGHT));
+		return {...option, costMs: option.costMs + interferenceMs + this.#estimateRunCostMs(engine, evaluation.request, evaluation.nowMs)};
+	}
+
+	#evaluatePrefill(engine: EngineState, {request, fetchSources, priority, nowMs}: Evaluation): PrefillOption {
+		const plan = planPrefill(engine, request, fetchSources, this.#weights);
 		const networkMs = engine.info.dataCentre === request.dataCentre ? 0 : CROSS_DATA_CENTRE_MS;
-		const priority = isLate ? LATE_PRIORITY : request.priority;
 		const prefilledMs = engine.overheadMs + engine.waitMs(priority, nowMs) + plan.workMs + networkMs;
 		const overtakingMs = engine.countLowerPriority(priority, nowMs) * plan.workMs * OVERTAKING_WEIGHT;
-		const interference = 1 + (engine.runningCount * INTERFERENCE_WEIGHT);
-		const additionalCostMs = engine.info.role === ENGINE_ROLES.prefill
-			? estimateFailureCostMs(engine, nowMs)
-			: (plan.workMs * interference) + this.#estimateRunCostMs(engine, request, nowMs);
+		const resourceMs = plan.moveCostMs + estimateSendCostMs(request, engine.info, this.#weights);
 		return {
-			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + additionalCostMs,
+			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + resourceMs,
 		};
 	}
 
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -61,7 +61,7 @@
 		const [host] = this.#rankHosts(request.service);
 		if (host !== undefined) {
 			const decision = await this.#query(host, request.id, {
-				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded],
+				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
 			if (decision) {
 				this.#schedulerHosts.set(request.id, host);
@@ -78,7 +78,7 @@
 		const host = this.#schedulerHosts.get(request.id);
 		if (host !== undefined && host !== SELF) {
 			const decision = await this.#query(host, request.id, {
-				type: 'milestone', id: request.id, stage: MILESTONES.read, server: reader,
+				type: 'milestone', id: request.id, stage: MILESTONES.read, server: reader, connected: [...request.connected],
 			});
 			if (decision) {
 				return {decision, by: host};
@@ -119,7 +119,7 @@
 		}
 
 		if (host === SELF || host === undefined) {
-			this.#localScheduler.recordMilestone(id, milestone, server, this.#clock.monotonicMs());
+			this.#localScheduler.recordMilestone(id, milestone, {server}, this.#clock.monotonicMs());
 			return;
 		}
 
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -120,9 +120,12 @@
 		caller.fail(outcome?.type === 'notExecuted' ? createProblem('notStarted', undefined, REFUSED_RETRY_SECONDS) : createNoServerProblem(this.#call));
 	}
 
-	/** Selects the server with the lowest load for its capacity; between equals, one in this data centre. */
+	/**
+	 * Selects the server with the lowest load for its capacity; between similar ones, one with an idle connection, then one
+	 * in this data centre.
+	 */
 	#selectServer(): Announcement | undefined {
-		const {clock, health, listServers, loadTracker, random, dataCentre} = this.#context;
+		const {clock, health, listServers, loadTracker, random, dataCentre, upstream} = this.#context;
 		const nowMs = clock.monotonicMs();
 		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server));
 		const healthy = all.filter(server => !health.isSuspected(server.server, nowMs));
@@ -130,7 +133,8 @@
 		let lowest = Number.POSITIVE_INFINITY;
 		for (const server of healthy.length > 0 ? healthy : all) {
 			const load = loadTracker.estimate(server.server).requests / (server.capacity ?? 1);
-			const score = load + (server.dataCentre === dataCentre ? 0 : LOCALITY_WEIGHT) + (random() * LOCALITY_WEIGHT);
+			const connectionCost = upstream.hasIdleConnection(server) ? 0 : CONNECTION_WEIGHT;
+			const score = load + connectionCost + (server.dataCentre === dataCentre ? 0 : LOCALITY_WEIGHT) + (random() * LOCALITY_WEIGHT);
 			if (score < lowest) {
 				lowest = score;
 				chosen = server;
@@ -230,6 +234,9 @@
  */
 const LOCALITY_WEIGHT = 0.02;
 
+/** Weight of a new connection relative to load. Below 1, a server with an idle connection is left before it is full. */
+const CONNECTION_WEIGHT = 0.4;
+
 function isServerError({status}: ResponseHead): boolean {
 	return status >= 500;
 }
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -168,6 +168,8 @@
 			id: head.id,
 			service,
 			dataCentre: this.#context.dataCentre,
+			bodyBytes: this.#call.body?.length ?? 0,
+			connected: this.#context.listServers().filter(server => this.#context.upstream.hasIdleConnection(server)).map(({server}) => server),
 			parts: this.#prompt.parts,
 			promptTokens: this.#prompt.promptTokens,
 			outputTokens: this.#prompt.outputTokens,
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -83,6 +83,11 @@
 		return exchange;
 	}
 
+	/** Whether a request to a server can be sent on an open connection. */
+	hasIdleConnection({address, port}: Address): boolean {
+		return (this.#pools.get(`${address}:${port}`)?.stats.free ?? 0) > 0;
+	}
+
 	/** Closes the connections to a server that no longer exists. */
 	closeServer({address, port}: Address): void {
 		const key = `${address}:${port}`;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,7 +5,7 @@
 import {PlacementClient, SELF} from '../src/serving/placement.js';
 
 const REQUEST: PlacementRequest = {
-	id: 'r1', service: 'llm', dataCentre: 'x', parts: [], promptTokens: 1000, outputTokens: 10, priority: 0, objectiveMs: 600, patienceMs: 2400, excluded: [],
+	id: 'r1', service: 'llm', dataCentre: 'x', parts: [], promptTokens: 1000, outputTokens: 10, priority: 0, objectiveMs: 600, patienceMs: 2400, excluded: [], bodyBytes: 0, connected: [],
 };
 
 test('all entry hosts query the same scheduler host and copy the placement to the same backup host', async () => {
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -9,9 +9,9 @@
 	const scheduler = createScheduler();
 	const first = scheduler.place(createRequest({id: 'a'}), 0);
 	assert.ok(first.type === 'assignment' && first.reader !== undefined && first.runner === undefined);
-	const run = scheduler.recordMilestone('a', 'read', first.reader, 200);
+	const run = scheduler.recordMilestone('a', 'read', {server: first.reader}, 200);
 	assert.ok(run?.type === 'assignment' && run.runner?.startsWith('decode') === true);
-	const second = scheduler.place(createRequest({id: 'b'}), 300);
+	const second = scheduler.place(createTopicRequest('b'), 300);
 	assert.ok(second.type === 'assignment');
 	assert.equal(second.reader, first.reader);
 	assert.equal(second.source, undefined);
@@ -20,10 +20,10 @@
 test('an idle prefill engine fetches a shared part from a busy one that has it cached', () => {
 	const scheduler = createScheduler();
 	const first = scheduler.place(createRequest({id: 'a'}), 0);
-	scheduler.recordMilestone('a', 'read', getReader(first), 200);
+	scheduler.recordMilestone('a', 'read', {server: getReader(first)}, 200);
 	// The engine with the cached part has a long queue, so a later request goes elsewhere and fetches the part.
-	const busy = Array.from({length: 6}, (_, index) => scheduler.place(createRequest({id: `b${index}`, parts: [{key: 'topic', tokens: 13_000}, {key: `own-${index}`, tokens: 3000}]}), 201));
-	const moved = busy.find(decision => decision.type === 'assignment' && decision.reader !== getReader(first));
+	const busy = Array.from({length: 10}, (_, index) => scheduler.place(createTopicRequest(`b${index}`), 201));
+	const moved = busy.find(decision => getReader(decision) !== undefined && getReader(decision) !== getReader(first));
 	assert.ok(moved?.type === 'assignment');
 	assert.equal(moved.source, getReader(first));
 });
@@ -31,11 +31,11 @@
 test('an engine that refused a request is avoided briefly, one that failed a request for longer', () => {
 	const scheduler = createScheduler();
 	const {runner} = scheduler.place(createShortRequest('a'), 0) as {runner: string};
-	scheduler.recordMilestone('a', 'refused', runner, 0);
+	scheduler.recordMilestone('a', 'refused', {server: runner}, 0);
 	assert.notEqual(getRunner(scheduler.place(createShortRequest('b'), 100)), runner);
-	scheduler.recordMilestone('b', 'done', undefined, 100);
+	scheduler.recordMilestone('b', 'done', {}, 100);
 	assert.equal(getRunner(scheduler.place(createShortRequest('c'), 500)), runner);
-	scheduler.recordMilestone('c', 'failed', runner, 500);
+	scheduler.recordMilestone('c', 'failed', {server: runner}, 500);
 	assert.notEqual(getRunner(scheduler.place(createShortRequest('d'), 1500)), runner);
 });
 
@@ -47,11 +47,11 @@
 		return {id, runner: getRunner(scheduler.place(createShortRequest(id), index))};
 	});
 	const placedAtFirst = placed.filter(({runner}) => runner === 'decode-1');
-	scheduler.recordMilestone(placedAtFirst[0]!.id, 'failed', 'decode-1', 100);
+	scheduler.recordMilestone(placedAtFirst[0]!.id, 'failed', {server: 'decode-1'}, 100);
 	assert.equal(getRunner(scheduler.place(createShortRequest('b'), 110)), 'decode-2');
 	for (const {id} of placedAtFirst.slice(1)) {
-		scheduler.recordMilestone(id, 'first', undefined, 150);
-		scheduler.recordMilestone(id, 'done', undefined, 300);
+		scheduler.recordMilestone(id, 'first', {}, 150);
+		scheduler.recordMilestone(id, 'done', {}, 300);
 	}
 
 	const next = Array.from({length: 40}, (_, index) => getRunner(scheduler.place(createLongRequest(`c${index}`, 900), 310)));
@@ -65,12 +65,12 @@
 	let failed = 0;
 	for (let index = 0; index < 200; index++) {
 		const nowMs = index * 20;
-		scheduler.recordMilestone(`a${index - 40}`, 'done', undefined, nowMs);
+		scheduler.recordMilestone(`a${index - 40}`, 'done', {}, nowMs);
 		while (failing[0] && failing[0].atMs <= nowMs) {
 			const {id} = failing.shift()!;
 			// The early first event counts as progress.
-			scheduler.recordMilestone(id, 'first', undefined, nowMs);
-			scheduler.recordMilestone(id, 'failed', 'bad', nowMs);
+			scheduler.recordMilestone(id, 'first', {}, nowMs);
+			scheduler.recordMilestone(id, 'failed', {server: 'bad'}, nowMs);
 		}
 
 		const id = `a${index}`;
@@ -88,7 +88,7 @@
 	const scheduler = new Scheduler();
 	scheduler.updateEngines([createEngine('decode-1', 'decode', 'x')]);
 	scheduler.place(createShortRequest('a'), 0);
-	scheduler.recordMilestone('a', 'failed', 'decode-1', 0);
+	scheduler.recordMilestone('a', 'failed', {server: 'decode-1'}, 0);
 	assert.equal(getRunner(scheduler.place(createShortRequest('b'), 10)), 'decode-1');
 });
 
@@ -109,7 +109,7 @@
 test('the cache of a restarted engine is empty', () => {
 	const scheduler = createScheduler();
 	const first = scheduler.place(createRequest({id: 'a'}), 0);
-	scheduler.recordMilestone('a', 'read', getReader(first), 200);
+	scheduler.recordMilestone('a', 'read', {server: getReader(first)}, 200);
 	scheduler.updateEngines(ENGINES.map(info => ({...info, incarnation: 2})));
 	const second = scheduler.place(createRequest({id: 'b'}), 300);
 	assert.ok(second.type === 'assignment');
@@ -147,18 +147,18 @@
 	const scheduler = createScheduler();
 	const silent = getReader(scheduler.place(createRequest({id: 'a', patienceMs: 5000}), 0));
 	assert.notEqual(getReader(scheduler.place(createRequest({id: 'b'}), 3000)), silent);
-	scheduler.recordMilestone('a', 'read', silent, 3100);
-	assert.equal(getReader(scheduler.place(createRequest({id: 'c'}), 3200)), silent);
+	scheduler.recordMilestone('a', 'read', {server: silent}, 3100);
+	assert.equal(getReader(scheduler.place(createTopicRequest('c'), 3200)), silent);
 });
 
 test('a scheduler that takes over knows the caches of the engines', () => {
 	const [first, next] = [createScheduler(), createScheduler()];
 	const offer = createRequest({id: 'a'});
 	const reader = getReader(first.place(offer, 0));
-	const run = first.recordMilestone('a', 'read', reader, 200);
+	const run = first.recordMilestone('a', 'read', {server: reader}, 200);
 	assert.ok(run?.type === 'assignment');
 	next.recordPlacement(offer, reader, run.runner!, 200);
-	const second = next.place(createRequest({id: 'b', parts: [{key: 'topic', tokens: 13_000}, {key: 'own-b', tokens: 3000}]}), 300);
+	const second = next.place(createTopicRequest('b'), 300);
 	assert.equal(getReader(second), reader);
 	assert.equal(second.type === 'assignment' && second.cachedTokens, 13_000);
 });
@@ -217,10 +217,15 @@
 
 function createRequest(fields: Partial<PlacementRequest>): PlacementRequest {
 	return {
-		id: 'a', service: 'llm', dataCentre: 'x', parts: [{key: 'topic', tokens: 13_000}, {key: 'own', tokens: 3000}], promptTokens: 16_000, outputTokens: 80, priority: 2, objectiveMs: 600, patienceMs: 2400, excluded: [], ...fields,
+		id: 'a', service: 'llm', dataCentre: 'x', parts: [{key: 'topic', tokens: 13_000}, {key: 'own', tokens: 3000}], promptTokens: 16_000, outputTokens: 80, priority: 2, objectiveMs: 600, patienceMs: 2400, excluded: [], bodyBytes: 0, connected: ENGINES.map(({server}) => server), ...fields,
 	};
 }
 
+/** A long prompt that shares its first part with all others of its kind. */
+function createTopicRequest(id: string): PlacementRequest {
+	return createRequest({id, parts: [{key: 'topic', tokens: 13_000}, {key: `own-${id}`, tokens: 3000}]});
+}
+
 function createShortRequest(id: string): PlacementRequest {
 	return createRequest({id, parts: [{key: `own-${id}`, tokens: 100}], promptTokens: 100});
 }
