Scheduler: prefills cost others by the engine's utilisation

Cause: a prefill at a decode engine was charged twice its time whatever the load, so that 87 of 100 streams were handed off and paid for a second call, a second body and a KV transfer on idle fleets.

--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -67,6 +67,8 @@
  * its rate.
  */
 const FAILURE_HALF_LIFE_MS = 3000;
+/** Time constant of the moving average of an engine's utilisation. */
+const UTILISATION_WINDOW_MS = 2000;
 /** An engine is presumed unreachable if it has reported no progress for this long and work is overdue by as much. */
 const SILENCE_MS = 600;
 
@@ -87,6 +89,8 @@
 	/** Moving average of the measured prefill time divided by the estimated one. */
 	#slowdown = 1;
 	#overheadMs = INITIAL_OVERHEAD_MS;
+	#assignedWorkMs = 0;
+	#assignedAtMs = 0;
 
 	constructor(info: EngineInfo) {
 		this.info = info;
@@ -121,6 +125,11 @@
 		return this.#failureRate * (0.5 ** ((nowMs - this.#lastOutcomeMs) / FAILURE_HALF_LIFE_MS));
 	}
 
+	/** Prefill work assigned lately as a share of the engine's time; above 1 if it cannot keep up. */
+	utilisation(nowMs: number): number {
+		return this.#assignedWorkMs * Math.exp((this.#assignedAtMs - nowMs) / UTILISATION_WINDOW_MS) / UTILISATION_WINDOW_MS;
+	}
+
 	/** Marks the engine as suspected until a time, or until it reports progress. */
 	suspect(untilMs: number, nowMs: number): void {
 		this.#suspectedAtMs = nowMs;
@@ -184,6 +193,8 @@
 	/** Records that the engine was assigned the prefill of a prompt. */
 	startPrefill(id: string, size: RequestSize, task: PrefillTask, nowMs: number): void {
 		this.#prefillQueue.add(id, task, nowMs);
+		this.#assignedWorkMs = (this.utilisation(nowMs) * UTILISATION_WINDOW_MS) + task.workMs;
+		this.#assignedAtMs = nowMs;
 		const missing = size.parts.filter(({key}) => !this.#cache.has(key)).map(({key}) => key);
 		this.#pendingParts.set(id, new Set(missing));
 		this.#cache.record(size.parts, this.info.kvTokens - this.#contextTokens);
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -387,7 +387,7 @@
 	/** Evaluates an engine that would prefill and decode. */
 	#evaluateDirect(engine: EngineState, evaluation: Evaluation): PrefillOption {
 		const option = this.#evaluatePrefill(engine, evaluation);
-		const interferenceMs = option.plan.workMs * (1 + (engine.runningCount * INTERFERENCE_WEIGHT));
+		const interferenceMs = option.plan.workMs * engine.runningCount * INTERFERENCE_WEIGHT;
 		return {...option, costMs: option.costMs + interferenceMs + this.#estimateRunCostMs(engine, evaluation.request, evaluation.nowMs)};
 	}
 
@@ -396,9 +396,10 @@
 		const networkMs = engine.info.dataCentre === request.dataCentre ? 0 : CROSS_DATA_CENTRE_MS;
 		const prefilledMs = engine.overheadMs + engine.waitMs(priority, nowMs) + plan.workMs + networkMs;
 		const overtakingMs = engine.countLowerPriority(priority, nowMs) * plan.workMs * OVERTAKING_WEIGHT;
+		const displacementMs = plan.workMs * engine.utilisation(nowMs);
 		const resourceMs = plan.moveCostMs + estimateSendCostMs(request, engine.info, this.#weights);
 		return {
-			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + resourceMs,
+			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + displacementMs + resourceMs,
 		};
 	}
 
