--- /dev/null
+++ b/deploy/start.cjs
@@ -0,0 +1,18 @@
+/** Starts the bundle beside this file with the code that `compile.js` compiled for the flags of this process. */
+'use strict';
+const fs = require('node:fs');
+const path = require('node:path');
+const process = require('node:process');
+const vm = require('node:vm');
+
+const filename = path.join(__dirname, 'carawayhoist-bundle.cjs');
+let cachedData;
+try {
+	cachedData = fs.readFileSync(`${filename}${process.execArgv.join('')}.cache`);
+} catch (error) {
+	// Without it, or if V8 does not accept it, the bundle is compiled again: this takes longer and has the same result.
+	process.stderr.write(`No compiled code: ${error.message}\n`);
+}
+
+const source = `(function (exports, require, module, __filename, __dirname) {${fs.readFileSync(filename, 'utf8')}\n})`;
+new vm.Script(source, {filename, cachedData}).runInThisContext()(exports, require, module, filename, __dirname);
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -26,6 +26,24 @@
 	await assert.rejects(run, (error: {code?: number; stderr?: string}) => error.code === 2 && (error.stderr ?? '').includes('/host is required'));
 });
 
+test('the program starts with compiled code, and compiles the bundle again if that code is damaged', async () => {
+	const flags = ['--max-old-space-size=140'];
+	const runProgram = async () => {
+		const run = promisify(execFile)(process.execPath, [...flags, PROGRAM], {env: {[SETTINGS_VARIABLE]: path.join(ROOT, 'package.json')}});
+		const failure = await run.catch((error: unknown) => error as {code?: number; stderr?: string});
+		return failure.stderr ?? '';
+	};
+
+	const cacheFile = path.join(ROOT, `target/carawayhoist-bundle.cjs${flags.join('')}.cache`);
+	await rm(cacheFile, {force: true});
+	assert.match(await runProgram(), /No compiled code[\s\S]*\/host is required/v);
+	await promisify(execFile)(process.execPath, [...flags, 'deploy/compile.js'], {cwd: ROOT});
+	assert.doesNotMatch(await runProgram(), /No compiled code/v);
+	await writeFile(cacheFile, 'damaged');
+	assert.match(await runProgram(), /\/host is required/v);
+	await rm(cacheFile);
+});
+
 test('an entry host contacts control hosts added to its settings, with and without SIGHUP, and exits with 0 on SIGTERM', async t => {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'program-'));
 	const file = path.join(folder, 'settings.json');
