Scheduler: learn the speed of each pool in place of one deployment's figures

Cause: src/routing/engine.ts held the figures of one kind of engine (93 tokens/ms, steps of 3.29 ms, 80 ms of overhead). Change: src/routing/speed.ts estimates overhead, time per token, attention, step and chunk size of each role of a pool by regression from a prior that fits no deployment; each engine keeps its slowdown against the pool; slow engines don't count for the pool. Transfer times come from the published size of the KV cache and link. Weights of resources are shares of the route's objective.

--- a/src/routing/cost.ts
+++ b/src/routing/cost.ts
@@ -8,21 +8,24 @@
  * @module
  */
 
-/** Weights of the resources that a placement uses. */
+/**
+ * Weights of the resources that a placement uses, as shares of the request's latency objective: a route with a tight
+ * objective spends less of it to save them.
+ */
 export type ResourceWeights = {
-	/** Cost of a new connection to an engine, milliseconds. */
-	readonly connectionMs: number;
-	/** Cost of sending a kilobyte to another data centre, milliseconds. */
-	readonly remoteKilobyteMs: number;
-	/** Cost of moving the KV cache of a thousand tokens within a data centre, milliseconds. */
-	readonly movedKilotokenMs: number;
+	/** Weight of a new connection to an engine. */
+	readonly connection: number;
+	/** Weight of a kilobyte sent to another data centre. */
+	readonly remoteKilobyte: number;
+	/** Weight of a gigabyte of KV cache moved within a data centre. */
+	readonly movedGigabyte: number;
 };
 
 /**
- * Default weights. A connection occupies the accept queue of an engine that all hosts share, and is worth about a tenth
- * of an objective of 600 ms. A kilobyte between data centres and a thousand moved tokens are worth two round trips.
+ * Default weights. A tenth of the objective for a connection leaves the other nine for queueing and prefill. A prompt
+ * of some ten kilobytes sent to another data centre, or its cache of a gigabyte or two moved, counts about half as much.
  */
-export const DEFAULT_RESOURCE_WEIGHTS: ResourceWeights = {connectionMs: 60, remoteKilobyteMs: 2, movedKilotokenMs: 2};
+export const DEFAULT_RESOURCE_WEIGHTS: ResourceWeights = {connection: 0.1, remoteKilobyte: 0.0033, movedGigabyte: 0.025};
 
 /** Factor by which moving KV cache to another data centre costs more. */
 const REMOTE_MOVE_FACTOR = 2;
@@ -31,6 +34,8 @@
 export type RequestOrigin = {
 	readonly dataCentre: string;
 	readonly bodyBytes: number;
+	/** Remaining time until the first event is late, milliseconds. */
+	readonly objectiveMs: number;
 	/** Engines to which the entry host has an idle connection. */
 	readonly connected: readonly string[];
 };
@@ -46,25 +51,32 @@
  *
  * @example
  * ```ts
- * estimateSendCostMs({dataCentre: 'a', bodyBytes: 9000, connected: []}, {server: 'e1', dataCentre: 'b'}); // 78
+ * estimateSendCostMs({dataCentre: 'a', bodyBytes: 9000, objectiveMs: 600, connected: []}, {server: 'e1', dataCentre: 'b'}); // 77.8
  * ```
  */
-export function estimateSendCostMs({dataCentre, bodyBytes, connected}: RequestOrigin, engine: EngineLocation, weights: ResourceWeights = DEFAULT_RESOURCE_WEIGHTS): number {
-	const connectionMs = connected.includes(engine.server) ? 0 : weights.connectionMs;
-	const remoteMs = engine.dataCentre === dataCentre ? 0 : bodyBytes / 1000 * weights.remoteKilobyteMs;
-	return connectionMs + remoteMs;
+export function estimateSendCostMs({dataCentre, bodyBytes, objectiveMs, connected}: RequestOrigin, engine: EngineLocation, weights: ResourceWeights = DEFAULT_RESOURCE_WEIGHTS): number {
+	const connectionShare = connected.includes(engine.server) ? 0 : weights.connection;
+	const remoteShare = engine.dataCentre === dataCentre ? 0 : bodyBytes / 1000 * weights.remoteKilobyte;
+	return (connectionShare + remoteShare) * objectiveMs;
 }
 
+/** A transfer of KV cache between two engines. */
+export type Move = {
+	readonly bytes: number;
+	/** Data centre of the source; undefined if it is not known. */
+	readonly from: string | undefined;
+	readonly to: string;
+};
+
 /**
- * Estimates the cost of moving KV cache between two engines, milliseconds; the duration of the transfer is not included.
+ * Estimates the cost of moving KV cache, milliseconds; the duration of the transfer is not included.
  *
- * @param from - Data centre of the source; undefined if it is not known.
  * @example
  * ```ts
- * estimateMoveCostMs(17_000, 'a', 'b'); // 68
+ * estimateMoveCostMs({bytes: 2_000_000_000, from: 'a', to: 'b'}, 600); // 60
  * ```
  */
-export function estimateMoveCostMs(tokens: number, from: string | undefined, to: string, weights: ResourceWeights = DEFAULT_RESOURCE_WEIGHTS): number {
+export function estimateMoveCostMs({bytes, from, to}: Move, objectiveMs: number, weights: ResourceWeights = DEFAULT_RESOURCE_WEIGHTS): number {
 	const factor = from === undefined || from === to ? 1 : REMOTE_MOVE_FACTOR;
-	return tokens / 1000 * weights.movedKilotokenMs * factor;
+	return bytes / 1_000_000_000 * weights.movedGigabyte * factor * objectiveMs;
 }
--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -5,7 +5,8 @@
  */
 import {ENGINE_ROLES, type EngineRole} from './choice.js';
 import {KvCacheModel, type PromptPart} from './kvcache.js';
-import {PrefillQueue, type PrefillReport, type PrefillTask} from './queue.js';
+import {PrefillQueue, type PrefillReport} from './queue.js';
+import type {PoolSpeed, PrefillModel, PrefillSize} from './speed.js';
 
 /** Identity and configuration of an engine. */
 export type EngineInfo = {
@@ -18,6 +19,19 @@
 	readonly slots: number;
 	/** Capacity of the KV cache, tokens. */
 	readonly kvTokens: number;
+	readonly kvBytesPerToken: number;
+	/** Bandwidth of the link over which engines transfer KV cache, megabits per second. */
+	readonly linkMbps: number;
+};
+
+/** A prefill that an engine is assigned. */
+export type PrefillAssignment = PrefillSize & {
+	/** Estimated time that the engine is busy with it, including the fetch, milliseconds. */
+	readonly workMs: number;
+	/** Estimated time to fetch shared parts from another engine, milliseconds. */
+	readonly fetchMs: number;
+	/** 0 is the most urgent. */
+	readonly priority: number;
 };
 
 /** Prompt and maximum output of a request. */
@@ -34,30 +48,14 @@
 	dueMs: number | undefined;
 };
 
-/** Prefill speed until it is measured, tokens per millisecond; as specified by the users. */
-const PREFILL_TOKENS_PER_MS = 93;
-/** Time for attention, milliseconds per million pairs of tokens; observed on the users' servers. */
-const ATTENTION_MS_PER_MILLION_PAIRS = 0.442;
-/** Prompt tokens that an engine prefills in one step; as specified by the users. */
-const CHUNK_TOKENS = 1024;
-/** A decode engine prefills at half the speed, and a quarter as many tokens per step. */
-const DECODE_ENGINE_PREFILL_FACTOR = 2;
-const DECODE_ENGINE_CHUNK_FACTOR = 4;
-/**
- * Base duration of a step, and the time that each thousand context tokens of running requests add; as specified by the
- * users.
- */
-const STEP_MS = 3.29;
-const STEP_MS_PER_THOUSAND_TOKENS = 0.0262;
-/** Part of a request's latency that does not occupy the engine, until it is measured. */
-const INITIAL_OVERHEAD_MS = 80;
-/** Below this prefill time, the duration of a prefill is used to measure the overhead instead of the speed. */
-const SMALL_WORK_MS = 40;
-const OVERHEAD_WEIGHT = 0.05;
-/** Bounds of the measured slowdown, and the weight of one measurement in its moving average. */
-const MAX_SLOWDOWN = 6;
-const MIN_SLOWDOWN = 0.7;
-const SLOWDOWN_WEIGHT = 0.08;
+/** Weight of one measurement in the moving average of an engine's slowdown, and its bounds. */
+const SLOWDOWN_WEIGHT = 0.1;
+const MIN_SLOWDOWN = 0.25;
+const MAX_SLOWDOWN = 8;
+/** A prefill shorter than this multiple of the overhead does not show how slow an engine is. */
+const MIN_WORK_FACTOR = 0.5;
+/** An engine that is slower than the pool by more than this factor does not represent it. */
+const SLOW_ENGINE_FACTOR = 1.5;
 /** Progress that is reported within this time after a failure was already in transit and does not clear the suspicion. */
 const TRANSIT_MS = 30;
 /** Weight of one outcome in the moving average of the failure rate. */
@@ -86,14 +84,17 @@
 	#failureRate = 0;
 	#lastOutcomeMs = 0;
 	#lastProgressMs = Number.NEGATIVE_INFINITY;
-	/** Moving average of the measured prefill time divided by the estimated one. */
+	readonly #prefills = new Map<string, PrefillAssignment>();
+	readonly #speed: PoolSpeed;
+	/** Moving average of the measured prefill time divided by the pool's. */
 	#slowdown = 1;
-	#overheadMs = INITIAL_OVERHEAD_MS;
 	#assignedWorkMs = 0;
 	#assignedAtMs = 0;
 
-	constructor(info: EngineInfo) {
+	/** @param speed - Learnt speeds of the engine's pool, to which the measurements of this engine contribute. */
+	constructor(info: EngineInfo, speed: PoolSpeed) {
 		this.info = info;
+		this.#speed = speed;
 	}
 
 	get runningCount(): number {
@@ -107,17 +108,16 @@
 
 	/** Time to the first token in addition to queueing and prefill, milliseconds. */
 	get overheadMs(): number {
-		return this.#overheadMs;
+		return this.#model.coefficients.overheadMs;
 	}
 
-	/** Duration of one step with the current running requests, milliseconds. */
-	get stepMs(): number {
-		return STEP_MS + this.contextStepMs(0);
+	/** Learnt speeds of the engine's pool. */
+	get speed(): PoolSpeed {
+		return this.#speed;
 	}
 
-	/** Part of a step's duration that is due to the context of the running requests and `extraTokens`, milliseconds. */
-	contextStepMs(extraTokens: number): number {
-		return (this.#contextTokens + extraTokens) / 1000 * STEP_MS_PER_THOUSAND_TOKENS;
+	get #model(): PrefillModel {
+		return this.info.role === ENGINE_ROLES.prefill ? this.#speed.prefill : this.#speed.decodePrefill;
 	}
 
 	/** Failure rate of recent requests, decayed by the time since the last outcome. */
@@ -171,13 +171,7 @@
 	 * @param cachedTokens - Leading tokens that are in the cache or are fetched into it.
 	 */
 	prefillMs({promptTokens}: Pick<RequestSize, 'promptTokens'>, cachedTokens: number): number {
-		const uncachedTokens = Math.max(1, promptTokens - cachedTokens);
-		if (this.info.role === ENGINE_ROLES.prefill) {
-			return estimatePrefillMs(uncachedTokens, cachedTokens) * this.#slowdown;
-		}
-
-		const steps = Math.ceil(uncachedTokens / (CHUNK_TOKENS / DECODE_ENGINE_CHUNK_FACTOR));
-		return ((estimateComputeMs(uncachedTokens, cachedTokens) * DECODE_ENGINE_PREFILL_FACTOR) + (steps * this.stepMs)) * this.#slowdown;
+		return this.#model.estimateMs({uncachedTokens: Math.max(1, promptTokens - cachedTokens), cachedTokens}) * this.#slowdown;
 	}
 
 	/** Time until the prefill of a new prompt with the given priority would start, milliseconds. */
@@ -191,7 +185,8 @@
 	}
 
 	/** Records that the engine was assigned the prefill of a prompt. */
-	startPrefill(id: string, size: RequestSize, task: PrefillTask, nowMs: number): void {
+	startPrefill(id: string, size: RequestSize, task: PrefillAssignment, nowMs: number): void {
+		this.#prefills.set(id, task);
 		this.#prefillQueue.add(id, task, nowMs);
 		this.#assignedWorkMs = (this.utilisation(nowMs) * UTILISATION_WINDOW_MS) + task.workMs;
 		this.#assignedAtMs = nowMs;
@@ -209,9 +204,11 @@
 	completePrefill(id: string, nowMs: number): void {
 		this.#lastProgressMs = nowMs;
 		this.#pendingParts.delete(id);
-		const report = this.#prefillQueue.complete(id, nowMs - this.#overheadMs);
-		if (report) {
-			this.#updateSpeed(report);
+		const report = this.#prefillQueue.complete(id, nowMs - this.overheadMs);
+		const assignment = this.#prefills.get(id);
+		this.#prefills.delete(id);
+		if (report && assignment) {
+			this.#updateSpeed(report, assignment);
 		}
 	}
 
@@ -239,6 +236,7 @@
 	/** Removes a request that has ended, failed or was reassigned. */
 	endRequest(id: string, nowMs: number): void {
 		this.#prefillQueue.remove(id, nowMs);
+		this.#prefills.delete(id);
 		this.#cache.remove(this.#pendingParts.get(id) ?? []);
 		this.#pendingParts.delete(id);
 		this.#contextTokens -= this.#running.get(id)?.tokens ?? 0;
@@ -255,15 +253,21 @@
 		return false;
 	}
 
-	#updateSpeed({busyMs, workMs, totalMs, wasIdle}: PrefillReport): void {
-		if (workMs < SMALL_WORK_MS) {
-			const overheadMs = Math.max(0, totalMs + this.#overheadMs - workMs);
-			this.#overheadMs += wasIdle ? (overheadMs - this.#overheadMs) * OVERHEAD_WEIGHT : 0;
-			return;
+	/** Updates the slowdown of this engine and, unless it is slower than the others, the speed of the pool. */
+	#updateSpeed({busyMs, totalMs, wasQueued}: PrefillReport, {uncachedTokens, cachedTokens, fetchMs}: PrefillAssignment): void {
+		const size = {uncachedTokens, cachedTokens};
+		const {overheadMs} = this;
+		const workMs = (wasQueued ? busyMs : totalMs) - fetchMs;
+		const expectedMs = this.#model.estimateMs(size);
+		if (expectedMs > overheadMs * MIN_WORK_FACTOR && workMs > 0) {
+			const ratio = workMs / expectedMs;
+			this.#slowdown += (Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, ratio)) - this.#slowdown) * SLOWDOWN_WEIGHT;
+			this.#speed.recordRatio(ratio);
 		}
 
-		const measured = (busyMs / workMs) * this.#slowdown;
-		this.#slowdown += (Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, measured)) - this.#slowdown) * SLOWDOWN_WEIGHT;
+		if (this.#slowdown < this.#speed.medianRatio * SLOW_ENGINE_FACTOR) {
+			this.#model.record({...size, includesOverhead: !wasQueued, elapsedMs: wasQueued ? workMs : workMs + overheadMs});
+		}
 	}
 
 	#isSilent(nowMs: number): boolean {
@@ -271,7 +275,7 @@
 			return false;
 		}
 
-		if (this.#prefillQueue.overdueMs(nowMs - this.#overheadMs) > SILENCE_MS) {
+		if (this.#prefillQueue.overdueMs(nowMs - this.overheadMs) > SILENCE_MS) {
 			return true;
 		}
 
@@ -284,22 +288,3 @@
 		return false;
 	}
 }
-
-/**
- * Estimates how long a prefill engine of nominal speed is busy with a prompt, milliseconds.
- *
- * @param uncachedTokens - Tokens to prefill.
- * @param contextTokens - Tokens before them that are in the cache.
- * @example
- * ```ts
- * estimatePrefillMs(9300, 0); // 100 ms for the tokens, 19 ms of attention, 10 steps of 3.29 ms
- * ```
- */
-export function estimatePrefillMs(uncachedTokens: number, contextTokens: number): number {
-	return estimateComputeMs(uncachedTokens, contextTokens) + (Math.ceil(uncachedTokens / CHUNK_TOKENS) * STEP_MS);
-}
-
-function estimateComputeMs(uncachedTokens: number, contextTokens: number): number {
-	const pairs = uncachedTokens * (contextTokens + (uncachedTokens / 2));
-	return (uncachedTokens / PREFILL_TOKENS_PER_MS) + (pairs / 1_000_000 * ATTENTION_MS_PER_MILLION_PAIRS);
-}
--- a/src/routing/prefill.ts
+++ b/src/routing/prefill.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import {estimateMoveCostMs, type ResourceWeights} from './cost.js';
-import {estimatePrefillMs, type EngineState, type RequestSize} from './engine.js';
+import {estimateMoveCostMs, type RequestOrigin, type ResourceWeights} from './cost.js';
+import type {EngineInfo, EngineState, RequestSize} from './engine.js';
 
 /** How an engine would prefill a prompt. */
 export type PrefillPlan = {
@@ -16,6 +16,8 @@
 	readonly evictionCostMs: number;
 	/** Engine from which shared parts are fetched; undefined without a fetch. */
 	readonly source: string | undefined;
+	/** Time of the fetch, milliseconds. */
+	readonly fetchMs: number;
 	/** Cost of the KV cache that is fetched, milliseconds. */
 	readonly moveCostMs: number;
 };
@@ -28,8 +30,6 @@
 	readonly tokens: number;
 };
 
-/** Time to transfer a thousand tokens of KV cache between two engines, milliseconds. */
-const TRANSFER_MS_PER_THOUSAND = 0.7;
 /** Factor by which a transfer to another data centre takes longer. */
 const CROSS_DATA_CENTRE_FACTOR = 2;
 /** Cost of evicting shared parts, as a share of the time to prefill them again. */
@@ -67,15 +67,15 @@
  * @example
  * ```ts
  * planPrefill(engine, request, listFetchSources(engines, request), weights);
- * // {workMs: 65, cachedTokens: 13300, evictionCostMs: 0, source: 'e3', moveCostMs: 27}
+ * // {workMs: 65, cachedTokens: 13300, evictionCostMs: 0, source: 'e3', fetchMs: 14, moveCostMs: 26}
  * ```
  */
-export function planPrefill(engine: EngineState, request: RequestSize, sources: readonly FetchSource[], weights: ResourceWeights): PrefillPlan {
+export function planPrefill(engine: EngineState, request: RequestSize & Pick<RequestOrigin, 'objectiveMs'>, sources: readonly FetchSource[], weights: ResourceWeights): PrefillPlan {
 	const cached = engine.countCached(request.parts);
 	const addedTokens = Math.max(0, countSharedTokens(request) - cached);
-	const evictionCostMs = estimatePrefillMs(engine.countEvictedShared(addedTokens), 0) * EVICTION_WEIGHT;
+	const evictionCostMs = engine.speed.prefill.estimateMs({uncachedTokens: engine.countEvictedShared(addedTokens), cachedTokens: 0}) * EVICTION_WEIGHT;
 	let plan: PrefillPlan = {
-		workMs: engine.prefillMs(request, cached), cachedTokens: cached, evictionCostMs, source: undefined, moveCostMs: 0,
+		workMs: engine.prefillMs(request, cached), cachedTokens: cached, evictionCostMs, source: undefined, fetchMs: 0, moveCostMs: 0,
 	};
 	for (const {server, dataCentre, tokens} of sources) {
 		const fetchedTokens = tokens - cached;
@@ -83,12 +83,12 @@
 			continue;
 		}
 
-		const fetchMs = FETCH_SETUP_MS + estimateTransferMs({promptTokens: fetchedTokens}, dataCentre, engine.info.dataCentre);
+		const fetchMs = FETCH_SETUP_MS + estimateTransferMs(fetchedTokens, dataCentre, engine.info);
 		const workMs = engine.prefillMs(request, tokens) + fetchMs;
-		const moveCostMs = estimateMoveCostMs(fetchedTokens, dataCentre, engine.info.dataCentre, weights);
+		const moveCostMs = estimateMoveCostMs({bytes: fetchedTokens * engine.info.kvBytesPerToken, from: dataCentre, to: engine.info.dataCentre}, request.objectiveMs, weights);
 		if (workMs + moveCostMs < plan.workMs + plan.moveCostMs) {
 			plan = {
-				workMs, cachedTokens: tokens, evictionCostMs, source: server, moveCostMs,
+				workMs, cachedTokens: tokens, evictionCostMs, source: server, fetchMs, moveCostMs,
 			};
 		}
 	}
@@ -102,15 +102,15 @@
 }
 
 /**
- * Estimates the time to transfer a prompt's KV cache between two engines, milliseconds.
+ * Estimates the time to transfer KV cache to an engine, milliseconds.
  *
  * @param from - Data centre of the source; undefined if it is not known.
  * @example
  * ```ts
- * estimateTransferMs({promptTokens: 17_000}, 'a', 'b'); // 23.8
+ * estimateTransferMs(17_000, 'a', {dataCentre: 'b', kvBytesPerToken: 131_072, linkMbps: 1_500_000}); // 23.8
  * ```
  */
-export function estimateTransferMs(request: Pick<RequestSize, 'promptTokens'>, from: string | undefined, to: string): number {
-	const factor = from === undefined || from === to ? 1 : CROSS_DATA_CENTRE_FACTOR;
-	return (request.promptTokens / 1000) * TRANSFER_MS_PER_THOUSAND * factor;
+export function estimateTransferMs(tokens: number, from: string | undefined, to: Pick<EngineInfo, 'dataCentre' | 'kvBytesPerToken' | 'linkMbps'>): number {
+	const factor = from === undefined || from === to.dataCentre ? 1 : CROSS_DATA_CENTRE_FACTOR;
+	return tokens * to.kvBytesPerToken * 8 / (to.linkMbps * 1000) * factor;
 }
--- a/src/routing/queue.ts
+++ b/src/routing/queue.ts
@@ -19,19 +19,16 @@
 export type PrefillReport = {
 	/** Time that the engine was busy with it, milliseconds. */
 	readonly busyMs: number;
-	/** Time that the engine was estimated to be busy with it, milliseconds. */
-	readonly workMs: number;
 	/** Time from its arrival to its completion, milliseconds. */
 	readonly totalMs: number;
-	/** Whether the queue was idle when it arrived. */
-	readonly wasIdle: boolean;
+	/** Whether the engine completed another prefill after its arrival. */
+	readonly wasQueued: boolean;
 };
 
 type QueuedPrompt = PrefillTask & {
 	readonly addedMs: number;
 	/** Completion time that was expected when it arrived. */
 	readonly dueMs: number;
-	readonly wasIdle: boolean;
 	/** Expected completion time once it has started; undefined while it waits. */
 	expectedEndMs: number | undefined;
 };
@@ -75,7 +72,7 @@
 	add(id: string, task: PrefillTask, nowMs: number): void {
 		const waitMs = this.waitMs(task.priority, nowMs);
 		this.#entries.set(id, {
-			...task, addedMs: nowMs, dueMs: nowMs + waitMs + task.workMs, wasIdle: waitMs === 0, expectedEndMs: undefined,
+			...task, addedMs: nowMs, dueMs: nowMs + waitMs + task.workMs, expectedEndMs: undefined,
 		});
 		this.#startDue(nowMs);
 	}
@@ -92,6 +89,7 @@
 		}
 
 		this.#entries.delete(id);
+		const wasQueued = this.#lastCompletedMs > entry.addedMs;
 		const startedMs = Math.max(this.#lastCompletedMs, entry.addedMs);
 		this.#lastCompletedMs = Math.max(this.#lastCompletedMs, atMs);
 		// Completions are reported in order, so no other waiting prompt can have started before this one completed.
@@ -100,9 +98,7 @@
 			other.expectedEndMs = undefined;
 		}
 
-		return {
-			busyMs: Math.max(0, atMs - startedMs), workMs: entry.workMs, totalMs: atMs - entry.addedMs, wasIdle: entry.wasIdle,
-		};
+		return {busyMs: Math.max(0, atMs - startedMs), totalMs: atMs - entry.addedMs, wasQueued};
 	}
 
 	/** Removes a prompt that will not be prefilled any more. */
--- a/src/routing/routes.ts
+++ b/src/routing/routes.ts
@@ -46,6 +46,9 @@
 	readonly slots: number;
 	/** Capacity of the KV cache, tokens. */
 	readonly kvTokens: number;
+	readonly kvBytesPerToken: number;
+	/** Bandwidth of the link over which engines transfer KV cache, megabits per second. */
+	readonly linkMbps: number;
 };
 
 export type ServiceSpec = {
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -17,6 +17,7 @@
 import {
 	estimateTransferMs, listFetchSources, planPrefill, type FetchSource, type PrefillPlan,
 } from './prefill.js';
+import {PoolSpeed} from './speed.js';
 
 /** A streamed request to be placed. */
 export type PlacementRequest = RequestOrigin & {
@@ -27,8 +28,6 @@
 	readonly outputTokens: number;
 	/** 0 is the most urgent. */
 	readonly priority: number;
-	/** Remaining time until the first event is late, milliseconds. */
-	readonly objectiveMs: number;
 	/** Remaining time until the caller gives up, milliseconds. */
 	readonly patienceMs: number;
 	/** Engines that must not be used for this request. */
@@ -84,8 +83,6 @@
 
 /** Priority of requests that will be late: behind all others. */
 export const LATE_PRIORITY = 9;
-/** Fixed time of a handoff from reader to runner, milliseconds: two exchanges and the setup of a transfer. */
-const HANDOFF_MS = 8;
 /** Network latency to another data centre, milliseconds. */
 const CROSS_DATA_CENTRE_MS = 2;
 /** A prefill at a decode engine delays all its running requests; this is the weight of each of them in the cost. */
@@ -116,14 +113,6 @@
 const MIN_RETRY_AFTER_MS = 200;
 /** Retry time if no engine is available, milliseconds: engines announce themselves about once a second. */
 const NO_ENGINE_RETRY_MS = 1000;
-/**
- * Time from the end of the reader's prefill to the first event, milliseconds: about two exchanges, a transfer and some
- * steps.
- */
-const HANDOFF_FIRST_EVENT_MS = 30;
-/** Time from the end of the runner's own prefill to the first event, milliseconds. */
-const DIRECT_FIRST_EVENT_MS = 10;
-
 /** A request that was placed and has not ended. */
 type OpenRequest = {
 	/** Undefined if another scheduler placed it. */
@@ -131,6 +120,10 @@
 	readonly expiresMs: number;
 	reader: string | undefined;
 	runner: string | undefined;
+	/** When the runner should have the KV cache from the reader. */
+	transferredAtMs?: number;
+	/** When the first event came. */
+	firstAtMs?: number;
 };
 
 /** The prefill of a request at one engine. */
@@ -146,7 +139,8 @@
 /** An engine that would decode a request after a handoff. */
 type RunnerOption = {
 	readonly engine: EngineState;
-	/** Time that decoding there adds for the request and those in the same batch. */
+	readonly transferMs: number;
+	/** Time that the transfer and decoding there adds for the request and those in the same batch. */
 	readonly delayMs: number;
 	/** `delayMs` plus the cost of the resources used. */
 	readonly costMs: number;
@@ -174,6 +168,7 @@
 export class Scheduler {
 	readonly #engines = new Map<string, EngineState>();
 	readonly #openRequests = new Map<string, OpenRequest>();
+	readonly #speeds = new Map<string, PoolSpeed>();
 	readonly #weights: ResourceWeights;
 
 	constructor(weights = DEFAULT_RESOURCE_WEIGHTS) {
@@ -194,7 +189,7 @@
 			if (state?.info.incarnation === info.incarnation) {
 				state.info = info;
 			} else {
-				this.#engines.set(info.server, new EngineState(info));
+				this.#engines.set(info.server, new EngineState(info, this.#getSpeed(info.service)));
 			}
 		}
 	}
@@ -268,14 +263,12 @@
 			}
 
 			case MILESTONES.first: {
-				const runner = this.#engines.get(openRequest.runner ?? '');
-				runner?.completePrefill(id, nowMs);
-				runner?.recordFirstEvent(id, nowMs);
+				this.#recordFirstEvent(id, openRequest, nowMs);
 				return undefined;
 			}
 
 			case MILESTONES.done: {
-				this.#engines.get(openRequest.runner ?? '')?.recordOutcome(false, nowMs);
+				this.#recordSuccess(openRequest, nowMs);
 				this.#closeRequest(id, nowMs);
 				return undefined;
 			}
@@ -288,6 +281,30 @@
 		}
 	}
 
+	#recordFirstEvent(id: string, openRequest: OpenRequest, nowMs: number): void {
+		const runner = this.#engines.get(openRequest.runner ?? '');
+		runner?.completePrefill(id, nowMs);
+		runner?.recordFirstEvent(id, nowMs);
+		openRequest.firstAtMs = nowMs;
+		if (openRequest.transferredAtMs !== undefined) {
+			runner?.speed.recordHandoff(nowMs - openRequest.transferredAtMs);
+		}
+	}
+
+	#recordSuccess({runner, firstAtMs}: OpenRequest, nowMs: number): void {
+		const engine = this.#engines.get(runner ?? '');
+		engine?.recordOutcome(false, nowMs);
+		if (firstAtMs !== undefined) {
+			engine?.speed.recordDecode(nowMs - firstAtMs);
+		}
+	}
+
+	#getSpeed(service: string): PoolSpeed {
+		const speed = this.#speeds.get(service) ?? new PoolSpeed();
+		this.#speeds.set(service, speed);
+		return speed;
+	}
+
 	#suspect(server: string, isFailure: boolean, nowMs: number): void {
 		const engine = this.#engines.get(server);
 		engine?.suspect(nowMs + (isFailure ? FAILURE_SUSPICION_MS : REFUSAL_SUSPICION_MS), nowMs);
@@ -310,15 +327,16 @@
 		}
 
 		const separate = findCheapest(prefillEngines.map(engine => this.#evaluateReader(engine, evaluation)));
+		const {handoffMs} = direct.engine.speed;
 		const continuation = separate && this.#findRunner(request, separate.engine, nowMs);
-		if (separate && continuation && separate.costMs + HANDOFF_MS + HANDOFF_FIRST_EVENT_MS + continuation.costMs < direct.costMs + DIRECT_FIRST_EVENT_MS) {
+		if (separate && continuation && separate.costMs + handoffMs + continuation.costMs < direct.costMs) {
 			return {
-				reader: separate.engine, runner: undefined, plan: separate.plan, firstEventMs: separate.prefilledMs + HANDOFF_MS + HANDOFF_FIRST_EVENT_MS,
+				reader: separate.engine, runner: undefined, plan: separate.plan, firstEventMs: separate.prefilledMs + handoffMs,
 			};
 		}
 
 		return {
-			reader: undefined, runner: direct.engine, plan: direct.plan, firstEventMs: direct.prefilledMs + DIRECT_FIRST_EVENT_MS,
+			reader: undefined, runner: direct.engine, plan: direct.plan, firstEventMs: direct.prefilledMs,
 		};
 	}
 
@@ -327,7 +345,10 @@
 		this.#openRequests.set(request.id, {
 			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader: reader?.info.server, runner: runner?.info.server,
 		});
-		engine.startPrefill(request.id, toRequestSize(request), {workMs: plan.workMs, priority: isLate ? LATE_PRIORITY : request.priority}, nowMs);
+		const {workMs, fetchMs, cachedTokens} = plan;
+		engine.startPrefill(request.id, toRequestSize(request), {
+			workMs, fetchMs, cachedTokens, uncachedTokens: Math.max(1, request.promptTokens - cachedTokens), priority: isLate ? LATE_PRIORITY : request.priority,
+		}, nowMs);
 		runner?.startRun(request.id, toRequestSize(request), nowMs + firstEventMs);
 		return {
 			type: 'assignment',
@@ -348,7 +369,8 @@
 		}
 
 		openRequest.runner = found.engine.info.server;
-		found.engine.startRun(request.id, toRequestSize(request), nowMs + found.delayMs + HANDOFF_FIRST_EVENT_MS);
+		openRequest.transferredAtMs = nowMs + found.transferMs;
+		found.engine.startRun(request.id, toRequestSize(request), nowMs + found.delayMs + found.engine.speed.handoffMs);
 		return {type: 'assignment', id: request.id, runner: openRequest.runner};
 	}
 
@@ -356,11 +378,14 @@
 	#findRunner(request: PlacementRequest, reader: EngineState | undefined, nowMs: number): RunnerOption | undefined {
 		let cheapest: RunnerOption | undefined;
 		for (const engine of this.#listRunners(request, nowMs)) {
-			const {dataCentre} = engine.info;
-			const delayMs = this.#estimateRunCostMs(engine, request, nowMs) + estimateTransferMs(request, reader?.info.dataCentre, dataCentre);
-			const resourceMs = estimateSendCostMs(request, engine.info, this.#weights) + estimateMoveCostMs(request.promptTokens, reader?.info.dataCentre, dataCentre, this.#weights);
+			const {dataCentre, kvBytesPerToken} = engine.info;
+			const transferMs = estimateTransferMs(request.promptTokens, reader?.info.dataCentre, engine.info);
+			const delayMs = this.#estimateRunCostMs(engine, request, nowMs) + transferMs;
+			const resourceMs = estimateSendCostMs(request, engine.info, this.#weights) + estimateMoveCostMs({bytes: request.promptTokens * kvBytesPerToken, from: reader?.info.dataCentre, to: dataCentre}, request.objectiveMs, this.#weights);
 			if (!cheapest || delayMs + resourceMs < cheapest.costMs) {
-				cheapest = {engine, delayMs, costMs: delayMs + resourceMs};
+				cheapest = {
+					engine, transferMs, delayMs, costMs: delayMs + resourceMs,
+				};
 			}
 		}
 
@@ -410,7 +435,8 @@
 		const isFull = engine.runningCount >= slots || engine.contextTokens + neededTokens > kvTokens;
 		const excess = Math.max(0, engine.runningCount + 1 - slots) + Math.max(0, (engine.contextTokens + neededTokens - kvTokens) / neededTokens);
 		const waitMs = isFull ? FULL_ENGINE_COST_MS * (1 + excess) : 0;
-		return (engine.contextStepMs(neededTokens) * (request.outputTokens + engine.runningCount)) + waitMs + estimateFailureCostMs(engine, nowMs);
+		const load = Math.max((engine.runningCount + 1) / slots, (engine.contextTokens + neededTokens) / kvTokens);
+		return (load * engine.speed.decodeMs) + waitMs + estimateFailureCostMs(engine, nowMs);
 	}
 
 	#closeRequest(id: string, nowMs: number): void {
