--- a/test/cost.test.ts
+++ b/test/cost.test.ts
@@ -55,7 +55,7 @@
 	const idleAtMs = new Map<string, number>();
 	const calls = new Map<string, number>();
 	const events = new EventQueue();
-	let late = 0;
+	const result = {late: 0};
 	const call = (host: number, server: string) => {
 		connected[host]!.add(server);
 		calls.set(server, (calls.get(server) ?? 0) + 1);
@@ -76,7 +76,7 @@
 			const prefilledMs = Math.max(arrivedMs, idleAtMs.get(server) ?? 0) + workMs;
 			idleAtMs.set(server, prefilledMs);
 			const finish = (firstMs: number) => {
-				late += firstMs - arrivedMs > OBJECTIVE_MS ? 1 : 0;
+				result.late += firstMs - arrivedMs > OBJECTIVE_MS ? 1 : 0;
 				events.add(firstMs, () => {
 					scheduler.recordMilestone(request.id, 'first', {}, firstMs);
 				});
@@ -102,7 +102,7 @@
 	events.run();
 	const connections = connected.reduce((sum, {size}) => sum + size, 0);
 	const total = [...calls.values()].reduce((sum, count) => sum + count, 0);
-	return {connections, late, maxShare: Math.max(...calls.values()) / total};
+	return {...result, connections, maxShare: Math.max(...calls.values()) / total};
 }
 
 function createRequest(index: number, host: number, connected: ReadonlySet<string>): PlacementRequest {
