Scheduler: handed off requests wait for the runner's own prefills

Change: a runner counts its prefill queue, less what drains during the separate prefill; a prefill is charged for the rate of requests handed off to its engine.

--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -6,6 +6,7 @@
 import {ENGINE_ROLES, type EngineRole} from './choice.js';
 import {KvCacheModel, type PromptPart} from './kvcache.js';
 import {PrefillQueue, type PrefillReport} from './queue.js';
+import {DecayingRate} from './rate.js';
 import type {PoolSpeed, PrefillModel, PrefillSize} from './speed.js';
 
 /** Identity and configuration of an engine. */
@@ -65,8 +66,8 @@
  * its rate.
  */
 const FAILURE_HALF_LIFE_MS = 3000;
-/** Time constant of the moving average of an engine's utilisation. */
-const UTILISATION_WINDOW_MS = 2000;
+/** Time constant of the rates of work and requests at an engine. */
+const RATE_WINDOW_MS = 2000;
 /** An engine is presumed unreachable if it has reported no progress for this long and work is overdue by as much. */
 const SILENCE_MS = 600;
 
@@ -88,8 +89,9 @@
 	readonly #speed: PoolSpeed;
 	/** Moving average of the measured prefill time divided by the pool's. */
 	#slowdown = 1;
-	#assignedWorkMs = 0;
-	#assignedAtMs = 0;
+	/** Prefill work assigned, and requests handed off to the engine, per millisecond. */
+	readonly #assignedWork = new DecayingRate(RATE_WINDOW_MS);
+	readonly #handoffs = new DecayingRate(RATE_WINDOW_MS);
 
 	/** @param speed - Learnt speeds of the engine's pool, to which the measurements of this engine contribute. */
 	constructor(info: EngineInfo, speed: PoolSpeed) {
@@ -127,7 +129,18 @@
 
 	/** Prefill work assigned lately as a share of the engine's time; above 1 if it cannot keep up. */
 	utilisation(nowMs: number): number {
-		return this.#assignedWorkMs * Math.exp((this.#assignedAtMs - nowMs) / UTILISATION_WINDOW_MS) / UTILISATION_WINDOW_MS;
+		return this.#assignedWork.rate(nowMs);
+	}
+
+	/** Expected delay that a prefill causes to later requests at this engine, milliseconds. */
+	displacementMs(workMs: number, nowMs: number): number {
+		// Requests that are handed off to the engine while it is busy wait for half of the prefill on average.
+		return workMs * (this.utilisation(nowMs) + (this.#handoffs.rate(nowMs) * workMs / 2));
+	}
+
+	/** Records that a request was handed off to the engine. */
+	recordHandoff(nowMs: number): void {
+		this.#handoffs.add(1, nowMs);
 	}
 
 	/** Marks the engine as suspected until a time, or until it reports progress. */
@@ -188,8 +201,7 @@
 	startPrefill(id: string, size: RequestSize, task: PrefillAssignment, nowMs: number): void {
 		this.#prefills.set(id, task);
 		this.#prefillQueue.add(id, task, nowMs);
-		this.#assignedWorkMs = (this.utilisation(nowMs) * UTILISATION_WINDOW_MS) + task.workMs;
-		this.#assignedAtMs = nowMs;
+		this.#assignedWork.add(task.workMs, nowMs);
 		const missing = size.parts.filter(({key}) => !this.#cache.has(key)).map(({key}) => key);
 		this.#pendingParts.set(id, new Set(missing));
 		this.#cache.record(size.parts, this.info.kvTokens - this.#contextTokens);
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -120,7 +120,7 @@
 	readonly expiresMs: number;
 	reader: string | undefined;
 	runner: string | undefined;
-	/** When the runner should have the KV cache from the reader. */
+	/** When the runner should have the KV cache from the reader and be free. */
 	transferredAtMs?: number;
 	/** When the first event came. */
 	firstAtMs?: number;
@@ -139,8 +139,9 @@
 /** An engine that would decode a request after a handoff. */
 type RunnerOption = {
 	readonly engine: EngineState;
-	readonly transferMs: number;
-	/** Time that the transfer and decoding there adds for the request and those in the same batch. */
+	/** Time from the end of the prefill until the engine has the KV cache and is free. */
+	readonly startMs: number;
+	/** `startMs` plus the time that decoding there adds for the request and those in the same batch. */
 	readonly delayMs: number;
 	/** `delayMs` plus the cost of the resources used. */
 	readonly costMs: number;
@@ -328,10 +329,10 @@
 
 		const separate = findCheapest(prefillEngines.map(engine => this.#evaluateReader(engine, evaluation)));
 		const {handoffMs} = direct.engine.speed;
-		const continuation = separate && this.#findRunner(request, separate.engine, nowMs);
+		const continuation = separate && this.#findRunner(request, separate.engine, {nowMs, prefilledMs: separate.prefilledMs});
 		if (separate && continuation && separate.costMs + handoffMs + continuation.costMs < direct.costMs) {
 			return {
-				reader: separate.engine, runner: undefined, plan: separate.plan, firstEventMs: separate.prefilledMs + handoffMs,
+				reader: separate.engine, runner: undefined, plan: separate.plan, firstEventMs: separate.prefilledMs + continuation.startMs + handoffMs,
 			};
 		}
 
@@ -363,28 +364,35 @@
 	}
 
 	#assignRunner(openRequest: OpenRequest, request: PlacementRequest, nowMs: number): PlacementDecision {
-		const found = this.#findRunner(request, this.#engines.get(openRequest.reader ?? ''), nowMs);
+		const found = this.#findRunner(request, this.#engines.get(openRequest.reader ?? ''), {nowMs, prefilledMs: 0});
 		if (!found) {
 			return reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS);
 		}
 
 		openRequest.runner = found.engine.info.server;
-		openRequest.transferredAtMs = nowMs + found.transferMs;
+		openRequest.transferredAtMs = nowMs + found.startMs;
+		found.engine.recordHandoff(nowMs);
 		found.engine.startRun(request.id, toRequestSize(request), nowMs + found.delayMs + found.engine.speed.handoffMs);
 		return {type: 'assignment', id: request.id, runner: openRequest.runner};
 	}
 
-	/** Finds the runner with the lowest cost for a request that was prefilled at a reader; undefined if no engine decodes. */
-	#findRunner(request: PlacementRequest, reader: EngineState | undefined, nowMs: number): RunnerOption | undefined {
+	/**
+	 * Finds the runner with the lowest cost for a request that is prefilled at a reader; undefined if no engine decodes.
+	 *
+	 * `prefilledMs` is the time until the prefill is completed.
+	 */
+	#findRunner(request: PlacementRequest, reader: EngineState | undefined, {nowMs, prefilledMs}: {nowMs: number; prefilledMs: number}): RunnerOption | undefined {
 		let cheapest: RunnerOption | undefined;
 		for (const engine of this.#listRunners(request, nowMs)) {
 			const {dataCentre, kvBytesPerToken} = engine.info;
 			const transferMs = estimateTransferMs(request.promptTokens, reader?.info.dataCentre, engine.info);
-			const delayMs = this.#estimateRunCostMs(engine, request, nowMs) + transferMs;
+			// The engine completes the prefills in its queue during the separate prefill and the transfer.
+			const startMs = Math.max(transferMs, engine.waitMs(request.priority, nowMs) - prefilledMs);
+			const delayMs = this.#estimateRunCostMs(engine, request, nowMs) + startMs;
 			const resourceMs = estimateSendCostMs(request, engine.info, this.#weights) + estimateMoveCostMs({bytes: request.promptTokens * kvBytesPerToken, from: reader?.info.dataCentre, to: dataCentre}, request.objectiveMs, this.#weights);
 			if (!cheapest || delayMs + resourceMs < cheapest.costMs) {
 				cheapest = {
-					engine, transferMs, delayMs, costMs: delayMs + resourceMs,
+					engine, startMs, delayMs, costMs: delayMs + resourceMs,
 				};
 			}
 		}
@@ -421,7 +429,7 @@
 		const networkMs = engine.info.dataCentre === request.dataCentre ? 0 : CROSS_DATA_CENTRE_MS;
 		const prefilledMs = engine.overheadMs + engine.waitMs(priority, nowMs) + plan.workMs + networkMs;
 		const overtakingMs = engine.countLowerPriority(priority, nowMs) * plan.workMs * OVERTAKING_WEIGHT;
-		const displacementMs = plan.workMs * engine.utilisation(nowMs);
+		const displacementMs = engine.displacementMs(plan.workMs, nowMs);
 		const resourceMs = plan.moveCostMs + estimateSendCostMs(request, engine.info, this.#weights);
 		return {
 			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + displacementMs + resourceMs,
