Read again: offers of the previous version, comparison of chunk sizes, bounds from stated targets

The offer required the two new fields, so a new control host refused every offer of an old entry host, against the upgrade order that CHANGELOG.md gives; they are optional now (test/placement.test.ts, red before). The chunk sizes were compared while only some of them had the new sample. deploy/start.cjs says when V8 does not accept the compiled code. The new tests take their bounds from the issue: 5,000 of 16,890 connections, 15% also for a slow engine.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -15,4 +15,9 @@
 }
 
 const source = `(function (exports, require, module, __filename, __dirname) {${fs.readFileSync(filename, 'utf8')}\n})`;
-new vm.Script(source, {filename, cachedData}).runInThisContext()(exports, require, module, filename, __dirname);
+const script = new vm.Script(source, {filename, cachedData});
+if (script.cachedDataRejected) {
+	process.stderr.write('The compiled code is damaged or belongs to another version of Node.js or other flags.\n');
+}
+
+script.runInThisContext()(exports, require, module, filename, __dirname);
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -266,7 +266,8 @@
 			}
 
 			case 'offer': {
-				const decision = this.#scheduler.place(message, this.#options.clock.monotonicMs());
+				const {bodyBytes = 0, connected = []} = message;
+				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
 				this.#options.metrics.placementDecisions.inc({decision: decision.type});
 				connection.send(decision);
 				break;
--- a/src/routing/speed.ts
+++ b/src/routing/speed.ts
@@ -39,6 +39,11 @@
 export const PRIOR_PREFILL: PrefillCoefficients = {
 	overheadMs: 20, kilotokenMs: 10, megapairMs: 0.2, stepMs: 1,
 };
+/** Handoff and decode times before anything is measured, milliseconds. */
+const PRIOR_HANDOFF_MS = 30;
+const PRIOR_DECODE_MS = 100;
+/** Multiple of the moving average above which a duration counts no more, such as that of a frozen host. */
+const MAX_AVERAGE_FACTOR = 4;
 /** A decode engine prefills at half the speed, between the tokens of its running requests. */
 const DECODE_ENGINE_FACTOR = 2;
 /** Prompts for which the prior stands in for measurements. */
@@ -110,6 +115,9 @@
 
 		for (const regression of this.#regressions) {
 			regression.record(sample);
+		}
+
+		for (const regression of this.#regressions) {
 			if (regression.error < this.#best.error) {
 				this.#best = regression;
 			}
@@ -149,7 +157,7 @@
 	}
 
 	estimateMs(size: PrefillSize, includesOverhead: boolean): number {
-		return multiply(this.#toFeatures(size, includesOverhead), this.#coefficients ?? this.#getPriorVector());
+		return dotProduct(this.#toFeatures(size, includesOverhead), this.#coefficients ?? this.#getPriorVector());
 	}
 
 	record(sample: PrefillSample): void {
@@ -182,7 +190,7 @@
 		const weight = this.#priorWeight + PERMANENT_PRIOR_WEIGHT;
 		for (const prompt of PRIOR_PROMPTS) {
 			const features = this.#toFeatures(prompt, true);
-			const elapsedMs = multiply(features, prior);
+			const elapsedMs = dotProduct(features, prior);
 			addSample(equations, features, elapsedMs, weight / (elapsedMs ** 2));
 		}
 
@@ -241,25 +249,24 @@
 	}
 
 	recordHandoff(elapsedMs: number): void {
-		this.#handoffMs = average(this.#handoffMs, elapsedMs);
+		this.#handoffMs = updateAverage(this.#handoffMs, elapsedMs);
 	}
 
 	recordDecode(elapsedMs: number): void {
-		this.#decodeMs = average(this.#decodeMs, elapsedMs);
+		this.#decodeMs = updateAverage(this.#decodeMs, elapsedMs);
 	}
 }
 
-/** Estimates before anything is measured, milliseconds. */
-const PRIOR_HANDOFF_MS = 30;
-const PRIOR_DECODE_MS = 100;
+/** Returns the moving average after one more duration. */
+function updateAverage(currentMs: number, elapsedMs: number): number {
+	if (!(elapsedMs >= 0 && elapsedMs < MAX_SAMPLE_MS)) {
+		return currentMs;
+	}
 
-function average(currentMs: number, elapsedMs: number): number {
-	// A single long duration, such as that of a frozen host, counts like a moderate one.
-	const isPlausible = elapsedMs >= 0 && elapsedMs < MAX_SAMPLE_MS;
-	return isPlausible ? currentMs + ((Math.min(elapsedMs, currentMs * 4) - currentMs) * AVERAGE_WEIGHT) : currentMs;
+	return currentMs + ((Math.min(elapsedMs, currentMs * MAX_AVERAGE_FACTOR) - currentMs) * AVERAGE_WEIGHT);
 }
 
-function multiply(a: Vector, b: Vector): number {
+function dotProduct(a: Vector, b: Vector): number {
 	return (a[0] * b[0]) + (a[1] * b[1]) + (a[2] * b[2]) + (a[3] * b[3]);
 }
 
--- a/test/cost.test.ts
+++ b/test/cost.test.ts
@@ -25,7 +25,7 @@
 test('hosts keep to a few engines of their data centre under a light load, without late answers', () => {
 	const counted = playLoad({intervalMs: 4}, DEFAULT_RESOURCE_WEIGHTS);
 	const ignored = playLoad({intervalMs: 4}, NO_WEIGHTS);
-	assert.ok(counted.connections < ignored.connections / 2, `${counted.connections} connections, ${ignored.connections} if they cost nothing`);
+	assert.ok(counted.connections < ignored.connections * MAX_CONNECTION_SHARE, `${counted.connections} connections, ${ignored.connections} if they cost nothing`);
 	assert.ok(counted.late <= ignored.late + (REQUESTS / 100), `${counted.late} late, ${ignored.late} if connections cost nothing`);
 });
 
@@ -36,6 +36,8 @@
 	assert.ok(counted.maxRunning <= SLOTS, `${counted.maxRunning} requests at once at an engine with ${SLOTS} slots`);
 });
 
+/** Target of the large fleet: 5,000 connections where 16,890 were opened without counting them. */
+const MAX_CONNECTION_SHARE = 5000 / 16_890;
 const REQUESTS = 3000;
 const HOSTS = 30;
 const OBJECTIVE_MS = 600;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import {validate} from '../src/base/validate.js';
 import type {Message} from '../src/generated/types.js';
 import {Scheduler, type PlacementRequest} from '../src/routing/scheduler.js';
 import {PlacementClient, SELF} from '../src/serving/placement.js';
@@ -52,6 +54,16 @@
 	assert.equal(decision.type === 'assignment' && decision.runner, 'e1');
 });
 
+test('a control host accepts the offers and milestones of entry hosts of the previous version', () => {
+	const {bodyBytes: _bodyBytes, connected: _connected, ...offer} = REQUEST;
+	const messages = [{type: 'offer', ...offer}, {
+		type: 'milestone', id: 'r1', stage: 'read', server: 'e1',
+	}];
+	for (const message of messages) {
+		assert.ok(Either.isRight(validate('Message', message)), message.type);
+	}
+});
+
 function createClient({live, responds}: {live: string[]; responds: boolean}) {
 	const sent: Array<{host: string; message: Message}> = [];
 	const localScheduler = new Scheduler();
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -38,9 +38,9 @@
 	await rm(cacheFile, {force: true});
 	assert.match(await runProgram(), /No compiled code[\s\S]*\/host is required/v);
 	await promisify(execFile)(process.execPath, [...flags, 'deploy/compile.js'], {cwd: ROOT});
-	assert.doesNotMatch(await runProgram(), /No compiled code/v);
+	assert.doesNotMatch(await runProgram(), /ompiled code/v);
 	await writeFile(cacheFile, 'damaged');
-	assert.match(await runProgram(), /\/host is required/v);
+	assert.match(await runProgram(), /compiled code is damaged[\s\S]*\/host is required/v);
 	await rm(cacheFile);
 });
 
--- a/test/speed.test.ts
+++ b/test/speed.test.ts
@@ -6,6 +6,7 @@
 
 const MAX_ERROR = 0.15;
 const REQUESTS = 200;
+const SLOW_FACTOR = 4;
 
 for (const tokensPerMs of [20, 60, 200, 500]) {
 	for (const stepMs of [0.5, 3, 30]) {
@@ -41,13 +42,13 @@
 		engine.startPrefill(`r${index}`, {parts: [], promptTokens, outputTokens: 1}, {
 			...size, workMs, fetchMs: 0, priority: 0,
 		}, nowMs);
-		engine.completePrefill(`r${index}`, nowMs + 5 + (measure(size) * (index % engines.length === 0 ? 4 : 1)));
+		engine.completePrefill(`r${index}`, nowMs + 5 + (measure(size) * (index % engines.length === 0 ? SLOW_FACTOR : 1)));
 	}
 
 	assertAccurate(speed.prefill, measure, random);
 	const size = {uncachedTokens: 4000, cachedTokens: 0};
 	const [slowMs, normalMs] = [engines[0]!, engines[1]!].map(engine => engine.prefillMs({promptTokens: 4000}, 0)) as [number, number];
-	assert.ok(slowMs > normalMs * 3, `${slowMs} ms at the slow engine, ${normalMs} ms at another`);
+	assert.ok(Math.abs((slowMs / measure(size) / SLOW_FACTOR) - 1) < MAX_ERROR, `${slowMs} ms at the slow engine, ${normalMs} ms at another`);
 	assert.ok(Math.abs((normalMs / measure(size)) - 1) < MAX_ERROR, `${normalMs} instead of ${measure(size)} ms`);
 });
 
