Scheduler: refuse what cannot be served, with estimates that are now accurate

The estimates used to be two to three times too high there, which refused and deferred early by accident. With accurate ones, three rules were wrong: a request was refused only beyond 1.2 times its caller's patience; prompts under 50 ms were never deferred, which on a pool this fast is every prompt; and a deferred prompt's wait ignored the more urgent ones that overtake it. Change: refused beyond the patience; deferred from a twelfth of the objective on; the wait is divided by the share of the engine's time that more urgent prompts leave.

--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -68,6 +68,8 @@
 const FAILURE_HALF_LIFE_MS = 3000;
 /** Time constant of the rates of work and requests at an engine. */
 const RATE_WINDOW_MS = 2000;
+/** Upper bound of the share of an engine's time that more urgent prompts are expected to take. */
+const MAX_OVERTAKING_SHARE = 0.95;
 /** An engine is presumed unreachable if it has reported no progress for this long and work is overdue by as much. */
 const SILENCE_MS = 600;
 
@@ -89,8 +91,9 @@
 	readonly #speed: PoolSpeed;
 	/** Moving average of the measured prefill time divided by the pool's. */
 	#slowdown = 1;
-	/** Prefill work assigned, and requests handed off to the engine, per millisecond. */
-	readonly #assignedWork = new DecayingRate(RATE_WINDOW_MS);
+	/** Prefill work assigned per millisecond, by priority. */
+	readonly #assignedWork = new Map<number, DecayingRate>();
+	/** Requests handed off to the engine per millisecond. */
 	readonly #handoffs = new DecayingRate(RATE_WINDOW_MS);
 
 	/** @param speed - Learnt speeds of the engine's pool, to which the measurements of this engine contribute. */
@@ -129,7 +132,12 @@
 
 	/** Prefill work assigned lately as a share of the engine's time; above 1 if it cannot keep up. */
 	utilisation(nowMs: number): number {
-		return this.#assignedWork.rate(nowMs);
+		let share = 0;
+		for (const work of this.#assignedWork.values()) {
+			share += work.rate(nowMs);
+		}
+
+		return share;
 	}
 
 	/** Expected delay that a prefill causes to later requests at this engine, milliseconds. */
@@ -182,9 +190,15 @@
 		return this.#model.estimateMs({uncachedTokens: Math.max(1, promptTokens - cachedTokens), cachedTokens}) * this.#slowdown;
 	}
 
-	/** Time until the prefill of a new prompt with the given priority would start, milliseconds. */
+	/** Time until the prefill of a new prompt with the given priority is expected to start, milliseconds. */
 	waitMs(priority: number, nowMs: number): number {
-		return this.#prefillQueue.waitMs(priority, nowMs);
+		// More urgent prompts that arrive during the wait are processed first, and prolong it in turn.
+		let overtakingShare = 0;
+		for (const [otherPriority, work] of this.#assignedWork) {
+			overtakingShare += otherPriority < priority ? work.rate(nowMs) : 0;
+		}
+
+		return this.#prefillQueue.waitMs(priority, nowMs) / (1 - Math.min(MAX_OVERTAKING_SHARE, overtakingShare));
 	}
 
 	/** Counts the queued prompts that are less urgent than the given priority. */
@@ -196,7 +210,7 @@
 	startPrefill(id: string, size: RequestSize, task: PrefillAssignment, nowMs: number): void {
 		this.#prefills.set(id, task);
 		this.#prefillQueue.add(id, task, nowMs);
-		this.#assignedWork.add(task.workMs, nowMs);
+		this.#recordWork(task, nowMs);
 		const missing = size.parts.filter(({key}) => !this.#cache.has(key)).map(({key}) => key);
 		this.#pendingParts.set(id, new Set(missing));
 		this.#cache.record(size.parts, this.info.kvTokens - this.#contextTokens);
@@ -250,6 +264,12 @@
 		this.#running.delete(id);
 	}
 
+	#recordWork({priority, workMs}: PrefillAssignment, nowMs: number): void {
+		const work = this.#assignedWork.get(priority) ?? new DecayingRate(RATE_WINDOW_MS);
+		work.add(workMs, nowMs);
+		this.#assignedWork.set(priority, work);
+	}
+
 	#isPending(key: string): boolean {
 		for (const keys of this.#pendingParts.values()) {
 			if (keys.has(key)) {
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -106,16 +106,12 @@
 const FULL_ENGINE_COST_MS = 400;
 /** Share of the objective beyond which a prompt's prefill time alone makes it late, whatever the queue. */
 const LARGE_PROMPT_SHARE = 0.8;
-/** Prefills that delay others by less than this are not deferred. */
-const MIN_DEFERRABLE_MS = 50;
-/**
- * A request is refused if its first event is expected after this multiple of its caller's patience; above 1 because
- * estimates may be too high.
- */
-const REJECTION_FACTOR = 1.2;
+/** Prefills that take less than this share of the objective are not deferred, since they hardly delay others. */
+const MIN_DEFERRABLE_SHARE = 1 / 12;
 const MIN_RETRY_AFTER_MS = 200;
 /** Retry time if no engine is available, milliseconds: engines announce themselves about once a second. */
 const NO_ENGINE_RETRY_MS = 1000;
+
 /** A request that was placed and has not ended. */
 type OpenRequest = {
 	/** Undefined if another scheduler placed it. */
@@ -216,10 +212,10 @@
 		// that is late by its size alone keeps its priority, since it would starve otherwise; so does a short one, since
 		// it hardly delays others.
 		const {workMs} = initial.plan;
-		const isDeferrable = workMs > MIN_DEFERRABLE_MS && workMs < request.objectiveMs * LARGE_PROMPT_SHARE;
+		const isDeferrable = workMs > request.objectiveMs * MIN_DEFERRABLE_SHARE && workMs < request.objectiveMs * LARGE_PROMPT_SHARE;
 		const isLate = isDeferrable && initial.firstEventMs > request.objectiveMs;
 		const selection = isLate ? this.#selectEngines(request, nowMs, true) ?? initial : initial;
-		if (selection.firstEventMs > request.patienceMs * REJECTION_FACTOR) {
+		if (selection.firstEventMs > request.patienceMs) {
 			const reason = `the first event would come in ${Math.round(selection.firstEventMs)} ms, its caller waits ${Math.round(request.patienceMs)} ms`;
 			return reject(request, reason, Math.max(MIN_RETRY_AFTER_MS, selection.firstEventMs - request.objectiveMs));
 		}
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -130,6 +130,24 @@
 	assert.equal(getIsLate(scheduler.place(createShortRequest('short'), 1)), false);
 });
 
+test('on a route with a short objective, prompts of a tenth of it are deferred if queueing makes them late', () => {
+	const scheduler = createScheduler();
+	const decisions = Array.from({length: 60}, (_, index) => scheduler.place({...createLongRequest(`r${index}`, 2000), objectiveMs: 200}, 0));
+	assert.equal(getIsLate(decisions[0]!), false);
+	const expectedMs = decisions.map(decision => decision.type === 'assignment' ? decision.expectedMs! : 0);
+	assert.ok(Math.max(...expectedMs) > 200);
+	assert.equal(getIsLate(decisions[expectedMs.indexOf(Math.max(...expectedMs))]!), true);
+});
+
+test('a request is rejected at once if its first event is expected after its caller has given up', () => {
+	const scheduler = createScheduler();
+	const decisions = Array.from({length: 200}, (_, index) => scheduler.place(createLongRequest(`r${index}`, 16_000), 0));
+	const {patienceMs} = createRequest({});
+	for (const decision of decisions) {
+		assert.ok(decision.type === 'rejection' || decision.expectedMs! <= patienceMs, `${decision.type === 'rejection' ? '' : decision.expectedMs} ms`);
+	}
+});
+
 test('a request that cannot start before its caller gives up is rejected with a retry time', () => {
 	const scheduler = createScheduler();
 	const decisions = Array.from({length: 200}, (_, index) => scheduler.place(createLongRequest(`r${index}`, 16_000), 0));
