--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -7,8 +7,9 @@
 import type {Clock} from '../base/clock.js';
 import type {Message} from '../generated/types.js';
 import {
-	MILESTONES, type MilestoneName, type Scheduler, type PlacementDecision, type PlacementRequest,
-} from '../routing/scheduler.js';
+	MILESTONES, type MilestoneName, type PlacementDecision, type PlacementRequest,
+} from '../routing/request.js';
+import type {Scheduler} from '../routing/scheduler.js';
 
 /** The hosts that run a scheduler, and a transport to them. */
 export interface SchedulerHosts {
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
-import {LATE_PRIORITY, type PlacementRequest} from '../routing/scheduler.js';
+import {LATE_PRIORITY, type PlacementRequest} from '../routing/request.js';
 import {
 	findResponseMismatch, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
--- a/test/cost.test.ts
+++ b/test/cost.test.ts
@@ -4,7 +4,8 @@
 import {
 	DEFAULT_RESOURCE_WEIGHTS, estimateMoveCostMs, estimateSendCostMs, type ResourceWeights,
 } from '../src/routing/cost.js';
-import {Scheduler, type PlacementRequest} from '../src/routing/scheduler.js';
+import type {PlacementRequest} from '../src/routing/request.js';
+import {Scheduler} from '../src/routing/scheduler.js';
 
 const DATA_CENTRES = ['a', 'b', 'c'];
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -3,7 +3,8 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {validate} from '../src/base/validate.js';
 import type {Message} from '../src/generated/types.js';
-import {Scheduler, type PlacementRequest} from '../src/routing/scheduler.js';
+import type {PlacementRequest} from '../src/routing/request.js';
+import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient, SELF} from '../src/serving/placement.js';
 
 const REQUEST: PlacementRequest = {
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {EngineInfo} from '../src/routing/engine.js';
-import {Scheduler, type PlacementRequest} from '../src/routing/scheduler.js';
+import type {PlacementRequest} from '../src/routing/request.js';
+import {Scheduler} from '../src/routing/scheduler.js';
 import {PrefillModel} from '../src/routing/speed.js';
 import {RolePlanner} from '../src/routing/planner.js';
 import {assertSnapshot} from './snapshot.js';
