--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -55,6 +55,8 @@
 	readonly arrivedMs: number;
 	/** Monotonic time, milliseconds. */
 	readonly deadlineMs: number;
+	/** Recognizes the request when its caller sends it again. Computed on the first call. */
+	readonly getFingerprint: () => string;
 	/** Fields for the log line that is written when the request has ended. */
 	readonly logFields: RequestLogFields;
 };
@@ -170,11 +172,13 @@
 }
 
 /** Records and logs a failed exchange with a server. */
-export function recordAttemptFailure(context: ServingContext, server: Announcement, failure: AttemptFailure, error: Error): void {
+export function recordAttemptFailure(context: ServingContext, call: Call, server: Announcement, {failure, error}: {failure: AttemptFailure; error: Error}): void {
 	context.metrics.failures.inc({failure});
 	if (failure === 'unsent') {
 		context.health.recordFailure(server.server, context.clock.monotonicMs());
 	}
 
-	context.logger.warn(`Server ${server.server} failed: ${error.message}`, {server: server.server, failure});
+	context.logger.warn(`Server ${server.server} failed: ${error.message}`, {
+		server: server.server, failure, request: call.head.id, fingerprint: failure === 'broken' ? call.getFingerprint() : undefined,
+	});
 }
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -14,6 +14,7 @@
 import {Caller, type CallOutcome} from './caller.js';
 import {PlainCall} from './plaincall.js';
 import type {Call, ServingContext} from './context.js';
+import {fingerprintRequest} from './fingerprint.js';
 import {StreamCall} from './streamcall.js';
 
 export type GatewayOptions = {
@@ -179,6 +180,7 @@
 		}
 
 		const waitMs = Math.min(route.timeoutMs, received.head.timeoutMs ?? NO_DEADLINE_MS);
+		let fingerprint: string | undefined;
 		return Either.right({
 			...received,
 			caller,
@@ -186,6 +188,12 @@
 			routeTable,
 			service: chooseService(route, this.#options.context.random),
 			deadlineMs: received.arrivedMs + waitMs,
+			getFingerprint() {
+				fingerprint ??= fingerprintRequest({
+					method: request.method ?? 'GET', host: request.headers.host ?? '', target: request.url ?? '/', body: received.body,
+				});
+				return fingerprint;
+			},
 			logFields: {servers: []},
 		});
 	}
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -205,8 +205,8 @@
 					? {type: 'notExecuted', isWrongServer: head!.isWrongServer}
 					: {type: 'response', head: head!, body: Buffer.concat(chunks)});
 			},
-			onFailure(failure, error) {
-				recordAttemptFailure(context, server, failure, error);
+			onFailure: (failure, error) => {
+				recordAttemptFailure(context, this.#call, server, {failure, error});
 				settle({type: failure});
 			},
 		});
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -229,9 +229,9 @@
 					context.health.recordSuccess(server.server);
 					resolve({type: 'prefilled', kvCache: {address: {address: server.address, port: server.port}, handle}});
 				},
-				onFailure(failure, error) {
+				onFailure: (failure, error) => {
 					clearTimeout(timer);
-					recordAttemptFailure(context, server, failure, error);
+					recordAttemptFailure(context, this.#call, server, {failure, error});
 					resolve({type: 'failed'});
 				},
 			});
@@ -312,8 +312,8 @@
 					caller.endResponse();
 					resolve({type: 'done', isServerError: head.status >= HTTP_SERVER_ERROR});
 				},
-				onFailure(failure, error) {
-					recordAttemptFailure(context, server, failure, error);
+				onFailure: (failure, error) => {
+					recordAttemptFailure(context, this.#call, server, {failure, error});
 					resolve({type: failure});
 				},
 			});
