--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,45 +1,12 @@
 import assert from 'node:assert/strict';
-import {
-	mkdtemp, readdir, readFile, rm,
-} from 'node:fs/promises';
-import type http from 'node:http';
-import os from 'node:os';
+import {readdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {test} from 'node:test';
-import * as Either from 'fp-ts/lib/Either.js';
-import {Registry} from 'prom-client';
-import {request} from 'undici';
-import {findPort, waitUntil} from '../dev/fleet.js';
-import {PlatformProtocol} from '../platform/protocol.js';
-import {createControlHandler, startHttpServer} from '../platform/endpoints.js';
-import {PlatformOrderTransport} from '../platform/orders.js';
-import {createClock} from '../src/base/clock.js';
-import {createSilentLoggers, type LogFields, type LoggerFactory} from '../src/base/logger.js';
-import {createRandom} from '../src/base/random.js';
-import {createControlMetrics} from '../src/control/metrics.js';
-import {ControlHost} from '../src/daemon/controlhost.js';
-import {EntryHost} from '../src/daemon/entryhost.js';
-import {createServingMetrics} from '../src/serving/metrics.js';
-import {StubBackend, type StubBackendOptions} from './stub.js';
+import {waitUntil} from '../dev/fleet.js';
+import type {StubBackendOptions} from './stub.js';
+import {ROUTES, SERVICES, startSystem} from './system.js';
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
-const ROUTES = [
-	{
-		name: 'read', host: 'a.example', 'path-prefix': '/read/', type: 'safe', 'timeout-ms': 800, 'slo-ms': 100, priority: 2, service: 'plain', 'max-attempts': 2,
-	},
-	{
-		name: 'book', host: 'a.example', 'path-prefix': '/book/', type: 'unsafe', 'timeout-ms': 800, 'slo-ms': 100, priority: 2, service: 'plain', 'max-attempts': 1,
-	},
-	{
-		name: 'ask', host: 'a.example', 'path-prefix': '/ask/', type: 'streaming', 'timeout-ms': 2000, 'slo-ms': 500, priority: 1, service: 'llm', 'max-attempts': 2, sticky: true, resumable: true, 'itl-target-ms': 300,
-	},
-];
-const SERVICES = [
-	{name: 'plain', 'health-path': '/health', 'max-conns': 100},
-	{
-		name: 'llm', 'health-path': '/health', 'max-conns': 100, engine: {slots: 8, 'kv-capacity': 100_000},
-	},
-];
 const LONG_PROMPT = {
 	'carawayhoist-model': 'm', 'carawayhoist-token-counts': '20000,80', 'carawayhoist-prompt-prefix': 'aa:15000,bb:5000',
 };
@@ -284,109 +251,3 @@
 	assert.match(text, /^carawayhoist_publications_total\{outcome="superseded"\} 1$/mv);
 	assert.match(text, /^carawayhoist_announcements_total\{outcome="change"\} [1-9]/mv);
 });
-
-type TestContext = {
-	after(handler: () => Promise<void>): void;
-};
-
-/** Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. */
-async function startSystem(t: TestContext, options: readonly StubBackendOptions[]) {
-	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
-	const clock = createClock();
-	const loggers = createSilentLoggers();
-	const entryLog = createRecordingLoggers();
-	const dialect = new PlatformProtocol();
-	const metrics = createServingMetrics(new Registry());
-	const controlRegistry = new Registry();
-	const peer = {address: '127.0.0.1', port: await findPort()};
-	const callers = {address: '127.0.0.1', port: await findPort()};
-	const operators = {address: '127.0.0.1', port: await findPort()};
-	const control = unwrap(await ControlHost.start({
-		host: 'c1',
-		dataCentre: 'a',
-		peerAddress: peer,
-		dataFolder: folder,
-		seeds: [peer],
-		firstStart: true,
-		clock,
-		random: createRandom(1),
-		loggers,
-		metrics: createControlMetrics(controlRegistry),
-		protocol: dialect,
-		createOrderTransport: findServer => new PlatformOrderTransport('c1', clock, findServer),
-		leaseMs: 500,
-		announceIntervalMs: 400,
-	}));
-	const api = unwrap(await startHttpServer(operators, createControlHandler(control)));
-	const entry = unwrap(await EntryHost.start({
-		host: 'h1', dataCentre: 'a', callerAddress: callers, seeds: [peer], clock, random: createRandom(2), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000,
-	}));
-	const servers = options.map(option => new StubBackend(option));
-	t.after(async () => {
-		entry.close();
-		closeServer(api);
-		await control.close();
-		for (const server of servers) {
-			server.stop();
-		}
-
-		await rm(folder, {recursive: true, force: true});
-	});
-	const address = `${operators.address}:${operators.port}`;
-	await waitUntil(async () => {
-		const body = JSON.stringify({version: 1, routes: ROUTES, services: SERVICES});
-		return (await fetch(`http://${address}/-/config`, {method: 'PUT', body})).status === 200;
-	}, 'the first configuration is accepted');
-	for (const server of servers) {
-		await server.start();
-		await waitUntil(async () => await server.announce(address) === 200, 'an announcement is accepted');
-	}
-
-	await waitUntil(async () => entry.listServers().length === servers.length && (servers.length === 0 || entry.isReady), 'the entry host knows all servers');
-	let next = 0;
-	return {
-		control: address,
-		entry,
-		metrics,
-		controlRegistry,
-		entryLines: entryLog.lines,
-		servers,
-		async call(target: string, headers: Record<string, string> = {}, body?: string) {
-			const id = `id-${++next}`;
-			const response = await request(`http://${callers.address}:${callers.port}${target}`, {
-				method: body === undefined ? 'GET' : 'POST', body, headers: {host: 'a.example', 'carawayhoist-attempt-id': id, ...headers},
-			});
-			return {
-				id, status: response.statusCode, headers: response.headers, text: await response.body.text(),
-			};
-		},
-	};
-}
-
-/** Creates loggers that record every line. */
-function createRecordingLoggers(): {loggers: LoggerFactory; lines: Array<{message: string; fields: LogFields}>} {
-	const lines: Array<{message: string; fields: LogFields}> = [];
-	const record = (message: string, fields: LogFields = {}) => {
-		lines.push({message, fields});
-	};
-
-	return {
-		lines, loggers: () => ({
-			debug: record, info: record, warn: record, error: record,
-		}),
-	};
-}
-
-function closeServer(server: http.Server): void {
-	server.close();
-	server.closeAllConnections();
-}
-
-function unwrap<Value>(result: Either.Either<{readonly text: string}, Value>): Value {
-	if (Either.isLeft(result)) {
-		throw new Error(result.left.text);
-	}
-
-	return result.right;
-}
-
--- /dev/null
+++ b/test/poison.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {sleep} from '../src/base/clock.js';
+import type {StubBackendOptions} from './stub.js';
+import {startSystem} from './system.js';
+
+const REFUSED_CODE = '3008';
+/** Time that a server takes for a request whose target contains `beside`. */
+const BESIDE_MS = 150;
+
+/** Options of a server that crashes as soon as it receives a request whose target or body contains `poison`. */
+function createFragileServer(id: string, crashed: Set<string>, stop: (id: string) => void): StubBackendOptions {
+	return {
+		id, service: 'plain', intercept(request, response, body) {
+			const content = `${request.url ?? ''} ${body.toString()}`;
+			if (content.includes('beside')) {
+				setTimeout(() => {
+					response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id'])}).end();
+				}, BESIDE_MS);
+				return true;
+			}
+
+			if (!content.includes('poison')) {
+				return false;
+			}
+
+			crashed.add(id);
+			stop(id);
+			return true;
+		},
+	};
+}
+
+async function startFragileSystem(t: Parameters<typeof startSystem>[0], ids: readonly string[]) {
+	const crashed = new Set<string>();
+	const stop = (id: string) => {
+		system.servers[ids.indexOf(id)]!.stop();
+	};
+
+	const system = await startSystem(t, ids.map(id => createFragileServer(id, crashed, stop)));
+	return {system, crashed};
+}
+
+test('a repeatable request under which two servers crashed is refused at every host, without reaching a third server', async t => {
+	const {system, crashed} = await startFragileSystem(t, ['p1', 'p2', 'p3', 'p4']);
+	const callSecond = await system.addEntry();
+	assert.equal((await system.call('/read/poison')).status, 502);
+	assert.equal(crashed.size, 2);
+	for (const call of [callSecond, system.call]) {
+		const {status, headers} = await call('/read/poison');
+		assert.deepEqual({status, code: headers['carawayhoist-code'], hasRetryTime: Number(headers['retry-after']) > 0}, {status: 503, code: REFUSED_CODE, hasRetryTime: true});
+		assert.equal((await call('/read/sound')).status, 200);
+	}
+
+	assert.equal(crashed.size, 2);
+});
+
+test('a non-repeatable request under which two servers crashed is refused at a host that joins later', async t => {
+	const {system, crashed} = await startFragileSystem(t, ['p1', 'p2', 'p3', 'p4']);
+	const callSecond = await system.addEntry();
+	assert.equal((await system.call('/book/1', {}, 'poison')).status, 502);
+	assert.equal((await callSecond('/book/1', {}, 'poison')).status, 502);
+	assert.equal(crashed.size, 2);
+	const callThird = await system.addEntry();
+	const {status, headers} = await callThird('/book/1', {}, 'poison');
+	assert.deepEqual({status, code: headers['carawayhoist-code']}, {status: 503, code: REFUSED_CODE});
+	assert.equal((await callThird('/book/1', {}, 'seat')).status, 200);
+	assert.equal(crashed.size, 2);
+});
+
+test('a server that closes connections without an answer but lives condemns no request', async t => {
+	let isBroken = true;
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept(_request, response) {
+			if (isBroken) {
+				response.socket?.resetAndDestroy();
+			}
+
+			return isBroken;
+		},
+	}]);
+	for (let index = 0; index < 6; index++) {
+		assert.equal((await system.call('/book/1', {}, 'seat')).status, 502);
+	}
+
+	isBroken = false;
+	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
+});
+
+test('sound requests that ran beside one that crashes servers are served, also when they are sent again', async t => {
+	const {system, crashed} = await startFragileSystem(t, ['p1', 'p2', 'p3', 'p4', 'p5', 'p6']);
+	const callSecond = await system.addEntry();
+	const calls = [system.call, callSecond];
+	const beside = Array.from({length: 12}, async (_, index) => calls[index % 2]!(`/read/beside/${index}`));
+	await sleep(BESIDE_MS / 3);
+	assert.equal((await system.call('/read/poison')).status, 502);
+	assert.equal(crashed.size, 2);
+	await Promise.all(beside);
+	for (let index = 0; index < 12; index++) {
+		assert.equal((await calls[index % 2]!(`/read/beside/${index}`)).status, 200);
+	}
+});
