Refuse requests that crash servers on published routes, at every host

Cause: src/serving/ kept no record of crashes. routing/poison.ts, the quarantine and the crash facts served our own door only, so a request that crashes servers was sent on, at any host, for as long as its caller sent it. Class: a promise kept on one of two serving paths.

Change: each entry host tracks its attempts by server incarnation (serving/crashes.ts). A crash is a broken response with a refused probe, or a new incarnation in the server's place while requests got no answer; a close alone is none. The facts go to all control hosts, which push them to every subscriber, whole to one that joins; entry hosts tell a control host that restarted. A request is refused with code 3008 once it alone explains two crashes (routing/poison.ts), and acquitted by a success. The table of facts is one class for both doors (membership/crashes.ts), and so is the probe (wire/probe.ts).

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -22,6 +22,7 @@
 import type {
 	Announcement, Message, Publication, PutCommand, ViewUpdate,
 } from '../generated/types.js';
+import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedPublisher, FeedSubscription} from '../membership/feed.js';
 import {DEFAULT_REGISTRY_TIMING, ServerRegistry, type MergeResult} from '../membership/registry.js';
 import {RouteTable, type RoutingConfig} from '../routing/routes.js';
@@ -79,6 +80,7 @@
 	readonly #subscription: FeedSubscription;
 	readonly #listener: Listener;
 	readonly #scheduler = new Scheduler();
+	readonly #crashes = new CrashTable();
 	readonly #rolePlanner = new RolePlanner();
 	readonly #timer: NodeJS.Timeout;
 	readonly #startedMs: number;
@@ -102,6 +104,8 @@
 			listMembers: () => service.listMembers(),
 			hasQuorum: () => service.hasQuorum,
 			isWarm: () => this.#isWarm(),
+			crashes: this.#crashes,
+			self: {host, ...options.peerAddress},
 		});
 		this.#subscription = new FeedSubscription({
 			host,
@@ -111,6 +115,9 @@
 			clock,
 			logger: options.loggers('membership'),
 			readVersion: () => Number.MAX_SAFE_INTEGER,
+			onMessage: message => {
+				this.#mergeCrashes(message);
+			},
 			onFeed: feed => {
 				for (const status of feed.sightings) {
 					this.#handleMergeResult(this.registry.mergeStatus(status, clock.monotonicMs()), status.announcement);
@@ -265,6 +272,11 @@
 				break;
 			}
 
+			case 'gossip': {
+				this.#mergeCrashes(message);
+				break;
+			}
+
 			case 'offer': {
 				const {bodyBytes = 0, connected = []} = message;
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
@@ -315,6 +327,12 @@
 		this.#listener.close();
 	}
 
+	#mergeCrashes(message: Message): void {
+		if (message.type === 'gossip' && mergeCrashFacts(this.#crashes, message.facts)) {
+			this.#publisher.notify();
+		}
+	}
+
 	#isWarm(): boolean {
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceIntervalMs * WARM_INTERVALS;
 	}
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -8,7 +8,8 @@
 import type {Logger, LoggerFactory} from '../base/logger.js';
 import type {Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
-import type {Feed} from '../generated/types.js';
+import type {Feed, Message, PoisonFact} from '../generated/types.js';
+import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedSubscription, inflatePublication} from '../membership/feed.js';
 import {ServerDiscovery} from '../membership/discovery.js';
 import {ServiceRetryBudget, type RetryBudgetLimits} from '../routing/budget.js';
@@ -17,6 +18,7 @@
 import {LoadTracker} from '../routing/load.js';
 import {Scheduler} from '../routing/scheduler.js';
 import type {ServingContext} from '../serving/context.js';
+import {CrashMonitor} from '../serving/crashes.js';
 import type {ProtocolAdapter} from '../serving/protocol.js';
 import {listEngines} from '../serving/engines.js';
 import {Gateway} from '../serving/gateway.js';
@@ -24,6 +26,7 @@
 import {PlacementClient} from '../serving/placement.js';
 import {Upstream} from '../serving/upstream.js';
 import type {Address} from '../wire/connection.js';
+import {probe} from '../wire/probe.js';
 
 export type EntryHostOptions = {
 	readonly host: string;
@@ -54,6 +57,8 @@
 	readonly #logger: Logger;
 	readonly #upstream = new Upstream();
 	readonly #localScheduler = new Scheduler();
+	readonly #crashTable = new CrashTable();
+	readonly #crashMonitor: CrashMonitor;
 	readonly #subscription: FeedSubscription;
 	readonly #discovery: ServerDiscovery;
 	readonly #retryBudget: ServiceRetryBudget;
@@ -80,11 +85,24 @@
 				this.#handleFeed(feed, control);
 			},
 			onMessage: (message, control) => {
-				this.#placementClient.receive(message, control);
+				if (message.type === 'gossip') {
+					mergeCrashFacts(this.#crashTable, message.facts);
+				} else {
+					this.#placementClient.receive(message, control);
+				}
 			},
 		});
 		this.#discovery = new ServerDiscovery(this.#subscription);
 		this.#placementClient = new PlacementClient(this.#subscription, this.#localScheduler, clock);
+		this.#crashMonitor = new CrashMonitor({
+			clock,
+			logger: options.loggers('routing'),
+			table: this.#crashTable,
+			probe,
+			publish: facts => {
+				this.#subscription.broadcast(this.#createCrashMessage(facts));
+			},
+		});
 		const context: ServingContext = {
 			dataCentre,
 			clock,
@@ -97,6 +115,7 @@
 			loadTracker: new LoadTracker(),
 			retryBudget: this.#retryBudget,
 			placement: this.#placementClient,
+			crashes: this.#crashMonitor,
 			listServers: () => this.#discovery.listUsable(),
 			findServer: server => this.#discovery.findServer(server),
 			countHosts: () => this.#hostCount,
@@ -162,6 +181,15 @@
 			this.#retryBudget.setHostCount(feed.entries);
 		}
 
+		if (hasChanges) {
+			this.#crashMonitor.checkServers(server => this.#discovery.findFate(server));
+		}
+
+		// A control host that has restarted knows no crashes; without it, this host knows some that it never received.
+		if (feed.whole && !this.#crashTable.isEmpty) {
+			this.#subscription.send(control, this.#createCrashMessage(this.#crashTable.listFacts()));
+		}
+
 		const isNewer = feed.version > (this.#routeTable?.config.version ?? 0);
 		if (feed.publication && isNewer) {
 			this.#applyPublication(feed.publication, feed.version, control);
@@ -172,6 +200,11 @@
 		}
 	}
 
+	#createCrashMessage(facts: readonly PoisonFact[]): Message {
+		const {host, callerAddress} = this.#options;
+		return {type: 'gossip', from: {host, ...callerAddress}, facts: [...facts]};
+	}
+
 	#applyPublication(bytes: Uint8Array, version: number, control: string): void {
 		const text = inflatePublication(bytes);
 		const config = Either.isLeft(text) ? text : this.#options.protocol.parseRoutingConfig(text.right);
--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type {Buffer} from 'node:buffer';
-import net from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
 import {sleep, type Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
@@ -22,6 +21,7 @@
 import {AdmissionController, AdmissionMargin, type AdmissionEvent} from '../routing/admission.js';
 import {classifyRequest, POISON_STATES, type CrashRecord} from '../routing/poison.js';
 import {hashBlocks} from '../routing/prefix.js';
+import {probe, PROBE_RESULTS} from '../wire/probe.js';
 import {
 	APIS, parseCompletionRequest, EventStreamWriter, JsonWriter, type ResponseWriter, type Api, type CompletionRequest,
 } from './completion.js';
@@ -75,9 +75,6 @@
 const CLEARING_TOKENS = 4;
 const DEFAULT_OUTPUT_TOKENS = 200;
 const EXPECTED_SHARE_OF_MAX_TOKENS = 0.6;
-const PROBE_TIMEOUT_MS = 400;
-/** An engine is alive if it keeps a connection open this long. A dying process may still accept one for some milliseconds. */
-const PROBE_HOLD_MS = 100;
 /** Delay before an engine whose connection broke is probed again: a crash may show late, or only as a restart. */
 const SECOND_PROBE_DELAY_MS = 500;
 const DISPATCH_INTERVAL_MS = 250;
@@ -621,7 +618,7 @@
 
 	async #onBroken(server: Announcement): Promise<NextStep> {
 		const {pool} = this.#handler.options;
-		const isAlive = await probe(server);
+		const isAlive = await probe(server) === PROBE_RESULTS.accepted;
 		if (isAlive) {
 			this.#addStep(`The connection to engine ${server.server} broke; the engine is alive.`);
 			this.#excludeAfterSecondBreak(server);
@@ -646,7 +643,7 @@
 	async #probeAgain(server: Announcement): Promise<void> {
 		await sleep(SECOND_PROBE_DELAY_MS);
 		const current = this.#handler.options.pool.findServer(server.server) ?? server;
-		if (current.incarnation !== server.incarnation || !(await probe(server))) {
+		if (current.incarnation !== server.incarnation || await probe(server) !== PROBE_RESULTS.accepted) {
 			this.#addStep(`Engine ${server.server} has died since its connection broke.`);
 			this.#broadcastCrash(server);
 		}
@@ -734,35 +731,6 @@
 	}
 }
 
-/** Whether a server accepts a connection and keeps it open. */
-async function probe(server: Announcement): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = net.connect({host: server.address, port: server.port});
-		const timer = setTimeout(() => {
-			finish(false);
-		}, PROBE_TIMEOUT_MS);
-		const finish = (isAlive: boolean) => {
-			clearTimeout(timer);
-			socket.destroy();
-			resolve(isAlive);
-		};
-
-		socket.once('connect', () => {
-			setTimeout(() => {
-				finish(true);
-			}, PROBE_HOLD_MS);
-		});
-		socket.once('close', () => {
-			finish(false);
-		});
-		socket.once('error', () => {
-			finish(false);
-		});
-		// Without reading, the end of the connection would not be noticed.
-		socket.resume();
-	});
-}
-
 function parseLoad(header: string) {
 	const [running, waiting, prefillTokens, decodeTokens] = header.split(',').map(Number);
 	return running === undefined || waiting === undefined || Number.isNaN(running) || Number.isNaN(waiting)
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -11,6 +11,7 @@
 import type {
 	Announcement, Fact, HostFact, Peer, PoisonFact,
 } from '../generated/types.js';
+import {CrashTable} from './crashes.js';
 
 /**
  * The result of merging a fact: `none` if it was known or outdated, `refresh` if only its sequence number or load
@@ -35,8 +36,6 @@
 
 /** Servers without a newer announcement for this long are no longer listed. */
 export const SERVER_TIMEOUT_MS = 180_000;
-const POISON_RETENTION_MS = 3_600_000;
-const MAX_POISON_FACTS = 2000;
 /** Urgent facts are forwarded this many times for each doubling of the number of hosts, other facts once. */
 const URGENT_SENDS_PER_DOUBLING = 2;
 /** Encoded size of a gossip message without its facts. */
@@ -46,7 +45,7 @@
 export class Directory {
 	readonly #servers = new Map<string, ServerRecord>();
 	readonly #hosts = new Map<string, HostFact>();
-	readonly #poison = new Map<string, PoisonFact>();
+	readonly #crashes = new CrashTable();
 	readonly #rumors = new Map<string, Rumor>();
 	readonly #ownHost: string;
 
@@ -87,7 +86,7 @@
 	}
 
 	findPoison(fingerprint: string): PoisonFact | undefined {
-		return this.#poison.get(fingerprint);
+		return this.#crashes.findFact(fingerprint);
 	}
 
 	/** Merges a fact and, if it is new, queues it for forwarding. */
@@ -136,7 +135,7 @@
 
 	listFacts(): Fact[] {
 		const servers = [...this.#servers.values()].map(({announcement}): Fact => ({type: 'server', announcement}));
-		return [...servers, ...this.#hosts.values(), ...this.#poison.values()];
+		return [...servers, ...this.#hosts.values(), ...this.#crashes.listFacts()];
 	}
 
 	/** Removes servers without a newer announcement for twice the timeout. */
@@ -159,7 +158,7 @@
 			}
 
 			case 'poison': {
-				return this.#mergePoison(fact);
+				return this.#crashes.merge(fact) ? FACT_MERGE_RESULTS.urgent : FACT_MERGE_RESULTS.none;
 			}
 		}
 	}
@@ -185,32 +184,12 @@
 		return known && serializeHost(known) === serializeHost(fact) ? FACT_MERGE_RESULTS.refresh : FACT_MERGE_RESULTS.urgent;
 	}
 
-	#mergePoison(fact: PoisonFact): FactMergeResult {
-		const known = this.#poison.get(fact.fingerprint);
-		const servers = computeUnion(known?.servers, fact.servers);
-		const acquitted = computeUnion(known?.acquitted, fact.acquitted);
-		if (known?.servers.length === servers.length && (known.acquitted ?? []).length === acquitted.length) {
-			return FACT_MERGE_RESULTS.none;
-		}
-
-		this.#poison.set(fact.fingerprint, {
-			...fact, servers, acquitted, at: Math.max(fact.at, known?.at ?? 0),
-		});
-		for (const [fingerprint, {at}] of this.#poison) {
-			if (fact.at - at > POISON_RETENTION_MS || this.#poison.size > MAX_POISON_FACTS) {
-				this.#poison.delete(fingerprint);
-			}
-		}
-
-		return FACT_MERGE_RESULTS.urgent;
-	}
-
 	#enqueue(fact: Fact, result: FactMergeResult): void {
 		const key = createFactKey(fact);
 		const pending = this.#rumors.get(key);
 		const urgent = result === FACT_MERGE_RESULTS.urgent || (pending?.urgent ?? false);
 		const doublings = Math.ceil(Math.log2(this.#hosts.size + 2));
-		const stored = fact.type === 'poison' ? this.#poison.get(fact.fingerprint)! : fact;
+		const stored = fact.type === 'poison' ? this.#crashes.findFact(fact.fingerprint)! : fact;
 		this.#rumors.set(key, {fact: stored, urgent, remainingSends: urgent ? doublings * URGENT_SENDS_PER_DOUBLING : doublings});
 	}
 }
@@ -226,10 +205,6 @@
 		: candidate.incarnation > known.incarnation;
 }
 
-function computeUnion(first: readonly string[] = [], second: readonly string[] = []): string[] {
-	return [...new Set([...first, ...second])].toSorted();
-}
-
 function createFactKey(fact: Fact): string {
 	switch (fact.type) {
 		case 'server': {
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {Announcement, Feed} from '../generated/types.js';
-import {ServerRegistry} from './registry.js';
+import {ServerRegistry, type ServerFate} from './registry.js';
 
 /** Servers never expire here: feeds carry only changes, and the control hosts report which servers are silent. */
 const NO_EXPIRY = {silentAfterMs: Number.POSITIVE_INFINITY, forgetAfterMs: Number.POSITIVE_INFINITY};
@@ -53,6 +53,11 @@
 		return reports.length === 0 ? usable : usable.filter(({server}) => reports.some(report => report.get(server) === true));
 	}
 
+	/** Finds what has become of a server that was announced before. */
+	findFate(server: Announcement): ServerFate {
+		return this.#registry.findFate(server);
+	}
+
 	findServer(server: string): Announcement | undefined {
 		return this.#registry.findStatus(server)?.announcement;
 	}
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -15,9 +15,10 @@
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {
-	Feed, Member, Message, Watch,
+	Feed, Member, Message, Peer, Watch,
 } from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
+import type {CrashTable} from './crashes.js';
 import type {ServerRegistry} from './registry.js';
 
 /** Interval of heartbeats in both directions. A subscriber drops a connection after four missed ones. */
@@ -45,6 +46,10 @@
 	readonly listMembers: () => Member[];
 	readonly hasQuorum: () => boolean;
 	readonly isWarm: () => boolean;
+	/** Requests that were in flight at servers that crashed. */
+	readonly crashes: CrashTable;
+	/** This host, as sender of crash facts. */
+	readonly self: Peer;
 };
 
 type Subscriber = {
@@ -54,6 +59,8 @@
 	version: number;
 	/** Revision of the server registry up to which changes were sent. */
 	revision: number;
+	/** Revision of the crash table up to which changes were sent. */
+	crashRevision: number;
 	isNew: boolean;
 	lastReceivedMs: number;
 };
@@ -95,7 +102,7 @@
 		}
 
 		this.#subscribers.set(connection, {
-			host: message.host, role: message.role, version: message.version, revision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
+			host: message.host, role: message.role, version: message.version, revision: 0, crashRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
 		});
 		connection.onClose(() => {
 			this.#subscribers.delete(connection);
@@ -124,6 +131,7 @@
 				continue;
 			}
 
+			this.#sendCrashes(connection, subscriber);
 			const feed = this.#createFeed(connection, subscriber);
 			if (isHeartbeat || feed.whole || feed.publication !== undefined || feed.sightings.length > 0) {
 				connection.send(feed);
@@ -131,6 +139,14 @@
 		}
 	}
 
+	#sendCrashes(connection: Connection, subscriber: Subscriber): void {
+		const {crashes, self} = this.#options;
+		if (subscriber.crashRevision < crashes.revision) {
+			connection.send({type: 'gossip', from: self, facts: crashes.listChangedSince(subscriber.crashRevision)});
+			subscriber.crashRevision = crashes.revision;
+		}
+	}
+
 	#createFeed(connection: Connection, subscriber: Subscriber): Feed {
 		const {host, registry, readPublication, hasQuorum, isWarm, listMembers} = this.#options;
 		const publication = readPublication();
@@ -266,6 +282,13 @@
 		return true;
 	}
 
+	/** Sends a message to all control hosts to which a connection is open. */
+	broadcast(message: Message): void {
+		for (const key of this.#sources.keys()) {
+			this.send(key, message);
+		}
+	}
+
 	close(): void {
 		this.#isClosed = true;
 		clearInterval(this.#timer);
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -16,6 +16,16 @@
 export const MERGE_RESULTS = {none: 'none', refresh: 'refresh', change: 'change'} as const;
 export type MergeResult = keyof typeof MERGE_RESULTS;
 
+/** What has become of a server incarnation. */
+export const SERVER_FATES = {
+	present: 'present',
+	/** Another incarnation has started at its address or under its id. */
+	replaced: 'replaced',
+	/** It has deregistered, and nothing else has started in its place. */
+	left: 'left',
+} as const;
+export type ServerFate = keyof typeof SERVER_FATES;
+
 export type RegistryTiming = {
 	/** Time without an announcement after which a server is silent, milliseconds. */
 	readonly silentAfterMs: number;
@@ -133,6 +143,22 @@
 		return result;
 	}
 
+	/** Finds what has become of a server incarnation that was announced before. */
+	findFate({server, incarnation, address, port}: Announcement): ServerFate {
+		const known = this.#entries.get(server);
+		if (known && known.announcement.incarnation > incarnation) {
+			return SERVER_FATES.replaced;
+		}
+
+		if (!known?.gone) {
+			return SERVER_FATES.present;
+		}
+
+		const isReplaced = [...this.#entries.values()].some(({announcement}) => announcement.server !== server
+			&& announcement.address === address && announcement.port === port && announcement.incarnation > incarnation);
+		return isReplaced ? SERVER_FATES.replaced : SERVER_FATES.left;
+	}
+
 	/** Marks a server as gone. Returns false if it is unknown or already gone. */
 	deregister(server: string): boolean {
 		const known = this.#entries.get(server);
--- a/src/routing/poison.ts
+++ b/src/routing/poison.ts
@@ -5,6 +5,9 @@
  * that runs no other suspect, so that a second crash proves that it is the cause. A suspect that runs alone beyond the
  * point of the crash is acquitted of that crash; a later crash only makes it a suspect again.
  *
+ * Published routes run suspects without isolation. There, a request is poisoned if it is the only explanation of its
+ * crashes: no other request was in flight at all of them.
+ *
  * @module
  */
 
@@ -42,3 +45,37 @@
 
 	return unresolved > 0 ? POISON_STATES.suspect : POISON_STATES.clear;
 }
+
+/**
+ * Finds the requests that must be the cause of their crashes. A request is cleared by another one that was in flight at
+ * the same crashes and more; of requests with the same crashes, none is chosen before they have `CRASH_LIMIT` of them.
+ *
+ * @example
+ * ```ts
+ * listPoisoned(new Map([['f', {servers: ['e1#1', 'e2#1']}], ['g', {servers: ['e1#1']}]])); // Set {'f'}
+ * ```
+ */
+export function listPoisoned(records: ReadonlyMap<string, CrashRecord>): Set<string> {
+	const suspects = new Map<string, ReadonlySet<string>>();
+	for (const [fingerprint, {servers, acquitted = []}] of records) {
+		const unresolved = new Set(servers.filter(server => !acquitted.includes(server)));
+		if (unresolved.size >= POISON_LIMIT) {
+			suspects.set(fingerprint, unresolved);
+		}
+	}
+
+	const poisoned = new Set<string>();
+	for (const [fingerprint, crashes] of suspects) {
+		const rivals = [...suspects].filter(([other, otherCrashes]) => other !== fingerprint && isSubset(crashes, otherCrashes));
+		const isExplained = rivals.some(([, otherCrashes]) => otherCrashes.size > crashes.size);
+		if (!isExplained && (rivals.length === 0 || crashes.size >= CRASH_LIMIT)) {
+			poisoned.add(fingerprint);
+		}
+	}
+
+	return poisoned;
+}
+
+function isSubset(set: ReadonlySet<string>, other: ReadonlySet<string>): boolean {
+	return set.size <= other.size && [...set].every(value => other.has(value));
+}
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -14,8 +14,9 @@
 import type {HealthTracker} from '../routing/health.js';
 import type {LoadTracker} from '../routing/load.js';
 import type {Caller} from './caller.js';
-import type {
-	ResponseHead, Attempt, RequestHead, ProtocolAdapter,
+import type {CrashMonitor, SuspectRequest, TrackedAttempt} from './crashes.js';
+import {
+	ATTEMPT_PHASES, type ResponseHead, type Attempt, type RequestHead, type ProtocolAdapter,
 } from './protocol.js';
 import type {ServingMetrics} from './metrics.js';
 import type {PlacementClient} from './placement.js';
@@ -36,6 +37,7 @@
 	readonly retryBudget: ServiceRetryBudget;
 	readonly placement: PlacementClient;
 	readonly metrics: ServingMetrics;
+	readonly crashes: CrashMonitor;
 	/** Lists the servers that accept new work. */
 	readonly listServers: () => readonly Announcement[];
 	readonly findServer: (server: string) => Announcement | undefined;
@@ -55,8 +57,8 @@
 	readonly arrivedMs: number;
 	/** Monotonic time, milliseconds. */
 	readonly deadlineMs: number;
-	/** Recognizes the request when its caller sends it again. Computed on the first call. */
-	readonly getFingerprint: () => string;
+	/** Identifies the request if servers crash while they run it. */
+	readonly suspect: SuspectRequest;
 	/** Fields for the log line that is written when the request has ended. */
 	readonly logFields: RequestLogFields;
 };
@@ -86,6 +88,8 @@
 	readMs?: number;
 	firstMs?: number;
 	note?: string;
+	/** Recognizes a quarantined request in the lines of other attempts. */
+	fingerprint?: string;
 };
 
 /** Number of connections that a host may always open to a server, whatever the number of hosts. */
@@ -98,6 +102,8 @@
 const MAX_CONNECTIONS = 64;
 /** Retry time for callers when no server is available: servers announce themselves about once a second. */
 const NO_SERVER_RETRY_SECONDS = 1;
+/** Retry time for callers of a request that crashes servers: another attempt within a minute would be refused as well. */
+const QUARANTINE_RETRY_SECONDS = 60;
 
 /**
  * Sends a request to a server.
@@ -111,14 +117,72 @@
 	const {request} = call.caller;
 	const cap = call.routeTable.findService(call.service)?.maxConnections ?? MAX_CONNECTIONS;
 	const share = Math.floor((cap * CONNECTION_SHARE) / context.countHosts());
-	return context.upstream.send({
+	// A prefill starts no response, so it is not what crashes an engine.
+	const tracked = attempt.phase === ATTEMPT_PHASES.prefill ? undefined : context.crashes.track(server, call.suspect);
+	const exchange = context.upstream.send({
 		address: {address: server.address, port: server.port},
 		method: request.method ?? 'GET',
 		path: request.url ?? '/',
 		headers: context.protocol.buildRequestHeaders(request, {...attempt, server: server.server}),
 		body: call.body,
 		maxConnections: Math.max(MIN_CONNECTIONS, Math.min(MAX_CONNECTIONS, share)),
-	}, handler);
+	}, tracked ? reportEnd(handler, tracked) : handler);
+	return tracked ? reportCancellation(exchange, tracked) : exchange;
+}
+
+/** Wraps a handler so that the end of the response is also reported to the tracker. */
+function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
+	let status = 0;
+	return {
+		onHead(receivedStatus, headers) {
+			status = receivedStatus;
+			handler.onHead(receivedStatus, headers);
+		},
+		onData(chunk) {
+			handler.onData(chunk);
+		},
+		onEnd() {
+			if (status >= 200 && status < 300) {
+				tracked.succeed();
+			} else {
+				tracked.dismiss();
+			}
+
+			handler.onEnd();
+		},
+		onFailure(failure, error) {
+			if (failure === 'broken') {
+				tracked.breakOff();
+			} else {
+				tracked.dismiss();
+			}
+
+			handler.onFailure(failure, error);
+		},
+	};
+}
+
+/** Wraps an exchange so that its cancellation is also reported to the tracker. */
+function reportCancellation(exchange: Exchange, tracked: TrackedAttempt): Exchange {
+	return {
+		cancel() {
+			const isFirst = exchange.cancel();
+			if (isFirst) {
+				tracked.abandon();
+			}
+
+			return isFirst;
+		},
+		pause() {
+			exchange.pause();
+		},
+		resume() {
+			exchange.resume();
+		},
+		get isSent() {
+			return exchange.isSent;
+		},
+	};
 }
 
 /**
@@ -142,6 +206,19 @@
 	return head.headers['content-encoding'] === undefined ? undefined : 'it has a content encoding';
 }
 
+/**
+ * Creates the problem to report for a request that crashes servers and was not sent to one.
+ *
+ * @example
+ * ```ts
+ * call.caller.fail(createQuarantineProblem(call));
+ * ```
+ */
+export function createQuarantineProblem(call: Call): Problem {
+	call.logFields.fingerprint = call.suspect.getFingerprint();
+	return createProblem('quarantined', undefined, QUARANTINE_RETRY_SECONDS);
+}
+
 /**
  * Creates the problem to report when a service has no available server.
  *
@@ -179,6 +256,6 @@
 	}
 
 	context.logger.warn(`Server ${server.server} failed: ${error.message}`, {
-		server: server.server, failure, request: call.head.id, fingerprint: failure === 'broken' ? call.getFingerprint() : undefined,
+		server: server.server, failure, request: call.head.id, fingerprint: failure === 'broken' ? call.suspect.getFingerprint() : undefined,
 	});
 }
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -13,7 +13,7 @@
 import type {Address} from '../wire/connection.js';
 import {Caller, type CallOutcome} from './caller.js';
 import {PlainCall} from './plaincall.js';
-import type {Call, ServingContext} from './context.js';
+import {createQuarantineProblem, type Call, type ServingContext} from './context.js';
 import {fingerprintRequest} from './fingerprint.js';
 import {StreamCall} from './streamcall.js';
 
@@ -129,6 +129,11 @@
 		const {context} = this.#options;
 		const {caller, route, head, service, routeTable} = call;
 		context.retryBudget.recordRequest(service, context.clock.monotonicMs());
+		if (context.crashes.isQuarantined(call.suspect)) {
+			caller.fail(createQuarantineProblem(call));
+			return;
+		}
+
 		const timer = setTimeout(() => {
 			caller.fail(createProblem('deadlineExceeded'));
 		}, Math.max(0, call.deadlineMs - context.clock.monotonicMs()));
@@ -188,11 +193,14 @@
 			routeTable,
 			service: chooseService(route, this.#options.context.random),
 			deadlineMs: received.arrivedMs + waitMs,
-			getFingerprint() {
-				fingerprint ??= fingerprintRequest({
-					method: request.method ?? 'GET', host: request.headers.host ?? '', target: request.url ?? '/', body: received.body,
-				});
-				return fingerprint;
+			suspect: {
+				id: received.head.id,
+				getFingerprint() {
+					fingerprint ??= fingerprintRequest({
+						method: request.method ?? 'GET', host: request.headers.host ?? '', target: request.url ?? '/', body: received.body,
+					});
+					return fingerprint;
+				},
 			},
 			logFields: {servers: []},
 		});
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -89,6 +89,10 @@
 			return this.#unsentCount < MAX_UNSENT_ATTEMPTS && !this.#isPastDeadline();
 		}
 
+		if (this.#context.crashes.isQuarantined(this.#call.suspect)) {
+			return false;
+		}
+
 		const isSafe = outcome.type === 'notExecuted' ? !this.#mayHaveRun : route.kind === ROUTE_KINDS.repeatable;
 		return isSafe && this.#sentCount < route.maxAttempts && !this.#isPastDeadline() && this.#hasOtherServer() && tryAcquireRetry(this.#context, this.#call.service);
 	}
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -9,7 +9,7 @@
 import type {Announcement} from '../generated/types.js';
 import {LATE_PRIORITY, type PlacementRequest} from '../routing/request.js';
 import {
-	findResponseMismatch, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
+	createQuarantineProblem, findResponseMismatch, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
 import type {
 	ResponseHead, Prompt, KvCacheHandle,
@@ -77,6 +77,12 @@
 				break;
 			}
 
+			// An engine may have crashed under another attempt of this request meanwhile.
+			if (this.#context.crashes.isQuarantined(this.#call.suspect)) {
+				caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createQuarantineProblem(this.#call));
+				break;
+			}
+
 			const outcome = await this.#runAt(runner);
 			if (outcome.type === 'done') {
 				this.#context.placement.reportMilestone(this.#call.head.id, outcome.isServerError ? 'failed' : 'done', outcome.isServerError ? runner.server : undefined);
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -41,8 +41,11 @@
 }
 
 export type Exchange = {
-	/** Aborts the exchange and closes its connection; the handler is not called any more. */
-	cancel(): void;
+	/**
+	 * Aborts the exchange and closes its connection; the handler is not called any more. Returns false if the exchange
+	 * has already ended.
+	 */
+	cancel(): boolean;
 	/** Stops reading the response, for backpressure. */
 	pause(): void;
 	/** Continues reading the response. */
@@ -230,10 +233,13 @@
 		}
 	}
 
-	cancel(): void {
-		if (this.#end()) {
+	cancel(): boolean {
+		const isFirst = this.#end();
+		if (isFirst) {
 			this.#controller?.abort(new Error('The exchange was cancelled.'));
 		}
+
+		return isFirst;
 	}
 
 	pause(): void {
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -16,6 +16,7 @@
 	'control/controller',
 	'control/reconfiguration',
 	'control/bootstrap',
+	'membership/crashes',
 	'membership/directory',
 	'routing/choice',
 	'routing/admission',
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -7,6 +7,8 @@
 const REFUSED_CODE = '3008';
 /** Time that a server takes for a request whose target contains `beside`. */
 const BESIDE_MS = 150;
+/** Far more than hosts need to learn of a crash: a probe and two messages on loopback connections. */
+const PROPAGATION_MS = 500;
 
 /** Options of a server that crashes as soon as it receives a request whose target or body contains `poison`. */
 function createFragileServer(id: string, crashed: Set<string>, stop: (id: string) => void): StubBackendOptions {
@@ -46,6 +48,7 @@
 	const callSecond = await system.addEntry();
 	assert.equal((await system.call('/read/poison')).status, 502);
 	assert.equal(crashed.size, 2);
+	await sleep(PROPAGATION_MS);
 	for (const call of [callSecond, system.call]) {
 		const {status, headers} = await call('/read/poison');
 		assert.deepEqual({status, code: headers['carawayhoist-code'], hasRetryTime: Number(headers['retry-after']) > 0}, {status: 503, code: REFUSED_CODE, hasRetryTime: true});
@@ -61,6 +64,7 @@
 	assert.equal((await system.call('/book/1', {}, 'poison')).status, 502);
 	assert.equal((await callSecond('/book/1', {}, 'poison')).status, 502);
 	assert.equal(crashed.size, 2);
+	await sleep(PROPAGATION_MS);
 	const callThird = await system.addEntry();
 	const {status, headers} = await callThird('/book/1', {}, 'poison');
 	assert.deepEqual({status, code: headers['carawayhoist-code']}, {status: 503, code: REFUSED_CODE});
