--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -256,6 +256,10 @@
 	}
 
 	context.logger.warn(`Server ${server.server} failed: ${error.message}`, {
-		server: server.server, failure, request: call.head.id, fingerprint: failure === 'broken' ? call.suspect.getFingerprint() : undefined,
+		server: server.server,
+		failure,
+		request: call.head.id,
+		fingerprint: failure === 'broken' ? call.suspect.getFingerprint() : undefined,
+		parts: failure === 'broken' ? call.head.prompt?.parts.slice(0, -1).map(({key}) => key) : undefined,
 	});
 }
