--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -33,13 +33,36 @@
 	};
 }
 
-async function startFragileSystem(t: Parameters<typeof startSystem>[0], ids: readonly string[]) {
+/** Options of an engine that crashes in the first event of a response to a prompt with the part `bad`. */
+function createFragileEngine(id: string, crashed: Set<string>, stop: (id: string) => void): StubBackendOptions {
+	return {
+		id, service: 'llm', stage: 'decode', intercept(request, response) {
+			if (!String(request.headers['carawayhoist-prompt-prefix']).includes('bad:')) {
+				return false;
+			}
+
+			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'content-type': 'text/event-stream'});
+			response.write('id: 1\nda', () => {
+				crashed.add(id);
+				stop(id);
+			});
+			return true;
+		},
+	};
+}
+
+/** Headers of a prompt of three parts, of which the last is its own. */
+function createPrompt(first: string, second: string, own: string): Record<string, string> {
+	return {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': `${first}:10,${second}:10,${own}:10`};
+}
+
+async function startFragileSystem(t: Parameters<typeof startSystem>[0], ids: readonly string[], createOptions = createFragileServer) {
 	const crashed = new Set<string>();
 	const stop = (id: string) => {
 		system.servers[ids.indexOf(id)]!.stop();
 	};
 
-	const system = await startSystem(t, ids.map(id => createFragileServer(id, crashed, stop)));
+	const system = await startSystem(t, ids.map(id => createOptions(id, crashed, stop)));
 	return {system, crashed};
 }
 
@@ -104,3 +127,22 @@
 		assert.equal((await calls[index % 2]!(`/read/beside/${index}`)).status, 200);
 	}
 });
+
+test('a prompt part under which engines crashed in different requests is refused at every host; prompts that share its other parts are served', async t => {
+	const {system, crashed} = await startFragileSystem(t, ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'], createFragileEngine);
+	const calls = [system.call, await system.addEntry()];
+	const ask = async (index: number, second: string) => calls[index % 2]!(`/ask/${second}/${index}`, createPrompt('shared', second, `own${index}`), 'prompt');
+	for (let index = 0; index < 10; index++) {
+		// A response that has started ends with its connection.
+		await Promise.allSettled([ask(index, 'bad')]);
+		await sleep(PROPAGATION_MS / 5);
+		assert.equal((await ask(index, 'good')).status, 200);
+	}
+
+	assert.ok(crashed.size >= 3 && crashed.size <= 4, `${crashed.size} engines crashed`);
+	for (const index of [0, 1]) {
+		const {status, headers} = await ask(20 + index, 'bad');
+		assert.deepEqual({status, code: headers['carawayhoist-code']}, {status: 503, code: REFUSED_CODE});
+		assert.equal((await ask(20 + index, 'other')).status, 200);
+	}
+});
