Refuse prompts with a part that crashes engines, at every host

Cause: crashes were remembered by whole requests. The requests that share the part are all different, so each of them counted as new. Class: evidence kept under an identity that is narrower than the cause.

Change: a crash is recorded for the shared parts of the prompts in flight as well. A part is refused after three crashes that no single request and no other part explains, after five if it was served since an earlier crash; a success acquits all parts of its prompt. A response that ends with its connection counts as broken off here, not as a success, since a crash looks the same.

--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -133,16 +133,21 @@
 /** Wraps a handler so that the end of the response is also reported to the tracker. */
 function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
 	let status = 0;
+	let isClosedByConnection = false;
 	return {
 		onHead(receivedStatus, headers) {
 			status = receivedStatus;
+			isClosedByConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 			handler.onHead(receivedStatus, headers);
 		},
 		onData(chunk) {
 			handler.onData(chunk);
 		},
 		onEnd() {
-			if (status >= 200 && status < 300) {
+			if (isClosedByConnection) {
+				// The server may have ended the response, or crashed in the middle of it.
+				tracked.breakOff();
+			} else if (status >= 200 && status < 300) {
 				tracked.succeed();
 			} else {
 				tracked.dismiss();
@@ -260,6 +265,6 @@
 		failure,
 		request: call.head.id,
 		fingerprint: failure === 'broken' ? call.suspect.getFingerprint() : undefined,
-		parts: failure === 'broken' ? call.head.prompt?.parts.slice(0, -1).map(({key}) => key) : undefined,
+		parts: failure === 'broken' ? call.suspect.sharedParts : undefined,
 	});
 }
--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -8,6 +8,7 @@
 import type {Announcement, PoisonFact} from '../generated/types.js';
 import type {CrashTable} from '../membership/crashes.js';
 import {SERVER_FATES, type ServerFate} from '../membership/registry.js';
+import {formatPartKey} from '../routing/poison.js';
 import type {Address} from '../wire/connection.js';
 import {PROBE_RESULTS, type ProbeResult} from '../wire/probe.js';
 
@@ -16,6 +17,8 @@
 	readonly id: string;
 	/** Recognizes the request when its caller sends it again. */
 	readonly getFingerprint: () => string;
+	/** Keys of the prompt parts that other requests may share. */
+	readonly sharedParts: readonly string[];
 };
 
 /** An attempt at a server. Exactly one of its methods is called. */
@@ -24,7 +27,7 @@
 	succeed(): void;
 	/** The server sent another complete response, or did not receive the request. */
 	dismiss(): void;
-	/** The connection was closed before the response was complete. */
+	/** The connection was closed before the response was known to be complete. */
 	breakOff(): void;
 	/** The response was not awaited any longer. */
 	abandon(): void;
@@ -76,10 +79,10 @@
 		this.#options = options;
 	}
 
-	/** Whether a request is known to crash the servers that run it. */
-	isQuarantined({getFingerprint}: SuspectRequest): boolean {
+	/** Whether a request, or a part of its prompt, is known to crash the servers that run it. */
+	isQuarantined(request: SuspectRequest): boolean {
 		const {table} = this.#options;
-		return table.hasPoisoned && table.isPoisoned(getFingerprint());
+		return table.hasPoisoned && listKeys(request).some(key => table.isPoisoned(key));
 	}
 
 	/** Starts to track an attempt at a server. */
@@ -190,24 +193,27 @@
 
 	#report(server: Announcement, requests: readonly SuspectRequest[]): void {
 		const at = this.#options.clock.wallMs();
-		this.#publish(requests.map(request => ({
-			type: 'poison', fingerprint: request.getFingerprint(), servers: [formatIncarnation(server)], at,
+		const keys = new Set(requests.flatMap(request => listKeys(request)));
+		this.#publish([...keys].map(key => ({
+			type: 'poison', fingerprint: key, servers: [formatIncarnation(server)], at,
 		})));
 	}
 
-	/** Clears a request that a server has served of all crashes known so far. */
-	#acquit({getFingerprint}: SuspectRequest): void {
+	/** Clears a request that a server has served, and its prompt parts, of all crashes known so far. */
+	#acquit(request: SuspectRequest): void {
 		const {table, clock} = this.#options;
 		if (table.isEmpty) {
 			return;
 		}
 
-		const servers = table.listUnresolved(getFingerprint());
-		if (servers.length > 0) {
-			this.#publish([{
-				type: 'poison', fingerprint: getFingerprint(), servers, acquitted: servers, at: clock.wallMs(),
-			}]);
-		}
+		const at = clock.wallMs();
+		const facts = listKeys(request).map((key): PoisonFact => {
+			const servers = table.listUnresolved(key);
+			return {
+				type: 'poison', fingerprint: key, servers, acquitted: servers, at,
+			};
+		});
+		this.#publish(facts.filter(({servers}) => servers.length > 0));
 	}
 
 	#publish(facts: readonly PoisonFact[]): void {
@@ -222,6 +228,11 @@
 	}
 }
 
+/** Lists the keys under which crashes of a request are recorded. */
+function listKeys({getFingerprint, sharedParts}: SuspectRequest): string[] {
+	return [getFingerprint(), ...sharedParts.map(part => formatPartKey(part))];
+}
+
 /** Formats the name of a server incarnation in crash facts. */
 function formatIncarnation({server, incarnation}: Announcement): string {
 	return `${server}#${incarnation}`;
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -201,6 +201,8 @@
 					});
 					return fingerprint;
 				},
+				// The last part belongs to the request itself.
+				sharedParts: received.head.prompt?.parts.slice(0, -1).map(({key}) => key) ?? [],
 			},
 			logFields: {servers: []},
 		});
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -111,6 +111,46 @@
 	assert.deepEqual(published.map(({acquitted}) => acquitted), [['a#1', 'b#1']]);
 });
 
+test('a prompt part in flight at three crashes of different requests is poisoned, a part served since is not', () => {
+	const {monitor, table} = createMonitor('refused');
+	for (const [index, server] of ['e1', 'e2', 'e3'].entries()) {
+		monitor.track({...SERVER, server}, createRequest(`bad${index}`, ['shared', 'bad']));
+		monitor.track({...SERVER, server}, createRequest(`beside${index}`, ['shared', `session${index}`]));
+		monitor.checkServers(() => SERVER_FATES.replaced);
+		monitor.track({...SERVER, server: 'e9'}, createRequest(`served${index}`, ['shared', 'other'])).succeed();
+	}
+
+	assert.deepEqual(listPoisoned(table), ['part/bad']);
+	assert.ok(monitor.isQuarantined(createRequest('new', ['shared', 'bad'])));
+	assert.ok(!monitor.isQuarantined(createRequest('new', ['shared', 'other'])));
+});
+
+test('a request that is poisoned does not condemn the parts of its prompt', () => {
+	const {monitor, table} = createMonitor('refused');
+	for (const server of ['e1', 'e2', 'e3']) {
+		monitor.track({...SERVER, server}, createRequest('poison', ['shared', 'session']));
+		monitor.checkServers(() => SERVER_FATES.replaced);
+	}
+
+	assert.deepEqual(listPoisoned(table), ['poison']);
+});
+
+test('a part that was served after an earlier crash is poisoned by five further ones', () => {
+	const table = new CrashTable();
+	mergeCrashFacts(table, [createFact('part/a', ['e0#1'], ['e0#1']), createFact('part/a', ['e1#1', 'e2#1', 'e3#1', 'e4#1'])]);
+	assert.deepEqual(listPoisoned(table), []);
+	table.merge(createFact('part/a', ['e5#1']));
+	assert.deepEqual(listPoisoned(table), ['part/a']);
+});
+
+test('of two parts with the same crashes, none is poisoned before the fourth', () => {
+	const table = new CrashTable();
+	mergeCrashFacts(table, ['part/a', 'part/b'].map(key => createFact(key, ['e1#1', 'e2#1', 'e3#1'])));
+	assert.deepEqual(listPoisoned(table), []);
+	table.merge(createFact('part/b', ['e4#1']));
+	assert.deepEqual(listPoisoned(table), ['part/b']);
+});
+
 function createMonitor(probeResult: ProbeResult) {
 	const table = new CrashTable();
 	const published: PoisonFact[] = [];
@@ -131,8 +171,8 @@
 	};
 }
 
-function createRequest(name: string) {
-	return {id: name, getFingerprint: () => name};
+function createRequest(name: string, sharedParts: string[] = []) {
+	return {id: name, getFingerprint: () => name, sharedParts};
 }
 
 function createFact(fingerprint: string, servers: string[], acquitted?: string[]): PoisonFact {
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -34,22 +34,20 @@
 }
 
 /** Options of an engine that crashes in the first event of a response to a prompt with the part `bad`. */
-function createFragileEngine(id: string, crashed: Set<string>, stop: (id: string) => void): StubBackendOptions {
-	return {
-		id, service: 'llm', stage: 'decode', intercept(request, response) {
-			if (!String(request.headers['carawayhoist-prompt-prefix']).includes('bad:')) {
-				return false;
-			}
-
-			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'content-type': 'text/event-stream'});
-			response.write('id: 1\nda', () => {
-				crashed.add(id);
-				stop(id);
-			});
-			return true;
-		},
-	};
-}
+const createFragileEngine = (framing: string) => (id: string, crashed: Set<string>, stop: (id: string) => void): StubBackendOptions => ({
+	id, service: 'llm', stage: 'decode', intercept(request, response) {
+		if (!String(request.headers['carawayhoist-prompt-prefix']).includes('bad:')) {
+			return false;
+		}
+
+		const head = `HTTP/1.1 200 OK\r\ncarawayhoist-attempt-id: ${String(request.headers['carawayhoist-attempt-id'])}\r\ncontent-type: text/event-stream\r\n`;
+		response.socket?.end(`${head}${framing}\r\n`, () => {
+			crashed.add(id);
+			stop(id);
+		});
+		return true;
+	},
+});
 
 /** Headers of a prompt of three parts, of which the last is its own. */
 function createPrompt(first: string, second: string, own: string): Record<string, string> {
@@ -59,7 +57,7 @@
 async function startFragileSystem(t: Parameters<typeof startSystem>[0], ids: readonly string[], createOptions = createFragileServer) {
 	const crashed = new Set<string>();
 	const stop = (id: string) => {
-		system.servers[ids.indexOf(id)]!.stop();
+		system.servers.find(server => server.id === id)!.stop();
 	};
 
 	const system = await startSystem(t, ids.map(id => createOptions(id, crashed, stop)));
@@ -129,20 +127,38 @@
 });
 
 test('a prompt part under which engines crashed in different requests is refused at every host; prompts that share its other parts are served', async t => {
-	const {system, crashed} = await startFragileSystem(t, ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'], createFragileEngine);
+	await assertPartIsRefused(t, 'transfer-encoding: chunked\r\n');
+});
+
+test('a prompt part that crashes engines in responses that end with their connection is refused', async t => {
+	await assertPartIsRefused(t, '');
+});
+
+/** Sends prompts with a part that crashes engines, in responses with the given framing header, and sound ones beside them. */
+async function assertPartIsRefused(t: Parameters<typeof startSystem>[0], framing: string): Promise<void> {
+	const crashed = new Set<string>();
+	const restart = (id: string) => {
+		const server = system.servers.find(other => other.id === id)!;
+		const {port} = server;
+		server.stop();
+		void system.addServer(createFragileEngine(framing)(`${id}+`, crashed, restart), port);
+	};
+
+	const system = await startSystem(t, ['e1', 'e2', 'e3', 'e4'].map(id => createFragileEngine(framing)(id, crashed, restart)));
 	const calls = [system.call, await system.addEntry()];
 	const ask = async (index: number, second: string) => calls[index % 2]!(`/ask/${second}/${index}`, createPrompt('shared', second, `own${index}`), 'prompt');
-	for (let index = 0; index < 10; index++) {
+	for (let index = 0; index < 8; index++) {
 		// A response that has started ends with its connection.
 		await Promise.allSettled([ask(index, 'bad')]);
-		await sleep(PROPAGATION_MS / 5);
+		await sleep(PROPAGATION_MS);
+		await system.announceServers();
 		assert.equal((await ask(index, 'good')).status, 200);
 	}
 
 	assert.ok(crashed.size >= 3 && crashed.size <= 4, `${crashed.size} engines crashed`);
-	for (const index of [0, 1]) {
-		const {status, headers} = await ask(20 + index, 'bad');
+	for (const index of [8, 9]) {
+		const {status, headers} = await ask(index, 'bad');
 		assert.deepEqual({status, code: headers['carawayhoist-code']}, {status: 503, code: REFUSED_CODE});
-		assert.equal((await ask(20 + index, 'other')).status, 200);
+		assert.equal((await ask(index, 'other')).status, 200);
 	}
-});
+}
--- a/test/stub.ts
+++ b/test/stub.ts
@@ -48,8 +48,20 @@
 		});
 	}
 
+	get id(): string {
+		return this.#options.id;
+	}
+
+	get isRunning(): boolean {
+		return this.#server.listening;
+	}
+
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `127.0.0.1:${this.port}`;
 	}
 
 	/** Number of KV cache handles that were issued and not deleted. */
@@ -57,9 +69,10 @@
 		return this.#handles.size;
 	}
 
-	async start(): Promise<void> {
+	/** Starts listening, on any free port unless one is given. */
+	async start(port = 0): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(port, '127.0.0.1', resolve);
 		});
 	}
 
--- a/test/system.ts
+++ b/test/system.ts
@@ -137,11 +137,15 @@
 			await waitUntil(async () => added.host.isReady && added.host.listServers().length === entry.listServers().length, 'the added entry host knows all servers');
 			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
 		},
-		/** Starts and announces one more server. */
-		async addServer(option: StubBackendOptions) {
+		/** Announces all running servers again, before they count as silent. */
+		async announceServers() {
+			await Promise.all(servers.filter(server => server.isRunning).map(async server => server.announce(address)));
+		},
+		/** Starts and announces one more server, at the port of a stopped one if one is given. */
+		async addServer(option: StubBackendOptions, port?: number) {
 			const server = new StubBackend(option);
 			servers.push(server);
-			await server.start();
+			await server.start(port);
 			await server.announce(address);
 			await waitUntil(async () => entries.every(({host}) => host.listServers().includes(option.id)), `every entry host knows ${option.id}`);
 			return server;
