Streams: use an engine that failed a request again when no other decodes

Cause: the role planner makes two of three engines readers while the test runs; the one engine that still decodes is excluded after its first failure, so the scheduler has none. Evidence: with a wait for the role changes before the call the test fails every time, and the new test with one decoding engine failed before the change (502). After it both pass.

The request is placed once more without exclusions if the engine that failed had sent a response; one that broke off or refused the connection stays excluded.

--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
-import {LATE_PRIORITY, type PlacementRequest} from '../routing/request.js';
+import {LATE_PRIORITY, type PlacementDecision, type PlacementRequest} from '../routing/request.js';
 import {
 	createQuarantineProblem, findResponseMismatch, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
@@ -25,7 +25,7 @@
 	= | {readonly type: 'done'; readonly isServerError: boolean}
 		| {readonly type: 'notExecuted'}
 		| {readonly type: 'unsent'}
-		| {readonly type: 'broken'}
+		| {readonly type: 'broken'; readonly hasResponded: boolean}
 		/** Not sent because the retry budget is exhausted. */
 		| {readonly type: 'retryDenied'};
 
@@ -56,6 +56,8 @@
 	#runCount = 0;
 	#hasFirstEvent = false;
 	#mayHaveRun = false;
+	/** Whether the engine that failed last sent a response, so that it may be used again if there is no other. */
+	#mayReuseExcluded = false;
 	#kvFetchSource: Announcement | undefined;
 
 	constructor(context: ServingContext, call: Call, prompt: Prompt) {
@@ -94,6 +96,7 @@
 			}
 
 			this.#mayHaveRun ||= outcome.type === 'broken';
+			this.#mayReuseExcluded = outcome.type === 'broken' && outcome.hasResponded;
 			this.#context.placement.reportMilestone(this.#call.head.id, outcome.type === 'notExecuted' ? 'refused' : 'failed', runner.server);
 			this.#excluded.add(runner.server);
 			const problem = this.#findFinalProblem(outcome);
@@ -150,9 +153,11 @@
 
 			this.#context.metrics.placements.inc({by});
 			if (decision.type === 'rejection') {
-				const seconds = Math.ceil(decision.retryAfterMs / 100) / 10;
-				logFields.note = decision.reason;
-				caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createProblem('tooLate', decision.reason, seconds));
+				if (this.#readmitExcluded()) {
+					continue;
+				}
+
+				this.#failRejected(decision);
 				return undefined;
 			}
 
@@ -166,6 +171,24 @@
 		return undefined;
 	}
 
+	/** Allows the engines that failed this request again, if the last one sent a response. Returns false otherwise. */
+	#readmitExcluded(): boolean {
+		const isReadmitted = this.#mayReuseExcluded;
+		this.#mayReuseExcluded = false;
+		if (isReadmitted) {
+			this.#excluded.clear();
+			this.#releaseKvCache();
+		}
+
+		return isReadmitted;
+	}
+
+	#failRejected({reason, retryAfterMs}: Extract<PlacementDecision, {type: 'rejection'}>): void {
+		const seconds = Math.ceil(retryAfterMs / 100) / 10;
+		this.#call.logFields.note = reason;
+		this.#call.caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createProblem('tooLate', reason, seconds));
+	}
+
 	#createRequest(): PlacementRequest {
 		const {head, route, service, arrivedMs, deadlineMs} = this.#call;
 		const nowMs = this.#context.clock.monotonicMs();
@@ -260,7 +283,7 @@
 		return new Promise(resolve => {
 			let head: ResponseHead | undefined;
 			caller.onEnd(() => {
-				resolve({type: 'broken'});
+				resolve({type: 'broken', hasResponded: false});
 			});
 			this.#exchange = sendAttempt(context, this.#call, {
 				server,
@@ -277,7 +300,7 @@
 					if (mismatch !== undefined) {
 						context.logger.warn(`Discarded a response from server ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
 						this.#exchange?.cancel();
-						resolve({type: 'broken'});
+						resolve({type: 'broken', hasResponded: true});
 						return;
 					}
 
@@ -287,7 +310,7 @@
 
 					if (status >= HTTP_SERVER_ERROR && this.#mayResume()) {
 						this.#exchange?.cancel();
-						resolve({type: 'broken'});
+						resolve({type: 'broken', hasResponded: true});
 						return;
 					}
 
@@ -295,7 +318,7 @@
 						caller.startResponse(status, context.protocol.buildResponseHeaders(headers), head.framing);
 					} else if (status !== HTTP_OK) {
 						this.#exchange?.cancel();
-						resolve({type: 'broken'});
+						resolve({type: 'broken', hasResponded: true});
 					}
 				},
 				onData: chunk => {
@@ -320,7 +343,7 @@
 				},
 				onFailure: (failure, error) => {
 					recordAttemptFailure(context, this.#call, server, {failure, error});
-					resolve({type: failure});
+					resolve(failure === 'unsent' ? {type: failure} : {type: failure, hasResponded: false});
 				},
 			});
 		});
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -224,6 +224,23 @@
 	assert.equal(answer.status, 200);
 });
 
+test('a resumable stream is retried at the only engine that decodes when that engine fails once', async t => {
+	let failures = 0;
+	const system = await startSystem(t, [{
+		id: 'd1', service: 'llm', stage: 'decode', intercept(request, response) {
+			if (failures > 0) {
+				return false;
+			}
+
+			failures++;
+			response.writeHead(500, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'content-length': 0}).end();
+			return true;
+		},
+	}]);
+	assert.equal((await system.call('/ask/1', LONG_PROMPT, 'prompt')).status, 200);
+	assert.equal(failures, 1);
+});
+
 test('names on the platform\'s wire are used only in platform/ and deploy/', async () => {
 	// The interface of carawayhoistd has its own header with a name that begins alike.
 	const exceptions = new Set(['src/entry/model.ts: carawayhoist-deadline']);
