--- a/dev/fleet.ts
+++ b/dev/fleet.ts
@@ -108,7 +108,10 @@
 		return restarted;
 	}
 
-	/** Kills every process of the fleet by its process id and deletes the fleet's folder. */
+	/**
+	 * Kills every process of the fleet by its process id and deletes the fleet's folder. With `KEEP_FLEET_LOGS` in the
+	 * environment, the folder with the logs is kept and its path printed.
+	 */
 	async stop(): Promise<void> {
 		if (this.#isStopped) {
 			return;
@@ -116,7 +119,11 @@
 
 		this.#isStopped = true;
 		await Promise.all([...this.hosts, ...this.backends].map(async target => killProcess(target)));
-		await rm(this.folder, {recursive: true, force: true});
+		if (process.env.KEEP_FLEET_LOGS === undefined) {
+			await rm(this.folder, {recursive: true, force: true});
+		} else {
+			process.stderr.write(`Logs of the fleet: ${this.folder}\n`);
+		}
 	}
 
 	async #listsAllBackends(host: FleetProcess): Promise<boolean> {
