Servers that say in a response that they are leaving get no further requests

Cause: only announcements told a host that a server leaves; the header was not read. A host now stops using that incarnation with the response that carries the header, whatever its status and phase, and tells the control hosts, whose feeds tell the others. An assignment to it from a scheduler host is placed again at no cost in retries. In the registry, leaving holds within an incarnation in whatever order it is learned.

Orders and releases of KV cache do not read the header yet.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -20,7 +20,7 @@
 import {ControlService} from '../control/service.js';
 import {ANY_VERSION, excludesServer, PUBLICATION_NAME} from '../control/state.js';
 import type {
-	Announcement, Message, Publication, PutCommand, ViewUpdate,
+	Announcement, Fact, Message, Publication, PutCommand, ViewUpdate,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedPublisher, FeedSubscription} from '../membership/feed.js';
@@ -274,6 +274,7 @@
 
 			case 'gossip': {
 				this.#mergeCrashes(message);
+				this.#mergeServers(message.facts);
 				break;
 			}
 
@@ -333,6 +334,15 @@
 		}
 	}
 
+	/** Merges servers that told an entry host in a response that they are leaving. Unknown ones are left to their announcements. */
+	#mergeServers(facts: readonly Fact[]): void {
+		for (const fact of facts) {
+			if (fact.type === 'server' && this.registry.findStatus(fact.announcement.server)) {
+				this.#handleMergeResult(this.registry.merge(fact.announcement, this.#options.clock.monotonicMs()), fact.announcement);
+			}
+		}
+	}
+
 	#isWarm(): boolean {
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceIntervalMs * WARM_INTERVALS;
 	}
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -8,10 +8,11 @@
 import type {Logger, LoggerFactory} from '../base/logger.js';
 import type {Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
-import type {Feed, Message, PoisonFact} from '../generated/types.js';
+import type {Fact, Feed, Message} from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedSubscription, inflatePublication} from '../membership/feed.js';
 import {ServerDiscovery} from '../membership/discovery.js';
+import {AvailabilityTracker} from '../routing/availability.js';
 import {ServiceRetryBudget, type RetryBudgetLimits} from '../routing/budget.js';
 import {RouteTable} from '../routing/routes.js';
 import {HealthTracker} from '../routing/health.js';
@@ -57,6 +58,7 @@
 	readonly #logger: Logger;
 	readonly #upstream = new Upstream();
 	readonly #localScheduler = new Scheduler();
+	readonly #availability = new AvailabilityTracker();
 	readonly #crashTable = new CrashTable();
 	readonly #crashMonitor: CrashMonitor;
 	readonly #subscription: FeedSubscription;
@@ -100,7 +102,7 @@
 			table: this.#crashTable,
 			probe,
 			publish: facts => {
-				this.#subscription.broadcast(this.#createCrashMessage(facts));
+				this.#subscription.broadcast(this.#createFactMessage(facts));
 			},
 		});
 		const context: ServingContext = {
@@ -116,7 +118,11 @@
 			retryBudget: this.#retryBudget,
 			placement: this.#placementClient,
 			crashes: this.#crashMonitor,
-			listServers: () => this.#discovery.listUsable(),
+			availability: this.#availability,
+			announceLeaving: server => {
+				this.#subscription.broadcast(this.#createFactMessage([{type: 'server', announcement: {...server, leaving: true}}]));
+			},
+			listServers: () => this.#discovery.listUsable().filter(server => this.#availability.isAvailable(server)),
 			findServer: server => this.#discovery.findServer(server),
 			countHosts: () => this.#hostCount,
 		};
@@ -187,7 +193,7 @@
 
 		// A control host that has restarted knows no crashes; without it, this host knows some that it never received.
 		if (feed.whole && !this.#crashTable.isEmpty) {
-			this.#subscription.send(control, this.#createCrashMessage(this.#crashTable.listFacts()));
+			this.#subscription.send(control, this.#createFactMessage(this.#crashTable.listFacts()));
 		}
 
 		const isNewer = feed.version > (this.#routeTable?.config.version ?? 0);
@@ -200,7 +206,7 @@
 		}
 	}
 
-	#createCrashMessage(facts: readonly PoisonFact[]): Message {
+	#createFactMessage(facts: readonly Fact[]): Message {
 		const {host, callerAddress} = this.#options;
 		return {type: 'gossip', from: {host, ...callerAddress}, facts: [...facts]};
 	}
--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -21,6 +21,7 @@
 import {AdmissionController, AdmissionMargin, type AdmissionEvent} from '../routing/admission.js';
 import {classifyRequest, POISON_STATES, type CrashRecord} from '../routing/poison.js';
 import {hashBlocks} from '../routing/prefix.js';
+import {formatIncarnation} from '../base/incarnation.js';
 import {probe, PROBE_RESULTS} from '../wire/probe.js';
 import {
 	APIS, parseCompletionRequest, EventStreamWriter, JsonWriter, type ResponseWriter, type Api, type CompletionRequest,
@@ -649,8 +650,8 @@
 		}
 	}
 
-	#broadcastCrash({server, incarnation}: Announcement): void {
-		this.#broadcastPoison({servers: [`${server}#${incarnation}`]});
+	#broadcastCrash(server: Announcement): void {
+		this.#broadcastPoison({servers: [formatIncarnation(server)]});
 	}
 
 	/** Tells every entry host which engines crashed while running this request, and of which crashes it was cleared. */
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -102,7 +102,7 @@
 	merge(announcement: Announcement, nowMs: number): MergeResult {
 		const known = this.#entries.get(announcement.server);
 		if (known && !isNewer(announcement, known.announcement)) {
-			return MERGE_RESULTS.none;
+			return this.#mergeLeaving(announcement, known);
 		}
 
 		if (known?.gone && known.announcement.incarnation === announcement.incarnation) {
@@ -129,6 +129,21 @@
 		return isChange ? MERGE_RESULTS.change : MERGE_RESULTS.refresh;
 	}
 
+	/**
+	 * Merges an announcement that is not newer than the known one: a server that is leaving never returns, so this
+	 * holds in any order.
+	 */
+	#mergeLeaving({leaving, incarnation}: Announcement, known: RegistryEntry): MergeResult {
+		if (leaving !== true || known.announcement.leaving === true || known.announcement.incarnation !== incarnation) {
+			return MERGE_RESULTS.none;
+		}
+
+		known.announcement = {...known.announcement, leaving};
+		known.changedRevision = ++this.#revision;
+		known.refreshedRevision = this.#revision;
+		return MERGE_RESULTS.change;
+	}
+
 	/**
 	 * Merges the status of a server from another host. A server that is silent there may still announce itself here, so
 	 * only a deregistration is taken over.
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -9,6 +9,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
 import type {Announcement} from '../generated/types.js';
+import type {AvailabilityTracker} from '../routing/availability.js';
 import type {ServiceRetryBudget} from '../routing/budget.js';
 import type {Route, RouteTable} from '../routing/routes.js';
 import type {HealthTracker} from '../routing/health.js';
@@ -38,6 +39,9 @@
 	readonly placement: PlacementClient;
 	readonly metrics: ServingMetrics;
 	readonly crashes: CrashMonitor;
+	readonly availability: AvailabilityTracker;
+	/** Tells the other hosts that a server has said that it is leaving. */
+	readonly announceLeaving: (server: Announcement) => void;
 	/** Lists the servers that accept new work. */
 	readonly listServers: () => readonly Announcement[];
 	readonly findServer: (server: string) => Announcement | undefined;
@@ -126,10 +130,37 @@
 		headers: context.protocol.buildRequestHeaders(request, {...attempt, server: server.server}),
 		body: call.body,
 		maxConnections: Math.max(MIN_CONNECTIONS, Math.min(MAX_CONNECTIONS, share)),
-	}, tracked ? reportEnd(handler, tracked) : handler);
+	}, observeResponse(context, server, tracked ? reportEnd(handler, tracked) : handler));
 	return tracked ? reportCancellation(exchange, tracked) : exchange;
 }
 
+/** Wraps a handler so that what the head of the response says about the server is recorded. */
+function observeResponse(context: ServingContext, server: Announcement, handler: ResponseHandler): ResponseHandler {
+	return {
+		onHead(status, headers) {
+			recordAvailability(context, server, context.protocol.parseResponse(status, headers));
+			handler.onHead(status, headers);
+		},
+		onData(chunk) {
+			handler.onData(chunk);
+		},
+		onEnd() {
+			handler.onEnd();
+		},
+		onFailure(failure, error) {
+			handler.onFailure(failure, error);
+		},
+	};
+}
+
+/** Records what a response says about whether its server takes further requests. */
+export function recordAvailability(context: ServingContext, server: Announcement, {isWrongServer, isLeaving}: ResponseHead): void {
+	if (isLeaving && !isWrongServer && context.availability.recordLeaving(server)) {
+		context.logger.info(`Server ${server.server} says in a response that it is leaving.`, {server: server.server, incarnation: server.incarnation});
+		context.announceLeaving(server);
+	}
+}
+
 /** Wraps a handler so that the end of the response is also reported to the tracker. */
 function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
 	let status = 0;
--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {Clock} from '../base/clock.js';
+import {formatIncarnation} from '../base/incarnation.js';
 import type {Logger} from '../base/logger.js';
 import type {Announcement, PoisonFact} from '../generated/types.js';
 import type {CrashTable} from '../membership/crashes.js';
@@ -232,8 +233,3 @@
 function listKeys({getFingerprint, sharedParts}: SuspectRequest): string[] {
 	return [getFingerprint(), ...sharedParts.map(part => formatPartKey(part))];
 }
-
-/** Formats the name of a server incarnation in crash facts. */
-function formatIncarnation({server, incarnation}: Announcement): string {
-	return `${server}#${incarnation}`;
-}
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -81,10 +81,16 @@
 			const decision = await this.#query(host, request.id, {
 				type: 'milestone', id: request.id, stage: MILESTONES.read, server: reader, connected: [...request.connected],
 			});
-			if (decision) {
+			const isExcluded = decision?.type === 'assignment' && request.excluded.includes(decision.runner ?? '');
+			if (decision && !isExcluded) {
 				return {decision, by: host};
 			}
 
+			if (isExcluded) {
+				// The engine has become unavailable since the request was placed, and the scheduler host does not know it yet.
+				this.#hosts.send(host, {type: 'milestone', id: request.id, stage: MILESTONES.refused});
+			}
+
 			this.#schedulerHosts.set(request.id, SELF);
 		}
 
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -70,6 +70,8 @@
 	readonly isNotExecuted: boolean;
 	/** Whether another server than the expected one responded. */
 	readonly isWrongServer: boolean;
+	/** Whether the server that responded is leaving and wants no new requests. */
+	readonly isLeaving: boolean;
 	/** Load that the server reports. */
 	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
 };
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -15,6 +15,7 @@
 	ResponseHead, Prompt, KvCacheHandle,
 } from './protocol.js';
 import {EventSplitter} from './events.js';
+import type {PlacementResult} from './placement.js';
 import type {Exchange} from './upstream.js';
 
 type PrefillOutcome
@@ -121,36 +122,17 @@
 				return undefined;
 			}
 
-			let {decision, by} = await this.#context.placement.place(this.#createRequest());
-			logFields.placedBy = by;
-			logFields.placedMs = this.#elapsedMs();
-			this.#kvFetchSource = decision.type === 'assignment' && decision.source !== undefined ? this.#context.findServer(decision.source) : undefined;
-			logFields.source = this.#kvFetchSource?.server;
-			if (decision.type === 'assignment') {
-				logFields.cachedTokens = decision.cachedTokens;
-				logFields.expectedMs = decision.expectedMs;
-				logFields.isLate = decision.isLate;
+			let placed: PlacementResult | undefined = await this.#context.placement.place(this.#createRequest());
+			this.#logPlacement(placed);
+			if (placed.decision.type === 'assignment' && placed.decision.reader !== undefined) {
+				placed = await this.#prefill(placed.decision.reader, placed.decision.expectedMs ?? 0);
 			}
 
-			logFields.promptTokens = this.#prompt.promptTokens;
-			if (decision.type === 'assignment' && decision.reader !== undefined) {
-				const reader = this.#context.findServer(decision.reader);
-				const outcome = reader && !caller.isEnded ? await this.#prefillAt(reader, decision.expectedMs ?? 0) : undefined;
-				if (caller.isEnded) {
-					return undefined;
-				}
-
-				if (outcome?.type !== 'prefilled') {
-					this.#context.placement.reportMilestone(this.#call.head.id, 'failed', decision.reader);
-					this.#excluded.add(decision.reader);
-					continue;
-				}
-
-				this.#kvCache = outcome.kvCache;
-				logFields.readMs = this.#elapsedMs();
-				({decision, by} = await this.#context.placement.chooseRunner(this.#createRequest(), decision.reader));
+			if (!placed) {
+				continue;
 			}
 
+			const {decision, by} = placed;
 			this.#context.metrics.placements.inc({by});
 			if (decision.type === 'rejection') {
 				if (this.#readmitExcluded()) {
@@ -162,7 +144,7 @@
 			}
 
 			const runner = decision.runner === undefined ? undefined : this.#context.findServer(decision.runner);
-			if (runner) {
+			if (runner && this.#context.availability.isAvailable(runner)) {
 				this.#context.placement.notifyBackup(this.#createRequest(), logFields.reader, runner.server);
 				return runner;
 			}
@@ -171,6 +153,53 @@
 		return undefined;
 	}
 
+	#logPlacement({decision, by}: PlacementResult): void {
+		const {logFields} = this.#call;
+		logFields.placedBy = by;
+		logFields.placedMs = this.#elapsedMs();
+		logFields.promptTokens = this.#prompt.promptTokens;
+		this.#kvFetchSource = decision.type === 'assignment' && decision.source !== undefined ? this.#context.findServer(decision.source) : undefined;
+		logFields.source = this.#kvFetchSource?.server;
+		if (decision.type === 'assignment') {
+			logFields.cachedTokens = decision.cachedTokens;
+			logFields.expectedMs = decision.expectedMs;
+			logFields.isLate = decision.isLate;
+		}
+	}
+
+	/** Prefills the prompt at a reader and requests a runner; undefined if the request has to be placed again, or has ended. */
+	async #prefill(server: string, expectedMs: number): Promise<PlacementResult | undefined> {
+		const {placement, availability, findServer} = this.#context;
+		const {caller, head, logFields} = this.#call;
+		const reader = findServer(server);
+		if (reader && !availability.isAvailable(reader)) {
+			placement.reportMilestone(head.id, 'refused', undefined);
+			this.#placementCount--;
+			return undefined;
+		}
+
+		const outcome = reader && !caller.isEnded ? await this.#prefillAt(reader, expectedMs) : undefined;
+		if (caller.isEnded) {
+			return undefined;
+		}
+
+		if (outcome?.type !== 'prefilled') {
+			placement.reportMilestone(head.id, 'failed', server);
+			this.#excluded.add(server);
+			return undefined;
+		}
+
+		this.#kvCache = outcome.kvCache;
+		logFields.readMs = this.#elapsedMs();
+		return placement.chooseRunner(this.#createRequest(), server);
+	}
+
+	/** Lists the engines that have told this host that they take no further requests. */
+	#listUnavailable(): string[] {
+		const {availability, findServer} = this.#context;
+		return availability.listUnavailable().filter(({server, incarnation}) => findServer(server)?.incarnation === incarnation).map(({server}) => server);
+	}
+
 	/** Allows the engines that failed this request again, if the last one sent a response. Returns false otherwise. */
 	#readmitExcluded(): boolean {
 		const isReadmitted = this.#mayReuseExcluded;
@@ -205,7 +234,7 @@
 			priority: route.priority,
 			objectiveMs: Math.max(0, arrivedMs + route.objectiveMs - nowMs),
 			patienceMs: Math.max(0, Math.min(deadlineMs, arrivedMs + patienceMs) - nowMs),
-			excluded: [...this.#excluded],
+			excluded: [...this.#excluded, ...this.#listUnavailable()],
 		};
 	}
 
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -30,6 +30,7 @@
 	'routing/engine',
 	'routing/kvcache',
 	'routing/planner',
+	'routing/availability',
 	'routing/budget',
 	'routing/routes',
 	'control/reconfigurator',
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -22,6 +22,19 @@
 	assert.deepEqual(registry.listUsable(), []);
 });
 
+test('a server that is leaving stays so in whatever order that is learned, until it starts anew', () => {
+	const registry = new ServerRegistry();
+	registry.merge(createAnnouncement({incarnation: 10, sequence: 5}), 0);
+	const {revision} = registry;
+	assert.equal(registry.merge(createAnnouncement({incarnation: 10, sequence: 3, leaving: true}), 1), MERGE_RESULTS.change);
+	assert.deepEqual(registry.listUsable(), []);
+	assert.equal(registry.listChangedSince(revision, false).length, 1);
+	assert.equal(registry.merge(createAnnouncement({incarnation: 10, sequence: 3, leaving: true}), 1), MERGE_RESULTS.none);
+	registry.merge(createAnnouncement({incarnation: 11, sequence: 1}), 2);
+	assert.equal(registry.merge(createAnnouncement({incarnation: 10, sequence: 9, leaving: true}), 3), MERGE_RESULTS.none);
+	assert.equal(registry.listUsable().length, 1);
+});
+
 test('a deregistered server is revived by a new incarnation, not by delayed announcements', () => {
 	const registry = new ServerRegistry();
 	registry.merge(createAnnouncement({incarnation: 10, sequence: 1}), 0);
--- a/test/stub.ts
+++ b/test/stub.ts
@@ -11,6 +11,8 @@
 	readonly id: string;
 	readonly service: string;
 	readonly stage?: 'prefill' | 'decode';
+	/** Headers that the stub adds to its responses. */
+	readonly responseHeaders?: Record<string, string>;
 	/** Handles a request instead of the stub; returns false to let the stub respond as usual. */
 	readonly intercept?: (request: IncomingMessage, response: ServerResponse, body: Buffer) => boolean;
 };
@@ -127,7 +129,7 @@
 	/** Responds to an attempt as the current stage does. */
 	#respond(request: IncomingMessage, response: ServerResponse): void {
 		const id = String(request.headers['carawayhoist-attempt-id']);
-		const headers = {'carawayhoist-attempt-id': id, 'carawayhoist-server-stamp': `${this.#options.id}.${id}`};
+		const headers = {'carawayhoist-attempt-id': id, 'carawayhoist-server-stamp': `${this.#options.id}.${id}`, ...this.#options.responseHeaders};
 		if (this.stage === undefined) {
 			response.writeHead(200, headers).end(`plain ${id}`);
 			return;
--- a/test/system.ts
+++ b/test/system.ts
@@ -129,6 +129,9 @@
 		controlRegistry,
 		entryLines: entryLog.lines,
 		servers,
+		get entries() {
+			return entries.map(({host}) => host);
+		},
 		call: async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(first, target, headers, body),
 		/** Starts one more entry host, waits until it knows all running servers, and returns a function that calls it. */
 		async addEntry() {
@@ -147,7 +150,7 @@
 			servers.push(server);
 			await server.start(port);
 			await server.announce(address);
-			await waitUntil(async () => entries.every(({host}) => host.listServers().includes(option.id)), `every entry host knows ${option.id}`);
+			await waitUntil(async () => entries.every(({host}) => host.listServers().includes(option.id)), `every entry host lists ${option.id}`);
 			return server;
 		},
 	};
