Servers that refuse with a retry time get no requests from that host until it has passed

Cause: Retry-After in the 503 of a server was not read, so refused requests kept arriving there. The adapter reads seconds with fractions, bounds them at ten minutes, and reports a date or anything else as unreadable, which is logged once a server. The host uses that incarnation again when the time has passed; streams tell the scheduler host which engines to leave out. When all servers of a service refuse, callers are refused at once with the time at which the first takes requests again, spread by a quarter.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -122,7 +122,7 @@
 			announceLeaving: server => {
 				this.#subscription.broadcast(this.#createFactMessage([{type: 'server', announcement: {...server, leaving: true}}]));
 			},
-			listServers: () => this.#discovery.listUsable().filter(server => this.#availability.isAvailable(server)),
+			listServers: () => this.#discovery.listUsable().filter(server => this.#availability.isAvailable(server, clock.monotonicMs())),
 			findServer: server => this.#discovery.findServer(server),
 			countHosts: () => this.#hostCount,
 		};
--- a/src/routing/availability.ts
+++ b/src/routing/availability.ts
@@ -10,9 +10,14 @@
 
 const MAX_ENTRIES = 2000;
 
+/** A server that takes no requests until a time of the monotonic clock, milliseconds. */
+export type RefusingServer = ServerIncarnation & {readonly untilMs: number};
+
 /** The servers that one host must not send requests to, by what they told it. */
 export class AvailabilityTracker {
 	readonly #leaving = new Map<string, ServerIncarnation>();
+	readonly #refusing = new Map<string, RefusingServer>();
+	readonly #unreadable = new Map<string, true>();
 
 	/** Records that a server is leaving. Returns false if that was known. */
 	recordLeaving({server, incarnation}: ServerIncarnation): boolean {
@@ -22,21 +27,53 @@
 		}
 
 		this.#leaving.set(key, {server, incarnation});
-		const [oldest] = this.#leaving.keys();
-		if (this.#leaving.size > MAX_ENTRIES && oldest !== undefined) {
-			this.#leaving.delete(oldest);
-		}
-
+		evictOldest(this.#leaving);
 		return true;
 	}
 
+	/** Records that a server takes no requests for some time. An earlier statement is not shortened. */
+	recordRefusal({server, incarnation}: ServerIncarnation, durationMs: number, nowMs: number): void {
+		const key = formatIncarnation({server, incarnation});
+		const untilMs = Math.max(nowMs + durationMs, this.#refusing.get(key)?.untilMs ?? 0);
+		this.#refusing.set(key, {server, incarnation, untilMs});
+		evictOldest(this.#refusing);
+	}
+
+	/** Records that a server has sent a retry time that cannot be read. Returns false if that was known. */
+	recordUnreadable(server: ServerIncarnation): boolean {
+		const key = formatIncarnation(server);
+		const isNew = !this.#unreadable.has(key);
+		this.#unreadable.set(key, true);
+		evictOldest(this.#unreadable);
+		return isNew;
+	}
+
 	/** Whether a server takes new requests. */
-	isAvailable(server: ServerIncarnation): boolean {
-		return !this.#leaving.has(formatIncarnation(server));
+	isAvailable(server: ServerIncarnation, nowMs: number): boolean {
+		const key = formatIncarnation(server);
+		return !this.#leaving.has(key) && (this.#refusing.get(key)?.untilMs ?? 0) <= nowMs;
+	}
+
+	/** Lists the servers that refuse requests for some time. */
+	listRefusing(nowMs: number): RefusingServer[] {
+		for (const [key, {untilMs}] of this.#refusing) {
+			if (untilMs <= nowMs) {
+				this.#refusing.delete(key);
+			}
+		}
+
+		return [...this.#refusing.values()];
 	}
 
 	/** Lists the server incarnations that take no new requests. */
-	listUnavailable(): ServerIncarnation[] {
-		return [...this.#leaving.values()];
+	listUnavailable(nowMs: number): ServerIncarnation[] {
+		return [...this.#leaving.values(), ...this.listRefusing(nowMs)];
+	}
+}
+
+function evictOldest(entries: Map<string, unknown>): void {
+	const [oldest] = entries.keys();
+	if (entries.size > MAX_ENTRIES && oldest !== undefined) {
+		entries.delete(oldest);
 	}
 }
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -106,6 +106,8 @@
 const MAX_CONNECTIONS = 64;
 /** Retry time for callers when no server is available: servers announce themselves about once a second. */
 const NO_SERVER_RETRY_SECONDS = 1;
+/** Share of the retry time over which callers are spread. */
+const RETRY_SPREAD = 0.25;
 /** Retry time for callers of a request that crashes servers: another attempt within a minute would be refused as well. */
 const QUARANTINE_RETRY_SECONDS = 60;
 
@@ -154,8 +156,19 @@
 }
 
 /** Records what a response says about whether its server takes further requests. */
-export function recordAvailability(context: ServingContext, server: Announcement, {isWrongServer, isLeaving}: ResponseHead): void {
-	if (isLeaving && !isWrongServer && context.availability.recordLeaving(server)) {
+export function recordAvailability(context: ServingContext, server: Announcement, {isWrongServer, isLeaving, retryAfter}: ResponseHead): void {
+	if (isWrongServer) {
+		return;
+	}
+
+	if (retryAfter?.type === 'delay') {
+		context.availability.recordRefusal(server, retryAfter.ms, context.clock.monotonicMs());
+		context.logger.info(`Server ${server.server} wants no requests for ${retryAfter.ms} ms.`, {server: server.server, durationMs: retryAfter.ms});
+	} else if (retryAfter && context.availability.recordUnreadable(server)) {
+		context.logger.warn(`Ignored the retry time of server ${server.server}: ${retryAfter.text}`, {server: server.server});
+	}
+
+	if (isLeaving && context.availability.recordLeaving(server)) {
 		context.logger.info(`Server ${server.server} says in a response that it is leaving.`, {server: server.server, incarnation: server.incarnation});
 		context.announceLeaving(server);
 	}
@@ -260,11 +273,36 @@
  *
  * @example
  * ```ts
- * call.caller.fail(createNoServerProblem(call));
+ * call.caller.fail(createNoServerProblem(context, call));
+ * ```
+ */
+export function createNoServerProblem(context: ServingContext, call: Call): Problem {
+	return createProblem('noServer', `Service ${call.service}.`, estimateRetrySeconds(context, call, NO_SERVER_RETRY_SECONDS));
+}
+
+/**
+ * Estimates when a caller should come back: after a default time, or when the first of the service's servers takes requests
+ * again if all refuse them for now. The times of several callers are spread, so that they do not return together.
+ *
+ * @example
+ * ```ts
+ * estimateRetrySeconds(context, call, 0.3); // 4.7
  * ```
  */
-export function createNoServerProblem(call: Call): Problem {
-	return createProblem('noServer', `Service ${call.service}.`, NO_SERVER_RETRY_SECONDS);
+export function estimateRetrySeconds(context: ServingContext, call: Call, defaultSeconds: number): number {
+	const {availability, clock, findServer, listServers, random} = context;
+	const nowMs = clock.monotonicMs();
+	const offers = (server: Announcement | undefined) => server?.services?.includes(call.service) ?? false;
+	const ends = availability.listRefusing(nowMs).filter(({server, incarnation}) => {
+		const announced = findServer(server);
+		return announced?.incarnation === incarnation && offers(announced);
+	}).map(({untilMs}) => untilMs - nowMs);
+	if (ends.length === 0 || listServers().some(server => offers(server))) {
+		return defaultSeconds;
+	}
+
+	const delayMs = Math.min(...ends) * (1 + (random() * RETRY_SPREAD));
+	return Math.max(defaultSeconds, Math.ceil(delayMs / 100) / 10);
 }
 
 /**
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -9,7 +9,7 @@
 import type {Announcement} from '../generated/types.js';
 import {ROUTE_KINDS} from '../routing/routes.js';
 import {
-	findResponseMismatch, createNoServerProblem, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
+	estimateRetrySeconds, findResponseMismatch, createNoServerProblem, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
 import type {ResponseHead} from './protocol.js';
 import type {Exchange} from './upstream.js';
@@ -121,7 +121,7 @@
 			return;
 		}
 
-		caller.fail(outcome?.type === 'notExecuted' ? createProblem('notStarted', undefined, REFUSED_RETRY_SECONDS) : createNoServerProblem(this.#call));
+		caller.fail(outcome?.type === 'notExecuted' ? createProblem('notStarted', undefined, estimateRetrySeconds(this.#context, this.#call, REFUSED_RETRY_SECONDS)) : createNoServerProblem(this.#context, this.#call));
 	}
 
 	/**
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -58,6 +58,11 @@
 	readonly priority?: number;
 };
 
+/** The time after which a server wants requests again. */
+export type RetryAfter
+	= | {readonly type: 'delay'; readonly ms: number}
+		| {readonly type: 'unreadable'; readonly text: string};
+
 /** Status and headers of a server's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -72,6 +77,8 @@
 	readonly isWrongServer: boolean;
 	/** Whether the server that responded is leaving and wants no new requests. */
 	readonly isLeaving: boolean;
+	/** How long the server wants no further requests, in a response that refuses one. */
+	readonly retryAfter: RetryAfter | undefined;
 	/** Load that the server reports. */
 	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
 };
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -9,7 +9,7 @@
 import type {Announcement} from '../generated/types.js';
 import {LATE_PRIORITY, type PlacementDecision, type PlacementRequest} from '../routing/request.js';
 import {
-	createQuarantineProblem, findResponseMismatch, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
+	createQuarantineProblem, estimateRetrySeconds, findResponseMismatch, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
 import type {
 	ResponseHead, Prompt, KvCacheHandle,
@@ -144,7 +144,7 @@
 			}
 
 			const runner = decision.runner === undefined ? undefined : this.#context.findServer(decision.runner);
-			if (runner && this.#context.availability.isAvailable(runner)) {
+			if (runner && this.#context.availability.isAvailable(runner, this.#context.clock.monotonicMs())) {
 				this.#context.placement.notifyBackup(this.#createRequest(), logFields.reader, runner.server);
 				return runner;
 			}
@@ -172,7 +172,7 @@
 		const {placement, availability, findServer} = this.#context;
 		const {caller, head, logFields} = this.#call;
 		const reader = findServer(server);
-		if (reader && !availability.isAvailable(reader)) {
+		if (reader && !availability.isAvailable(reader, this.#context.clock.monotonicMs())) {
 			placement.reportMilestone(head.id, 'refused', undefined);
 			this.#placementCount--;
 			return undefined;
@@ -197,7 +197,7 @@
 	/** Lists the engines that have told this host that they take no further requests. */
 	#listUnavailable(): string[] {
 		const {availability, findServer} = this.#context;
-		return availability.listUnavailable().filter(({server, incarnation}) => findServer(server)?.incarnation === incarnation).map(({server}) => server);
+		return availability.listUnavailable(this.#context.clock.monotonicMs()).filter(({server, incarnation}) => findServer(server)?.incarnation === incarnation).map(({server}) => server);
 	}
 
 	/** Allows the engines that failed this request again, if the last one sent a response. Returns false otherwise. */
@@ -213,7 +213,7 @@
 	}
 
 	#failRejected({reason, retryAfterMs}: Extract<PlacementDecision, {type: 'rejection'}>): void {
-		const seconds = Math.ceil(retryAfterMs / 100) / 10;
+		const seconds = estimateRetrySeconds(this.#context, this.#call, Math.ceil(retryAfterMs / 100) / 10);
 		this.#call.logFields.note = reason;
 		this.#call.caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createProblem('tooLate', reason, seconds));
 	}
@@ -427,7 +427,7 @@
 
 	/** Creates the problem to report: that the request was not started, if no engine may have run it. */
 	#createFailureProblem(): Problem {
-		return this.#mayHaveRun ? createProblem('serverFailed') : createProblem('notStarted', undefined, FAILED_RETRY_SECONDS);
+		return this.#mayHaveRun ? createProblem('serverFailed') : createProblem('notStarted', undefined, estimateRetrySeconds(this.#context, this.#call, FAILED_RETRY_SECONDS));
 	}
 
 	/** Releases a prefilled KV cache that no engine will decode from. */
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {PlatformProtocol} from '../platform/protocol.js';
+import {AvailabilityTracker} from '../src/routing/availability.js';
+import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
 const SHORT_PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
@@ -61,3 +64,75 @@
 		return !system.entry.listServers().includes('r1');
 	}, 'r1 is out of use');
 });
+
+test('a server that refuses with a retry time gets no further requests from that host meanwhile; another one serves them', async t => {
+	const system = await startSystem(t, ['p1', 'p2'].map(id => ({
+		id, service: 'plain', intercept: id === 'p1' ? refuse('1000') : undefined,
+	})));
+	const [refusing] = system.servers;
+	await waitUntil(async () => {
+		const answers = await Promise.all([1, 2, 3, 4].map(async () => system.call('/read/1')));
+		await system.announceServers();
+		assert.ok(answers.every(({status}) => status === 200));
+		return refusing!.receivedRequests.length > 0;
+	}, 'p1 has refused');
+	const count = refusing!.receivedRequests.length;
+	for (let index = 0; index < 10; index++) {
+		await Promise.all([1, 2, 3, 4].map(async () => system.call('/read/1')));
+	}
+
+	assert.equal(refusing!.receivedRequests.length, count);
+});
+
+for (const [name, path, headers] of [['servers', '/book/1', {}], ['engines', '/ask/1', SHORT_PROMPT]] as const) {
+	test(`callers of ${name} that all refuse with a retry time are told at once when to come back, without another request there`, async t => {
+		const kind = path.startsWith('/ask') ? {service: 'llm', stage: 'decode' as const} : {service: 'plain'};
+		const system = await startSystem(t, ['s1', 's2'].map(id => ({id, ...kind, intercept: refuse('30.5')})));
+		const countRequests = () => system.servers.reduce((sum, server) => sum + server.receivedRequests.length, 0);
+		const readRetrySeconds = async () => {
+			const {status, headers: answered} = await system.call(path, headers, 'body');
+			assert.equal(status, 503);
+			return Number(answered['retry-after']);
+		};
+
+		await readRetrySeconds();
+		await readRetrySeconds();
+		const count = countRequests();
+		const seconds = await Promise.all(Array.from({length: 8}, readRetrySeconds));
+		assert.equal(countRequests(), count);
+		assert.ok(seconds.every(value => value > 20 && value <= 40), seconds.join(' '));
+		assert.ok(new Set(seconds).size > 1, 'callers are told different times');
+	});
+}
+
+test('the retry time of a server is read in seconds with fractions, bounded, and ignored if it cannot be read', () => {
+	const protocol = new PlatformProtocol();
+	const read = (status: number, value: string | undefined) => protocol.parseResponse(status, value === undefined ? {} : {'retry-after': value}).retryAfter;
+	assert.deepEqual(read(503, '0.25'), {type: 'delay', ms: 250});
+	assert.deepEqual(read(503, '99999999999'), {type: 'delay', ms: 600_000});
+	for (const value of ['-1', 'Fri, 04 Dec 2026 11:00:00 GMT', '', 'soon', 'Infinity']) {
+		assert.deepEqual(read(503, value), {type: 'unreadable', text: value});
+	}
+
+	assert.equal(read(503, undefined), undefined);
+	assert.equal(read(429, '3'), undefined);
+});
+
+test('a server is available again when its retry time has passed, or when it starts anew', () => {
+	const availability = new AvailabilityTracker();
+	const server = {server: 's1', incarnation: 1};
+	availability.recordRefusal(server, 1000, 5000);
+	availability.recordRefusal(server, 10, 5001);
+	assert.ok(!availability.isAvailable(server, 5999));
+	assert.deepEqual(availability.listRefusing(5500), [{...server, untilMs: 6000}]);
+	assert.ok(availability.isAvailable({...server, incarnation: 2}, 5500));
+	assert.ok(availability.isAvailable(server, 6000));
+	assert.deepEqual(availability.listUnavailable(6000), []);
+});
+
+function refuse(retryAfter: string): StubBackendOptions['intercept'] {
+	return (_request, response) => {
+		response.writeHead(503, {'carawayhoist-not-executed': '1', 'retry-after': retryAfter}).end();
+		return true;
+	};
+}
