Streams without a length that end inside an event are broken off, on every route

Cause: without a length or chunks, a server that closes inside an event looked whole. StreamCall wrote the rest of the event and ended the response as complete; routes that are not resumable had no splitter, and a stream without a prompt was passed on as a plain response. And where the response to the caller had no length either, breaking it off closed the connection in order, which looks complete too.

Change: such a stream is a broken attempt: resumed where the route allows it, else the caller's connection is reset. Evidence: trouble.test.ts cuts a stream at every byte, with and without a prompt, and resumes one; all three failed before and pass.

--- a/src/serving/caller.ts
+++ b/src/serving/caller.ts
@@ -37,6 +37,7 @@
 	readonly #endHandlers: Array<(outcome: CallOutcome) => void> = [];
 	#outcome: CallOutcome | undefined;
 	#problem: Problem | undefined;
+	#framing: Framing = FRAMINGS.closed;
 
 	constructor(request: IncomingMessage, response: ServerResponse) {
 		this.request = request;
@@ -157,7 +158,7 @@
 
 		this.#problem = problem;
 		if (this.hasStartedResponse) {
-			this.#response.destroy();
+			this.#breakOff();
 			this.#end(CALL_OUTCOMES.broken);
 			return;
 		}
@@ -179,7 +180,17 @@
 		this.#end(CALL_OUTCOMES.refused);
 	}
 
+	/** Closes the connection. A response without a length would look complete, unless its connection is reset. */
+	#breakOff(): void {
+		if (this.#framing === FRAMINGS.open) {
+			this.#response.socket?.resetAndDestroy();
+		}
+
+		this.#response.destroy();
+	}
+
 	#applyFraming(framing: Framing): void {
+		this.#framing = framing;
 		if (framing === FRAMINGS.open) {
 			this.#response.useChunkedEncodingByDefault = false;
 			this.#response.shouldKeepAlive = false;
--- a/src/serving/events.ts
+++ b/src/serving/events.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {FRAMINGS} from './caller.js';
+import type {ResponseHead} from './protocol.js';
 
+const HTTP_OK = 200;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
@@ -53,6 +56,31 @@
 	}
 }
 
+/**
+ * Whether a response is a stream of events whose end is marked only by the end of its connection. If it ends inside an
+ * event, it was broken off.
+ *
+ * @example
+ * ```ts
+ * isUnframedStream(head) && splitter.takeIncomplete().length > 0; // the server broke it off
+ * ```
+ */
+export function isUnframedStream({status, framing, headers}: ResponseHead): boolean {
+	return status === HTTP_OK && framing === FRAMINGS.open && (headers['content-type'] ?? '').startsWith('text/event-stream');
+}
+
+/**
+ * Whether the bytes of a stream end inside an event.
+ *
+ * @example
+ * ```ts
+ * endsInsideEvent(Buffer.from('id: 3\ndata: a\n\nid: 4')); // true
+ * ```
+ */
+export function endsInsideEvent(bytes: Buffer): boolean {
+	return findLastBoundary(bytes) < bytes.length;
+}
+
 /** Finds the offset after the last blank line; 0 without one. */
 function findLastBoundary(bytes: Buffer): number {
 	for (let index = bytes.length - 1; index > 0; index--) {
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -11,6 +11,7 @@
 import {
 	estimateRetrySeconds, findResponseMismatch, createNoServerProblem, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
+import {endsInsideEvent, isUnframedStream} from './events.js';
 import type {ResponseHead} from './protocol.js';
 import type {Exchange} from './upstream.js';
 
@@ -203,11 +204,18 @@
 			onData(chunk) {
 				chunks.push(chunk);
 			},
-			onEnd() {
+			onEnd: () => {
+				const body = Buffer.concat(chunks);
+				if (isUnframedStream(head!) && endsInsideEvent(body)) {
+					recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error('The connection ended inside an event.')});
+					settle({type: 'broken'});
+					return;
+				}
+
 				context.health.recordSuccess(server.server);
 				settle(head!.isNotExecuted || head!.isWrongServer
 					? {type: 'notExecuted', isWrongServer: head!.isWrongServer}
-					: {type: 'response', head: head!, body: Buffer.concat(chunks)});
+					: {type: 'response', head: head!, body});
 			},
 			onFailure: (failure, error) => {
 				recordAttemptFailure(context, this.#call, server, {failure, error});
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -14,7 +14,7 @@
 import type {
 	ResponseHead, Prompt, KvCacheHandle,
 } from './protocol.js';
-import {EventSplitter} from './events.js';
+import {EventSplitter, isUnframedStream} from './events.js';
 import type {PlacementResult} from './placement.js';
 import type {Exchange} from './upstream.js';
 
@@ -49,7 +49,8 @@
 	readonly #call: Call;
 	readonly #prompt: Prompt;
 	readonly #excluded = new Set<string>();
-	readonly #splitter: EventSplitter | undefined;
+	/** Forwards whole events; undefined if a part of an event may be forwarded. */
+	#splitter: EventSplitter | undefined;
 	#exchange: Exchange | undefined;
 	#kvCache: KvCacheHandle | undefined;
 	#placementCount = 0;
@@ -343,6 +344,10 @@
 						return;
 					}
 
+					if (isUnframedStream(head)) {
+						this.#splitter ??= new EventSplitter();
+					}
+
 					if (!caller.hasStartedResponse) {
 						caller.startResponse(status, context.protocol.buildResponseHeaders(headers), head.framing);
 					} else if (status !== HTTP_OK) {
@@ -361,9 +366,16 @@
 						return;
 					}
 
-					context.health.recordSuccess(server.server);
 					const incompleteEvent = this.#splitter?.takeIncomplete();
-					if (incompleteEvent && incompleteEvent.length > 0) {
+					const hasIncompleteEvent = incompleteEvent !== undefined && incompleteEvent.length > 0;
+					if (hasIncompleteEvent && isUnframedStream(head)) {
+						recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error('The connection ended inside an event.')});
+						resolve({type: 'broken', hasResponded: true});
+						return;
+					}
+
+					context.health.recordSuccess(server.server);
+					if (hasIncompleteEvent) {
 						caller.write(incompleteEvent, () => undefined);
 					}
 
--- a/test/system.ts
+++ b/test/system.ts
@@ -34,6 +34,9 @@
 	{
 		name: 'ask', host: 'a.example', 'path-prefix': '/ask/', type: 'streaming', 'timeout-ms': 2000, 'slo-ms': 500, priority: 1, service: 'llm', 'max-attempts': 2, sticky: true, resumable: true, 'itl-target-ms': 300,
 	},
+	{
+		name: 'tell', host: 'a.example', 'path-prefix': '/tell/', type: 'streaming', 'timeout-ms': 2000, 'slo-ms': 500, priority: 1, service: 'llm', 'max-attempts': 1, sticky: true, resumable: false, 'itl-target-ms': 300,
+	},
 ];
 export const SERVICES = [
 	{name: 'plain', 'health-path': '/health', 'max-conns': 100},
@@ -124,6 +127,7 @@
 
 	return {
 		control: address,
+		callers: first.callers,
 		entry,
 		metrics,
 		controlRegistry,
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
+import http, {type IncomingMessage} from 'node:http';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {PlatformProtocol} from '../platform/protocol.js';
 import {AvailabilityTracker} from '../src/routing/availability.js';
+import type {Address} from '../src/wire/connection.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
@@ -130,6 +132,64 @@
 	assert.deepEqual(availability.listUnavailable(6000), []);
 });
 
+const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+
+for (const [name, headers] of [['with a prompt', SHORT_PROMPT], ['without a prompt', {}]] as const) {
+	test(`a stream ${name} that ends with its connection inside an event never looks complete to the caller`, async t => {
+		let length = 0;
+		const system = await startSystem(t, [{
+			id: 's1', service: 'llm', stage: 'decode', intercept(request, response) {
+				response.socket?.end(startUnframedResponse(request) + EVENTS.slice(0, length));
+				return true;
+			},
+		}]);
+		for (length = 1; length <= EVENTS.length; length++) {
+			await system.announceServers();
+			assert.equal(await isAnsweredCompletely(system.callers, `/tell/${length}`, headers), EVENTS.slice(0, length).endsWith('\n\n'), `${length} bytes`);
+		}
+	});
+}
+
+test('a resumable stream that ends with its connection inside an event continues at another engine', async t => {
+	const system = await startSystem(t, ['e1', 'e2'].map(id => ({
+		id, service: 'llm', stage: 'decode' as const, intercept(request, response) {
+			if (request.headers['last-event-id'] !== undefined) {
+				return false;
+			}
+
+			response.socket?.end(`${startUnframedResponse(request)}${EVENTS}id: 3\nda`);
+			return true;
+		},
+	})));
+	const answer = await system.call('/ask/1', SHORT_PROMPT, 'body');
+	assert.deepEqual([...answer.text.matchAll(/^id: (\d)/gmv)].map(([, id]) => id), ['1', '2', '3', '4']);
+});
+
+/** Whether a request is answered with 200 and a connection that is closed in order; undici does not tell this from a reset. */
+async function isAnsweredCompletely({address, port}: Address, path: string, headers: http.OutgoingHttpHeaders): Promise<boolean> {
+	return new Promise(resolve => {
+		const request = http.request({
+			host: address, port, path, method: 'POST', headers: {host: 'a.example', 'carawayhoist-attempt-id': path, ...headers},
+		}, response => {
+			response.resume();
+			response.once('end', () => {
+				resolve(response.statusCode === 200);
+			});
+			response.once('error', () => {
+				resolve(false);
+			});
+		});
+		request.once('error', () => {
+			resolve(false);
+		});
+		request.end('body');
+	});
+}
+
+function startUnframedResponse(request: IncomingMessage): string {
+	return `HTTP/1.1 200 OK\r\ncarawayhoist-attempt-id: ${String(request.headers['carawayhoist-attempt-id'])}\r\ncontent-type: text/event-stream\r\n\r\n`;
+}
+
 function refuse(retryAfter: string): StubBackendOptions['intercept'] {
 	return (_request, response) => {
 		response.writeHead(503, {'carawayhoist-not-executed': '1', 'retry-after': retryAfter}).end();
