Bound the memory of responses without end

Cause: a plain response was kept without a limit until its connection ended, and so were a prefill's response and a stream's event; interim heads could follow each other until the deadline.

Evidence: the tests 'without end' of trouble.test.ts and upstream.test.ts failed before (deadline, broken stream, no end) and pass. Chunk extensions and dripped bytes still end by the route's time only; the library keeps none of them.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -19,6 +19,7 @@
 import {LoadTracker} from '../routing/load.js';
 import {Scheduler} from '../routing/scheduler.js';
 import type {ServingContext} from '../serving/context.js';
+import {ResponseMemory} from '../serving/buffer.js';
 import {CrashMonitor} from '../serving/crashes.js';
 import type {ProtocolAdapter} from '../serving/protocol.js';
 import {listEngines} from '../serving/engines.js';
@@ -44,6 +45,8 @@
 	readonly retryBudget: RetryBudgetLimits;
 	/** Time from SIGTERM until the process must have exited, in milliseconds. */
 	readonly graceMs: number;
+	/** Largest response of a plain service, bytes; has a default. */
+	readonly maxResponseBytes?: number | undefined;
 };
 
 /** The load balancer checks readiness once per second and sends no more callers after two failed checks. */
@@ -117,6 +120,7 @@
 			loadTracker: new LoadTracker(),
 			retryBudget: this.#retryBudget,
 			placement: this.#placementClient,
+			responseMemory: new ResponseMemory(options.maxResponseBytes),
 			crashes: this.#crashMonitor,
 			availability: this.#availability,
 			announceLeaving: server => {
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -14,6 +14,7 @@
 import type {Route, RouteTable} from '../routing/routes.js';
 import type {HealthTracker} from '../routing/health.js';
 import type {LoadTracker} from '../routing/load.js';
+import type {ResponseMemory} from './buffer.js';
 import type {Caller} from './caller.js';
 import type {CrashMonitor, SuspectRequest, TrackedAttempt} from './crashes.js';
 import {
@@ -38,6 +39,7 @@
 	readonly retryBudget: ServiceRetryBudget;
 	readonly placement: PlacementClient;
 	readonly metrics: ServingMetrics;
+	readonly responseMemory: ResponseMemory;
 	readonly crashes: CrashMonitor;
 	readonly availability: AvailabilityTracker;
 	/** Tells the other hosts that a server has said that it is leaving. */
--- a/src/serving/events.ts
+++ b/src/serving/events.ts
@@ -38,6 +38,11 @@
 		return whole;
 	}
 
+	/** Bytes of the incomplete event that are buffered. */
+	get incompleteBytes(): number {
+		return this.#incomplete.length;
+	}
+
 	/** Removes and returns the buffered bytes of an incomplete event. */
 	takeIncomplete(): Buffer {
 		const incomplete = this.#incomplete;
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -4,13 +4,14 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {createProblem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
 import {ROUTE_KINDS} from '../routing/routes.js';
 import {
 	estimateRetrySeconds, findResponseMismatch, createNoServerProblem, recordAttemptFailure, sendAttempt, tryAcquireRetry, type Call, type ServingContext,
 } from './context.js';
+import type {ResponseBuffer} from './buffer.js';
 import {endsInsideEvent, isUnframedStream} from './events.js';
 import type {ResponseHead} from './protocol.js';
 import type {Exchange} from './upstream.js';
@@ -168,8 +169,10 @@
 
 	async #awaitOutcome(server: Announcement): Promise<Outcome> {
 		return new Promise(resolve => {
+			const buffer = this.#context.responseMemory.createBuffer();
 			const settle = (outcome: Outcome) => {
 				clearTimeout(timer);
+				buffer.release();
 				resolve(outcome);
 			};
 
@@ -181,13 +184,12 @@
 			this.#call.caller.onEnd(() => {
 				settle({type: 'broken'});
 			});
-			this.#exchange = this.#send(server, settle);
+			this.#exchange = this.#send(server, settle, buffer);
 		});
 	}
 
-	#send(server: Announcement, settle: (outcome: Outcome) => void): Exchange {
+	#send(server: Announcement, settle: (outcome: Outcome) => void, buffer: ResponseBuffer): Exchange {
 		const context = this.#context;
-		const chunks: Buffer[] = [];
 		let head: ResponseHead | undefined;
 		const deadlineMs = this.#call.deadlineMs - context.clock.monotonicMs();
 		return sendAttempt(context, this.#call, {server, phase: 'full', deadlineMs}, {
@@ -201,11 +203,16 @@
 					settle({type: 'broken'});
 				}
 			},
-			onData(chunk) {
-				chunks.push(chunk);
+			onData: chunk => {
+				if (!buffer.append(chunk)) {
+					this.#exchange?.cancel();
+					recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error('The response is too large to buffer.')});
+					context.health.recordFailure(server.server, context.clock.monotonicMs());
+					settle({type: 'broken'});
+				}
 			},
 			onEnd: () => {
-				const body = Buffer.concat(chunks);
+				const body = buffer.read();
 				if (isUnframedStream(head!) && endsInsideEvent(body)) {
 					recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error('The connection ended inside an event.')});
 					settle({type: 'broken'});
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -40,6 +40,10 @@
 const MIN_PREFILL_TIMEOUT_MS = 700;
 /** Retry time for callers whose request failed before any engine ran it, seconds. */
 const FAILED_RETRY_SECONDS = 0.5;
+/** The response to a prefill names a KV cache in a short JSON object. */
+const MAX_PREFILL_RESPONSE_BYTES = 64 * 1024;
+/** Largest event of a stream that is buffered until it is complete. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 const HTTP_OK = 200;
 const HTTP_SERVER_ERROR = 500;
 
@@ -250,6 +254,7 @@
 		this.#call.logFields.reader = server.server;
 		return new Promise(resolve => {
 			const chunks: Buffer[] = [];
+			let size = 0;
 			let head: ResponseHead | undefined;
 			// A prefill is safe to retry, so a reader that is long overdue is abandoned.
 			const timer = setTimeout(() => {
@@ -273,8 +278,15 @@
 						resolve({type: 'failed'});
 					}
 				},
-				onData(chunk) {
+				onData: chunk => {
+					size += chunk.length;
 					chunks.push(chunk);
+					if (size > MAX_PREFILL_RESPONSE_BYTES) {
+						clearTimeout(timer);
+						this.#exchange?.cancel();
+						context.logger.warn(`Prefill failed at server ${server.server}: the response exceeds ${MAX_PREFILL_RESPONSE_BYTES} bytes.`, {request: this.#call.head.id, server: server.server});
+						resolve({type: 'failed'});
+					}
 				},
 				onEnd() {
 					clearTimeout(timer);
@@ -359,6 +371,13 @@
 					if (head && !head.isNotExecuted && !head.isWrongServer) {
 						this.#forward(chunk, head.status === HTTP_OK);
 					}
+
+					if ((this.#splitter?.incompleteBytes ?? 0) > MAX_EVENT_BYTES) {
+						this.#exchange?.cancel();
+						recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error(`An event exceeds ${MAX_EVENT_BYTES} bytes.`)});
+						context.health.recordFailure(server.server, context.clock.monotonicMs());
+						resolve({type: 'broken', hasResponded: false});
+					}
 				},
 				onEnd: () => {
 					if (!head || head.isNotExecuted || head.isWrongServer) {
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -64,6 +64,8 @@
 const IDLE_MARGIN_MS = 1000;
 /** Maximum size of a response's headers, bytes. */
 const MAX_HEAD_BYTES = 32_768;
+/** Maximum number of interim (1xx) responses before the final one. */
+const MAX_INTERIM_HEADS = 8;
 
 /** The connection pools of one host to all backend servers. Must be closed by its creator. */
 export class Upstream {
@@ -190,6 +192,7 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isEnded = false;
+	#interimHeads = 0;
 
 	constructor(responseHandler: ResponseHandler) {
 		this.#responseHandler = responseHandler;
@@ -197,9 +200,17 @@
 			onRequestStart: controller => {
 				this.#start(controller);
 			},
-			onResponseStart: (_controller, status, headers) => {
-				if (!this.#isEnded && status >= 200) {
+			onResponseStart: (controller, status, headers) => {
+				if (this.#isEnded) {
+					return;
+				}
+
+				if (status >= 200) {
 					responseHandler.onHead(status, headers);
+				} else if (++this.#interimHeads > MAX_INTERIM_HEADS) {
+					const error = new Error(`The server sent more than ${MAX_INTERIM_HEADS} interim responses.`);
+					this.#fail(error);
+					controller.abort(error);
 				}
 			},
 			onResponseData: (_controller, chunk) => {
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage} from 'node:http';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {PlatformProtocol} from '../platform/protocol.js';
 import {AvailabilityTracker} from '../src/routing/availability.js';
+import {ResponseMemory} from '../src/serving/buffer.js';
 import type {Address} from '../src/wire/connection.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
@@ -165,6 +167,75 @@
 	assert.deepEqual([...answer.text.matchAll(/^id: (\d)/gmv)].map(([, id]) => id), ['1', '2', '3', '4']);
 });
 
+test('plain responses without end are broken off at the limit, many at once, and other requests are served', async t => {
+	let open = 0;
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept(request, response) {
+			if (!request.url?.includes('endless')) {
+				return false;
+			}
+
+			open++;
+			response.once('close', () => {
+				open--;
+			});
+			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id'])});
+			sendForever(response);
+			return true;
+		},
+	}]);
+	const answers = await Promise.all(Array.from({length: 30}, async (_, index) => system.call(`/book/endless/${index}`, {}, 'seat')));
+	// With all of the host's buffers in use, some are broken off at less than their own limit; none is left open.
+	assert.deepEqual(new Set(answers.map(({status}) => status)), new Set([502]));
+	await waitUntil(async () => open === 0, 'the connections are closed');
+	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
+});
+
+test('a stream with an event without end continues at another engine', async t => {
+	const system = await startSystem(t, ['e1', 'e2'].map(id => ({
+		id, service: 'llm', stage: 'decode' as const, intercept(request, response) {
+			if (request.headers['last-event-id'] !== undefined) {
+				return false;
+			}
+
+			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'content-type': 'text/event-stream'});
+			response.write(EVENTS);
+			sendForever(response);
+			return true;
+		},
+	})));
+	const answer = await system.call('/ask/1', SHORT_PROMPT, 'body');
+	assert.deepEqual([...answer.text.matchAll(/^id: (\d)/gmv)].map(([, id]) => id), ['1', '2', '3', '4']);
+});
+
+test('buffered responses stay within the limits of one and of all', () => {
+	const memory = new ResponseMemory(100, 250);
+	const buffers = Array.from({length: 4}, () => memory.createBuffer());
+	assert.ok(buffers.slice(0, 2).every(buffer => buffer.append(Buffer.alloc(100))));
+	assert.ok(!buffers[0]!.append(Buffer.alloc(1)));
+	assert.ok(buffers[2]!.append(Buffer.alloc(50)));
+	assert.ok(!buffers[3]!.append(Buffer.alloc(1)));
+	assert.equal(memory.usedBytes, 250);
+	buffers[0]!.release();
+	buffers[0]!.release();
+	assert.ok(buffers[3]!.append(Buffer.alloc(100)));
+	assert.equal(memory.usedBytes, 250);
+});
+
+/** Writes bytes without a line feed until the connection is closed, as fast as they are read. */
+function sendForever(response: http.ServerResponse): void {
+	const chunk = Buffer.alloc(64 * 1024, 'x');
+	const send = () => {
+		while (!response.destroyed && response.write(chunk)) {
+			// Writes until the buffer is full.
+		}
+	};
+
+	response.on('drain', send);
+	response.on('error', () => undefined);
+	send();
+}
+
 /** Whether a request is answered with 200 and a connection that is closed in order; undici does not tell this from a reset. */
 async function isAnsweredCompletely({address, port}: Address, path: string, headers: http.OutgoingHttpHeaders): Promise<boolean> {
 	return new Promise(resolve => {
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -50,6 +50,20 @@
 	assert.equal(countConnections(), 2);
 });
 
+test('a server that sends interim responses without end breaks the exchange', async t => {
+	const {ask} = await startServer(t, socket => {
+		const send = () => {
+			while (!socket.destroyed && socket.write('HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n')) {
+				// Writes until the buffer is full.
+			}
+		};
+
+		socket.on('drain', send);
+		send();
+	});
+	assert.equal((await ask()).outcome, 'broken');
+});
+
 test('a request whose connection is refused is unsent', async t => {
 	const {ask, stop} = await startServer(t, () => undefined);
 	await stop();
