Crash table: list changes once for all subscribers, keep 64 crashes of a part

Each subscriber of a feed listed the whole table at every change, and a part that most prompts share kept every crash for as long as crashes came. Found on reading, not measured. Test: crashes.test.ts, failed before.

--- a/src/membership/crashes.ts
+++ b/src/membership/crashes.ts
@@ -10,6 +10,8 @@
 
 const RETENTION_MS = 3_600_000;
 const MAX_RECORDS = 2000;
+/** Crashes kept of one request or prompt part; a part that many prompts share is in flight at most of a fleet's crashes. */
+const MAX_CRASHES = 64;
 
 /** One crash of a server under a request, with the revisions at which it was recorded and acquitted. */
 type Crash = {
@@ -19,6 +21,8 @@
 
 type CrashEntry = {
 	readonly crashes: Map<string, Crash>;
+	/** Revision of the latest change. */
+	revision: number;
 	/** Wall-clock time of the latest crash, milliseconds. */
 	at: number;
 };
@@ -27,6 +31,7 @@
 export class CrashTable {
 	readonly #entries = new Map<string, CrashEntry>();
 	#revision = 0;
+	#changes: {readonly since: number; readonly revision: number; readonly facts: readonly PoisonFact[]} | undefined;
 	#poisoned: {readonly revision: number; readonly fingerprints: ReadonlySet<string>} = {revision: 0, fingerprints: new Set()};
 
 	/** Increases with every merged change. */
@@ -40,7 +45,7 @@
 
 	/** Merges a fact; returns whether anything in it is new. */
 	merge({fingerprint, servers, acquitted = [], at}: PoisonFact): boolean {
-		const entry = this.#entries.get(fingerprint) ?? {crashes: new Map<string, Crash>(), at};
+		const entry = this.#entries.get(fingerprint) ?? {crashes: new Map<string, Crash>(), revision: 0, at};
 		const revision = this.#revision + 1;
 		let isChanged = false;
 		for (const server of [...servers, ...acquitted]) {
@@ -60,7 +65,9 @@
 
 		if (isChanged) {
 			this.#revision = revision;
+			entry.revision = revision;
 			entry.at = Math.max(entry.at, at);
+			dropOldest(entry.crashes, MAX_CRASHES);
 			// Keeps the entries in the order of their last change, for eviction.
 			this.#entries.delete(fingerprint);
 			this.#entries.set(fingerprint, entry);
@@ -81,21 +88,19 @@
 		return [...crashes].filter(([, {acquittedRevision}]) => acquittedRevision === undefined).map(([server]) => server);
 	}
 
-	listFacts(): PoisonFact[] {
+	listFacts(): readonly PoisonFact[] {
 		return this.listChangedSince(0);
 	}
 
 	/** Lists what was merged after a revision. */
-	listChangedSince(revision: number): PoisonFact[] {
-		const facts: PoisonFact[] = [];
-		for (const [fingerprint, entry] of this.#entries) {
-			const fact = createFact(fingerprint, entry, revision);
-			if (fact.servers.length > 0) {
-				facts.push(fact);
-			}
+	listChangedSince(revision: number): readonly PoisonFact[] {
+		// Most subscribers of a feed have the same revision.
+		if (this.#changes?.since !== revision || this.#changes.revision !== this.#revision) {
+			const changed = [...this.#entries].filter(([, entry]) => entry.revision > revision);
+			this.#changes = {since: revision, revision: this.#revision, facts: changed.map(([fingerprint, entry]) => createFact(fingerprint, entry, revision))};
 		}
 
-		return facts;
+		return this.#changes.facts;
 	}
 
 	/** Whether a request is known to crash the servers that run it. */
@@ -145,6 +150,16 @@
 	return isChanged;
 }
 
+function dropOldest(crashes: Map<string, Crash>, limit: number): void {
+	for (const server of crashes.keys()) {
+		if (crashes.size <= limit) {
+			return;
+		}
+
+		crashes.delete(server);
+	}
+}
+
 function createFact(fingerprint: string, {crashes, at}: CrashEntry, revision: number): PoisonFact {
 	const servers: string[] = [];
 	const acquitted: string[] = [];
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -142,7 +142,7 @@
 	#sendCrashes(connection: Connection, subscriber: Subscriber): void {
 		const {crashes, self} = this.#options;
 		if (subscriber.crashRevision < crashes.revision) {
-			connection.send({type: 'gossip', from: self, facts: crashes.listChangedSince(subscriber.crashRevision)});
+			connection.send({type: 'gossip', from: self, facts: [...crashes.listChangedSince(subscriber.crashRevision)]});
 			subscriber.crashRevision = crashes.revision;
 		}
 	}
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -25,6 +25,16 @@
 	assert.deepEqual(first.listChangedSince(first.revision), []);
 });
 
+test('of a part that is in flight at most crashes only the latest are kept', () => {
+	const table = new CrashTable();
+	for (let index = 0; index < 200; index++) {
+		table.merge(createFact('part/popular', [`s${index}#1`], [`s${index}#1`]));
+	}
+
+	assert.equal(table.findFact('part/popular')?.servers.length, 64);
+	assert.ok(table.findFact('part/popular')?.servers.includes('s199#1'));
+});
+
 test('a request is poisoned once no other request was in flight at all of its crashes', () => {
 	const table = new CrashTable();
 	mergeCrashFacts(table, [createFact('poison', ['a#1', 'b#1']), createFact('beside', ['a#1', 'b#1'])]);
