--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
 import {LATE_PRIORITY, type PlacementDecision, type PlacementRequest} from '../routing/request.js';
@@ -16,12 +16,9 @@
 } from './protocol.js';
 import {EventSplitter, isUnframedStream} from './events.js';
 import type {PlacementResult} from './placement.js';
+import {sendPrefill} from './prefill.js';
 import type {Exchange} from './upstream.js';
 
-type PrefillOutcome
-	= | {readonly type: 'prefilled'; readonly kvCache: KvCacheHandle}
-		| {readonly type: 'failed'};
-
 type RunOutcome
 	= | {readonly type: 'done'; readonly isServerError: boolean}
 		| {readonly type: 'notExecuted'}
@@ -35,13 +32,8 @@
 const PATIENCE_FACTOR = 4;
 /** Maximum number of placements of one request. */
 const MAX_PLACEMENTS = 4;
-/** A prefill times out after this multiple of the expected time, but not before `MIN_PREFILL_TIMEOUT_MS`. */
-const PREFILL_TIMEOUT_FACTOR = 3;
-const MIN_PREFILL_TIMEOUT_MS = 700;
 /** Retry time for callers whose request failed before any engine ran it, seconds. */
 const FAILED_RETRY_SECONDS = 0.5;
-/** The response to a prefill names a KV cache in a short JSON object. */
-const MAX_PREFILL_RESPONSE_BYTES = 64 * 1024;
 /** Largest event of a stream that is buffered until it is complete. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const HTTP_OK = 200;
@@ -183,18 +175,18 @@
 			return undefined;
 		}
 
-		const outcome = reader && !caller.isEnded ? await this.#prefillAt(reader, expectedMs) : undefined;
+		const kvCache = reader && !caller.isEnded ? await this.#prefillAt(reader, expectedMs) : undefined;
 		if (caller.isEnded) {
 			return undefined;
 		}
 
-		if (outcome?.type !== 'prefilled') {
+		if (!kvCache) {
 			placement.reportMilestone(head.id, 'failed', server);
 			this.#excluded.add(server);
 			return undefined;
 		}
 
-		this.#kvCache = outcome.kvCache;
+		this.#kvCache = kvCache;
 		logFields.readMs = this.#elapsedMs();
 		return placement.chooseRunner(this.#createRequest(), server);
 	}
@@ -243,69 +235,22 @@
 		};
 	}
 
-	/** Prefills the prompt at a reader. */
-	async #prefillAt(server: Announcement, expectedMs: number): Promise<PrefillOutcome> {
-		const context = this.#context;
-		if (this.#prefillCount > 0 && !tryAcquireRetry(this.#context, this.#call.service)) {
-			return {type: 'failed'};
+	/** Prefills the prompt at a reader; undefined if that failed. */
+	async #prefillAt(server: Announcement, expectedMs: number): Promise<KvCacheHandle | undefined> {
+		const {caller, logFields, service} = this.#call;
+		if (this.#prefillCount > 0 && !tryAcquireRetry(this.#context, service)) {
+			return undefined;
 		}
 
 		this.#prefillCount++;
-		this.#call.logFields.reader = server.server;
+		logFields.reader = server.server;
 		return new Promise(resolve => {
-			const chunks: Buffer[] = [];
-			let size = 0;
-			let head: ResponseHead | undefined;
-			// A prefill is safe to retry, so a reader that is long overdue is abandoned.
-			const timer = setTimeout(() => {
-				context.logger.warn(`Prefill timed out at server ${server.server}.`, {request: this.#call.head.id, server: server.server, expectedMs});
-				this.#exchange?.cancel();
-				resolve({type: 'failed'});
-			}, Math.max(MIN_PREFILL_TIMEOUT_MS, expectedMs * PREFILL_TIMEOUT_FACTOR));
-			this.#call.caller.onEnd(() => {
-				clearTimeout(timer);
-				resolve({type: 'failed'});
-			});
-			this.#exchange = sendAttempt(context, this.#call, {
-				server, phase: 'prefill', deadlineMs: this.#remainingMs(), priority: this.#priority(), kvFetchSource: this.#kvFetchSource,
-			}, {
-				onHead: (status, headers) => {
-					head = context.protocol.parseResponse(status, headers);
-					const mismatch = findResponseMismatch(this.#call, head);
-					if (mismatch !== undefined) {
-						context.logger.warn(`Discarded a response from server ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
-						this.#exchange?.cancel();
-						resolve({type: 'failed'});
-					}
-				},
-				onData: chunk => {
-					size += chunk.length;
-					chunks.push(chunk);
-					if (size > MAX_PREFILL_RESPONSE_BYTES) {
-						clearTimeout(timer);
-						this.#exchange?.cancel();
-						context.logger.warn(`Prefill failed at server ${server.server}: the response exceeds ${MAX_PREFILL_RESPONSE_BYTES} bytes.`, {request: this.#call.head.id, server: server.server});
-						resolve({type: 'failed'});
-					}
-				},
-				onEnd() {
-					clearTimeout(timer);
-					const handle = head?.status === 200 ? context.protocol.parseKvHandle(Buffer.concat(chunks)) : undefined;
-					if (handle === undefined) {
-						context.logger.warn(`Prefill failed at server ${server.server}: no KV cache handle in the response.`, {server: server.server, status: head?.status});
-						resolve({type: 'failed'});
-						return;
-					}
-
-					context.health.recordSuccess(server.server);
-					resolve({type: 'prefilled', kvCache: {address: {address: server.address, port: server.port}, handle}});
-				},
-				onFailure: (failure, error) => {
-					clearTimeout(timer);
-					recordAttemptFailure(context, this.#call, server, {failure, error});
-					resolve({type: 'failed'});
-				},
+			caller.onEnd(() => {
+				resolve(undefined);
 			});
+			this.#exchange = sendPrefill(this.#context, this.#call, {
+				server, expectedMs, deadlineMs: this.#remainingMs(), priority: this.#priority(), kvFetchSource: this.#kvFetchSource,
+			}, resolve);
 		});
 	}
 
