Test ports: below the range of outgoing connections, and a range for each process

Seen: 'Timed out after 20000 ms while waiting for: host-4 ready' cancels all tests of processes.test.ts (1 of 12 runs on without logs; 1 of 3 copies at once on, with KEEP_FLEET_LOGS). Traced: host-4 ended with code 1103, listen EADDRINUSE. findPort took a port of the range from which the system takes ports of outgoing connections and closed it again, so any connection or another copy could take it before the host listened.

--- a/dev/fleet.ts
+++ b/dev/fleet.ts
@@ -17,6 +17,10 @@
 const FAKE_BACKEND = path.join(DIST, 'fakes/main.js');
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 50;
+const FIRST_PORT = 20_000;
+const PORTS_PER_PROCESS = 200;
+const PROCESS_RANGES = 60;
+let nextPort = 0;
 
 /** A running host (entry, or control and entry) or fake backend server. */
 export type FleetProcess = {
@@ -179,15 +183,30 @@
 	}
 }
 
-/** Finds a free TCP port on 127.0.0.1. */
+/**
+ * Finds a free TCP port on 127.0.0.1. It lies below the range of outgoing connections and in a range of this process, so
+ * that nothing else takes it before the caller listens on it.
+ */
 export async function findPort(): Promise<number> {
-	return new Promise((resolve, reject) => {
+	for (let attempt = 0; attempt < PORTS_PER_PROCESS; attempt++) {
+		const port = FIRST_PORT + ((process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS) + (nextPort++ % PORTS_PER_PROCESS);
+		if (await isFree(port)) {
+			return port;
+		}
+	}
+
+	throw new Error(`No free port among ${PORTS_PER_PROCESS}.`);
+}
+
+async function isFree(port: number): Promise<boolean> {
+	return new Promise(resolve => {
 		const server = net.createServer();
-		server.once('error', reject);
-		server.listen(0, '127.0.0.1', () => {
-			const {port} = server.address() as net.AddressInfo;
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
 			server.close(() => {
-				resolve(port);
+				resolve(true);
 			});
 		});
 	});
