Read again: literal names, the bound of retry times out of platform/, claims as far as they were shown

- What has become of a server is an incarnation's state, not its fate; 'condemned' gave way to 'poisoned'; an unused option is gone.
- The limit of ten minutes on retry times decides something, so it moved from platform/ to the availability tracker.
No change of what is sent to servers or callers; one sentence of the log is reworded.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -192,10 +192,10 @@
 		}
 
 		if (hasChanges) {
-			this.#crashMonitor.checkServers(server => this.#discovery.findFate(server));
+			this.#crashMonitor.checkServers(server => this.#discovery.findIncarnationState(server));
 		}
 
-		// A control host that has restarted knows no crashes; without it, this host knows some that it never received.
+		// A control host that has restarted, or was disconnected, lacks the crashes that were reported meanwhile.
 		if (feed.whole && !this.#crashTable.isEmpty) {
 			this.#subscription.send(control, this.#createFactMessage(this.#crashTable.listFacts()));
 		}
--- a/src/membership/crashes.ts
+++ b/src/membership/crashes.ts
@@ -1,7 +1,7 @@
 /**
  * The table of requests that were in flight at servers when these crashed, as all hosts share it.
  *
- * The result of merging facts does not depend on the order in which they arrive. Performs no I/O.
+ * The result of merging facts does not depend on the order in which they arrive, apart from what is evicted. Performs no I/O.
  *
  * @module
  */
@@ -27,7 +27,7 @@
 	at: number;
 };
 
-/** Crashes by the fingerprint of the request that was in flight. */
+/** Crashes by the fingerprint of the request that was in flight, or by the key of a part of its prompt. */
 export class CrashTable {
 	readonly #entries = new Map<string, CrashEntry>();
 	#revision = 0;
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {Announcement, Feed} from '../generated/types.js';
-import {ServerRegistry, type ServerFate} from './registry.js';
+import {ServerRegistry, type IncarnationState} from './registry.js';
 
 /** Servers never expire here: feeds carry only changes, and the control hosts report which servers are silent. */
 const NO_EXPIRY = {silentAfterMs: Number.POSITIVE_INFINITY, forgetAfterMs: Number.POSITIVE_INFINITY};
@@ -54,8 +54,8 @@
 	}
 
 	/** Finds what has become of a server that was announced before. */
-	findFate(server: Announcement): ServerFate {
-		return this.#registry.findFate(server);
+	findIncarnationState(server: Announcement): IncarnationState {
+		return this.#registry.findIncarnationState(server);
 	}
 
 	findServer(server: string): Announcement | undefined {
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -1,6 +1,6 @@
 /**
- * The feed: control hosts push the publication, the status of backend servers, and the list of control hosts to
- * every subscribed host.
+ * The feed: control hosts push the publication, the status of backend servers, the list of control hosts, and the
+ * requests that were in flight at servers that crashed to every subscribed host.
  *
  * Every entry host subscribes to every control host. A new publication or a server that deregisters thus reaches all
  * entry hosts within one network round after any control host learns of it, even if other control hosts are down or
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -17,14 +17,14 @@
 export type MergeResult = keyof typeof MERGE_RESULTS;
 
 /** What has become of a server incarnation. */
-export const SERVER_FATES = {
+export const INCARNATION_STATES = {
 	present: 'present',
 	/** Another incarnation has started at its address or under its id. */
 	replaced: 'replaced',
 	/** It has deregistered, and nothing else has started in its place. */
 	left: 'left',
 } as const;
-export type ServerFate = keyof typeof SERVER_FATES;
+export type IncarnationState = keyof typeof INCARNATION_STATES;
 
 export type RegistryTiming = {
 	/** Time without an announcement after which a server is silent, milliseconds. */
@@ -159,19 +159,19 @@
 	}
 
 	/** Finds what has become of a server incarnation that was announced before. */
-	findFate({server, incarnation, address, port}: Announcement): ServerFate {
+	findIncarnationState({server, incarnation, address, port}: Announcement): IncarnationState {
 		const known = this.#entries.get(server);
 		if (known && known.announcement.incarnation > incarnation) {
-			return SERVER_FATES.replaced;
+			return INCARNATION_STATES.replaced;
 		}
 
 		if (!known?.gone) {
-			return SERVER_FATES.present;
+			return INCARNATION_STATES.present;
 		}
 
 		const isReplaced = [...this.#entries.values()].some(({announcement}) => announcement.server !== server
 			&& announcement.address === address && announcement.port === port && announcement.incarnation > incarnation);
-		return isReplaced ? SERVER_FATES.replaced : SERVER_FATES.left;
+		return isReplaced ? INCARNATION_STATES.replaced : INCARNATION_STATES.left;
 	}
 
 	/** Marks a server as gone. Returns false if it is unknown or already gone. */
--- a/src/routing/availability.ts
+++ b/src/routing/availability.ts
@@ -9,6 +9,8 @@
 import {formatIncarnation, type ServerIncarnation} from '../base/incarnation.js';
 
 const MAX_ENTRIES = 2000;
+/** Longest time for which a server may refuse requests; a larger value is more likely a fault. */
+const MAX_REFUSAL_MS = 600_000;
 
 /** A server that takes no requests until a time of the monotonic clock, milliseconds. */
 export type RefusingServer = ServerIncarnation & {readonly untilMs: number};
@@ -31,10 +33,10 @@
 		return true;
 	}
 
-	/** Records that a server takes no requests for some time. An earlier statement is not shortened. */
+	/** Records that a server takes no requests for some time, up to a limit. An earlier statement is not shortened. */
 	recordRefusal({server, incarnation}: ServerIncarnation, durationMs: number, nowMs: number): void {
 		const key = formatIncarnation({server, incarnation});
-		const untilMs = Math.max(nowMs + durationMs, this.#refusing.get(key)?.untilMs ?? 0);
+		const untilMs = Math.max(nowMs + Math.min(durationMs, MAX_REFUSAL_MS), this.#refusing.get(key)?.untilMs ?? 0);
 		this.#refusing.set(key, {server, incarnation, untilMs});
 		evictOldest(this.#refusing);
 	}
--- a/src/routing/poison.ts
+++ b/src/routing/poison.ts
@@ -98,9 +98,9 @@
 /** What was in flight at enough crashes that it may be their cause. */
 type Suspect = {
 	readonly crashes: ReadonlySet<string>;
-	/** Number of crashes that condemn it if nothing else explains them. */
+	/** Number of crashes after which it counts as poisoned if nothing else explains them. */
 	readonly limit: number;
-	/** Number of crashes that condemn it even if another suspect has the same crashes. */
+	/** The same if another suspect has the same crashes. */
 	readonly tiedLimit: number;
 };
 
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -165,7 +165,7 @@
 
 	if (retryAfter?.type === 'delay') {
 		context.availability.recordRefusal(server, retryAfter.ms, context.clock.monotonicMs());
-		context.logger.info(`Server ${server.server} wants no requests for ${retryAfter.ms} ms.`, {server: server.server, durationMs: retryAfter.ms});
+		context.logger.info(`Server ${server.server} refuses requests for ${retryAfter.ms} ms.`, {server: server.server, durationMs: retryAfter.ms});
 	} else if (retryAfter && context.availability.recordUnreadable(server)) {
 		context.logger.warn(`Ignored the retry time of server ${server.server}: ${retryAfter.text}`, {server: server.server});
 	}
--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '../base/logger.js';
 import type {Announcement, PoisonFact} from '../generated/types.js';
 import type {CrashTable} from '../membership/crashes.js';
-import {SERVER_FATES, type ServerFate} from '../membership/registry.js';
+import {INCARNATION_STATES, type IncarnationState} from '../membership/registry.js';
 import {formatPartKey} from '../routing/poison.js';
 import type {Address} from '../wire/connection.js';
 import {PROBE_RESULTS, type ProbeResult} from '../wire/probe.js';
@@ -41,7 +41,6 @@
 	readonly probe: (address: Address) => Promise<ProbeResult>;
 	/** Sends facts that are new to this host to all others. */
 	readonly publish: (facts: PoisonFact[]) => void;
-	readonly onCrash?: () => void;
 };
 
 type UnansweredRequest = {
@@ -116,13 +115,13 @@
 	}
 
 	/** Checks the servers of recent attempts against what is announced now. */
-	checkServers(findFate: (server: Announcement) => ServerFate): void {
+	checkServers(findIncarnationState: (server: Announcement) => IncarnationState): void {
 		const nowMs = this.#now();
 		for (const [key, attempts] of this.#servers) {
-			const fate = findFate(attempts.server);
-			if (fate === SERVER_FATES.replaced) {
+			const state = findIncarnationState(attempts.server);
+			if (state === INCARNATION_STATES.replaced) {
 				this.#confirmCrash(attempts);
-			} else if (fate === SERVER_FATES.left) {
+			} else if (state === INCARNATION_STATES.left) {
 				attempts.unanswered = [];
 			}
 
@@ -184,7 +183,6 @@
 		attempts.unanswered = [];
 		const requests = [...attempts.running, ...unanswered.map(({request}) => request)];
 		if (requests.length > 0) {
-			this.#options.onCrash?.();
 			this.#options.logger.warn(`Server ${attempts.server.server} crashed with ${requests.length} requests of this host in flight.`, {
 				server: attempts.server.server, incarnation: attempts.server.incarnation, requests: requests.slice(0, LOGGED_REQUESTS).map(({id}) => id),
 			});
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -3,7 +3,7 @@
 import {createSilentLoggers} from '../src/base/logger.js';
 import type {Announcement, PoisonFact} from '../src/generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../src/membership/crashes.js';
-import {SERVER_FATES, ServerRegistry} from '../src/membership/registry.js';
+import {INCARNATION_STATES, ServerRegistry} from '../src/membership/registry.js';
 import {CrashMonitor} from '../src/serving/crashes.js';
 import type {ProbeResult} from '../src/wire/probe.js';
 
@@ -85,31 +85,31 @@
 	old.abandon();
 	advance(6000);
 	monitor.track(SERVER, createRequest('lost')).abandon();
-	monitor.checkServers(() => SERVER_FATES.replaced);
+	monitor.checkServers(() => INCARNATION_STATES.replaced);
 	assert.deepEqual(published.map(({fingerprint}) => fingerprint).toSorted(), ['lost', 'silent']);
 });
 
-test('a server that leaves as planned condemns no request', () => {
+test('requests at a server that leaves as planned are not suspected', () => {
 	const {monitor, published} = createMonitor('refused');
 	monitor.track(SERVER, createRequest('cancelled')).abandon();
-	monitor.checkServers(() => SERVER_FATES.left);
-	monitor.checkServers(() => SERVER_FATES.replaced);
+	monitor.checkServers(() => INCARNATION_STATES.left);
+	monitor.checkServers(() => INCARNATION_STATES.replaced);
 	assert.deepEqual(published, []);
 });
 
 test('the registry tells a replaced server from one that left', () => {
 	const registry = new ServerRegistry();
 	registry.merge(SERVER, 0);
-	assert.equal(registry.findFate(SERVER), SERVER_FATES.present);
+	assert.equal(registry.findIncarnationState(SERVER), INCARNATION_STATES.present);
 	registry.deregister('s1');
-	assert.equal(registry.findFate(SERVER), SERVER_FATES.left);
+	assert.equal(registry.findIncarnationState(SERVER), INCARNATION_STATES.left);
 	registry.merge({...SERVER, server: 's2', incarnation: 2}, 0);
-	assert.equal(registry.findFate(SERVER), SERVER_FATES.replaced);
+	assert.equal(registry.findIncarnationState(SERVER), INCARNATION_STATES.replaced);
 	registry.merge({...SERVER, port: 2, server: 's3'}, 0);
 	registry.merge({
 		...SERVER, port: 2, server: 's3', incarnation: 2,
 	}, 0);
-	assert.equal(registry.findFate({...SERVER, port: 2, server: 's3'}), SERVER_FATES.replaced);
+	assert.equal(registry.findIncarnationState({...SERVER, port: 2, server: 's3'}), INCARNATION_STATES.replaced);
 });
 
 test('a request that is served is acquitted on every host of the crashes known so far', () => {
@@ -126,7 +126,7 @@
 	for (const [index, server] of ['e1', 'e2', 'e3'].entries()) {
 		monitor.track({...SERVER, server}, createRequest(`bad${index}`, ['shared', 'bad']));
 		monitor.track({...SERVER, server}, createRequest(`beside${index}`, ['shared', `session${index}`]));
-		monitor.checkServers(() => SERVER_FATES.replaced);
+		monitor.checkServers(() => INCARNATION_STATES.replaced);
 		monitor.track({...SERVER, server: 'e9'}, createRequest(`served${index}`, ['shared', 'other'])).succeed();
 	}
 
@@ -135,11 +135,11 @@
 	assert.ok(!monitor.isQuarantined(createRequest('new', ['shared', 'other'])));
 });
 
-test('a request that is poisoned does not condemn the parts of its prompt', () => {
+test('the shared parts of a poisoned request are not poisoned', () => {
 	const {monitor, table} = createMonitor('refused');
 	for (const server of ['e1', 'e2', 'e3']) {
 		monitor.track({...SERVER, server}, createRequest('poison', ['shared', 'session']));
-		monitor.checkServers(() => SERVER_FATES.replaced);
+		monitor.checkServers(() => INCARNATION_STATES.replaced);
 	}
 
 	assert.deepEqual(listPoisoned(table), ['poison']);
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -93,7 +93,7 @@
 	assert.equal(crashed.size, 2);
 });
 
-test('a server that closes connections without an answer but lives condemns no request', async t => {
+test('a request is not refused after its server closed connections without an answer but stayed alive', async t => {
 	let isBroken = true;
 	const system = await startSystem(t, [{
 		id: 'p1', service: 'plain', intercept(_request, response) {
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -15,7 +15,7 @@
 const LEAVING = {'server-leaving': '1'};
 
 for (const [name, path, headers] of [['plain server', '/read/1', {}], ['engine', '/ask/1', SHORT_PROMPT]] as const) {
-	test(`a ${name} whose response says that it is leaving gets no further requests from any host until it starts anew`, async t => {
+	test(`a server (${name}) whose response says that it is leaving gets no further requests from any host until it starts anew`, async t => {
 		const kind = path.startsWith('/ask') ? {service: 'llm', stage: 'decode' as const} : {service: 'plain'};
 		const system = await startSystem(t, ['s1', 's2'].map(id => ({id, ...kind, ...(id === 's1' && {responseHeaders: LEAVING})})));
 		const callSecond = await system.addEntry();
@@ -112,11 +112,11 @@
 	});
 }
 
-test('the retry time of a server is read in seconds with fractions, bounded, and ignored if it cannot be read', () => {
+test('the retry time of a server is read in seconds with fractions, and reported if it cannot be read', () => {
 	const protocol = new PlatformProtocol();
 	const read = (status: number, value: string | undefined) => protocol.parseResponse(status, value === undefined ? {} : {'retry-after': value}).retryAfter;
 	assert.deepEqual(read(503, '0.25'), {type: 'delay', ms: 250});
-	assert.deepEqual(read(503, '99999999999'), {type: 'delay', ms: 600_000});
+	assert.deepEqual(read(503, '99999999999'), {type: 'delay', ms: 99_999_999_999_000});
 	for (const value of ['-1', 'Fri, 04 Dec 2026 11:00:00 GMT', '', 'soon', 'Infinity']) {
 		assert.deepEqual(read(503, value), {type: 'unreadable', text: value});
 	}
@@ -125,7 +125,7 @@
 	assert.equal(read(429, '3'), undefined);
 });
 
-test('a server is available again when its retry time has passed, or when it starts anew', () => {
+test('a server is available again when its retry time has passed, after ten minutes at most, or when it starts anew', () => {
 	const availability = new AvailabilityTracker();
 	const server = {server: 's1', incarnation: 1};
 	availability.recordRefusal(server, 1000, 5000);
@@ -135,6 +135,9 @@
 	assert.ok(availability.isAvailable({...server, incarnation: 2}, 5500));
 	assert.ok(availability.isAvailable(server, 6000));
 	assert.deepEqual(availability.listUnavailable(6000), []);
+	availability.recordRefusal(server, 99_999_999_999_000, 6000);
+	assert.ok(!availability.isAvailable(server, 605_999));
+	assert.ok(availability.isAvailable(server, 606_000));
 });
 
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
