--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -12,6 +12,7 @@
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedSubscription, inflatePublication} from '../membership/feed.js';
 import {ServerDiscovery} from '../membership/discovery.js';
+import {RateLimitTable} from '../membership/ratelimits.js';
 import {AvailabilityTracker} from '../routing/availability.js';
 import {ServiceRetryBudget, type RetryBudgetLimits} from '../routing/budget.js';
 import {RouteTable} from '../routing/routes.js';
@@ -62,6 +63,7 @@
 	readonly #upstream = new Upstream();
 	readonly #localScheduler = new Scheduler();
 	readonly #availability = new AvailabilityTracker();
+	readonly #rateLimits = new RateLimitTable();
 	readonly #crashTable = new CrashTable();
 	readonly #crashMonitor: CrashMonitor;
 	readonly #subscription: FeedSubscription;
@@ -123,6 +125,7 @@
 			responseMemory: new ResponseMemory(options.maxResponseBytes),
 			crashes: this.#crashMonitor,
 			availability: this.#availability,
+			rateLimits: this.#rateLimits,
 			announceLeaving: server => {
 				this.#subscription.broadcast(this.#createFactMessage([{type: 'server', announcement: {...server, leaving: true}}]));
 			},
@@ -161,6 +164,12 @@
 		return this.#discovery.listUsable().map(({server}) => server);
 	}
 
+	/** Requests a second that a server takes from all hosts together, as far as this host knows; undefined without a limit. */
+	findRateLimit(server: string): number | undefined {
+		const announced = this.#discovery.findServer(server);
+		return announced && this.#rateLimits.findLimit(announced);
+	}
+
 	/** Stops accepting callers, waits for the running requests until shortly before the grace period ends, then closes. */
 	async stop(): Promise<void> {
 		const {clock, graceMs} = this.#options;
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -9,6 +9,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
 import type {Announcement} from '../generated/types.js';
+import type {RateLimitTable} from '../membership/ratelimits.js';
 import type {AvailabilityTracker} from '../routing/availability.js';
 import type {ServiceRetryBudget} from '../routing/budget.js';
 import type {Route, RouteTable} from '../routing/routes.js';
@@ -42,6 +43,7 @@
 	readonly responseMemory: ResponseMemory;
 	readonly crashes: CrashMonitor;
 	readonly availability: AvailabilityTracker;
+	readonly rateLimits: RateLimitTable;
 	/** Tells the other hosts that a server has said that it is leaving. */
 	readonly announceLeaving: (server: Announcement) => void;
 	/** Lists the servers that accept new work. */
@@ -140,9 +142,12 @@
 
 /** Wraps a handler so that what the head of the response says about the server is recorded. */
 function observeResponse(context: ServingContext, server: Announcement, handler: ResponseHandler): ResponseHandler {
+	const sentMs = context.clock.monotonicMs();
 	return {
 		onHead(status, headers) {
-			recordAvailability(context, server, context.protocol.parseResponse(status, headers));
+			const head = context.protocol.parseResponse(status, headers);
+			recordAvailability(context, server, head);
+			recordRateLimit(context, server, head, sentMs);
 			handler.onHead(status, headers);
 		},
 		onData(chunk) {
@@ -176,6 +181,31 @@
 	}
 }
 
+/** Records what a response says about the rate of requests that its server takes. */
+function recordRateLimit({availability, clock, logger, rateLimits}: ServingContext, {server, incarnation}: Announcement, {isWrongServer, rateLimit}: ResponseHead, sentMs: number): void {
+	if (isWrongServer) {
+		return;
+	}
+
+	if (rateLimit?.type === 'unreadable') {
+		if (availability.recordUnreadable({server, incarnation})) {
+			logger.warn(`Ignored the rate limit of server ${server}: ${rateLimit.text}`, {server});
+		}
+
+		return;
+	}
+
+	const fact = rateLimits.record({
+		server, incarnation, perSecond: rateLimit?.perSecond, sentMs,
+	}, clock.monotonicMs());
+	if (fact) {
+		const {perSecond, revision} = fact;
+		logger.info(`Server ${server} ${perSecond === undefined ? 'no longer limits its requests' : `takes ${perSecond} requests a second`}.`, {
+			server, incarnation, perSecond, revision,
+		});
+	}
+}
+
 /** Wraps a handler so that the end of the response is also reported to the tracker. */
 function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
 	let status = 0;
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -63,6 +63,11 @@
 	= | {readonly type: 'delay'; readonly ms: number}
 		| {readonly type: 'unreadable'; readonly text: string};
 
+/** The rate of requests that a server takes from all hosts together, for as long as its responses state it. */
+export type RateLimit
+	= | {readonly type: 'rate'; readonly perSecond: number}
+		| {readonly type: 'unreadable'; readonly text: string};
+
 /** Status and headers of a server's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -79,6 +84,8 @@
 	readonly isLeaving: boolean;
 	/** How long the server wants no further requests, in a response that refuses one. */
 	readonly retryAfter: RetryAfter | undefined;
+	/** Undefined if the response states no limit. */
+	readonly rateLimit: RateLimit | undefined;
 	/** Load that the server reports. */
 	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
 };
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -18,6 +18,7 @@
 	'control/bootstrap',
 	'membership/crashes',
 	'membership/directory',
+	'membership/ratelimits',
 	'routing/choice',
 	'routing/admission',
 	'routing/load',
