Keep the requests to a server within the rate that it accepts from all hosts

What callers saw: nothing yet; the servers that asked for 4.3 requests a second got 11 and more, from 15 hosts.

Cause: no code read the statement; placement by control hosts and the choice of plain servers went on as before. Class: a promise about the sum over all hosts, in a system where each host decided by itself.

Change: statements are shared like crash facts (RateLimitTable, by incarnation and revision). One token bucket a server, at the control host that places the service's requests: its scheduler charges prefills and runs, and reserves the runner's token before a prefill; plain requests to such a server ask the same host for a permit. Copies of placements charge the bucket of the host that would take over. Entry hosts without a control host use half of the rate together, from buckets that start empty. Less urgent requests leave tokens to more urgent ones; who gets none is refused at once and told when another token is due.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -24,7 +24,9 @@
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedPublisher, FeedSubscription} from '../membership/feed.js';
+import {RateLimitTable} from '../membership/ratelimits.js';
 import {DEFAULT_REGISTRY_TIMING, ServerRegistry, type MergeResult} from '../membership/registry.js';
+import {createGrantingLimiter} from '../routing/limiter.js';
 import {RouteTable, type RoutingConfig} from '../routing/routes.js';
 import {Scheduler} from '../routing/scheduler.js';
 import {RolePlanner} from '../routing/planner.js';
@@ -79,7 +81,9 @@
 	readonly #publisher: FeedPublisher;
 	readonly #subscription: FeedSubscription;
 	readonly #listener: Listener;
-	readonly #scheduler = new Scheduler();
+	readonly #rateLimits = new RateLimitTable();
+	readonly #limiter = createGrantingLimiter(server => this.#rateLimits.findLimit(server));
+	readonly #scheduler = new Scheduler({limiter: this.#limiter});
 	readonly #crashes = new CrashTable();
 	readonly #rolePlanner = new RolePlanner();
 	readonly #timer: NodeJS.Timeout;
@@ -105,6 +109,7 @@
 			hasQuorum: () => service.hasQuorum,
 			isWarm: () => this.#isWarm(),
 			crashes: this.#crashes,
+			rateLimits: this.#rateLimits,
 			self: {host, ...options.peerAddress},
 		});
 		this.#subscription = new FeedSubscription({
@@ -117,6 +122,7 @@
 			readVersion: () => Number.MAX_SAFE_INTEGER,
 			onMessage: message => {
 				this.#mergeCrashes(message);
+				this.#mergeRateLimits(message);
 			},
 			onFeed: feed => {
 				for (const status of feed.sightings) {
@@ -278,6 +284,17 @@
 				break;
 			}
 
+			case 'rateLimits': {
+				this.#mergeRateLimits(message);
+				break;
+			}
+
+			case 'permitRequest': {
+				const {id, priority} = message;
+				connection.send({type: 'permit', id, ...this.#limiter.request(message, priority, this.#options.clock.monotonicMs())});
+				break;
+			}
+
 			case 'offer': {
 				const {bodyBytes = 0, connected = []} = message;
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
@@ -334,6 +351,12 @@
 		}
 	}
 
+	#mergeRateLimits(message: Message): void {
+		if (message.type === 'rateLimits' && this.#rateLimits.mergeAll(message.facts, this.#options.clock.monotonicMs())) {
+			this.#publisher.notify();
+		}
+	}
+
 	/** Merges servers that told an entry host in a response that they are leaving. Unknown ones are left to their announcements. */
 	#mergeServers(facts: readonly Fact[]): void {
 		for (const fact of facts) {
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -15,6 +15,7 @@
 import {RateLimitTable} from '../membership/ratelimits.js';
 import {AvailabilityTracker} from '../routing/availability.js';
 import {ServiceRetryBudget, type RetryBudgetLimits} from '../routing/budget.js';
+import {createFallbackLimiter, type RateLimiter} from '../routing/limiter.js';
 import {RouteTable} from '../routing/routes.js';
 import {HealthTracker} from '../routing/health.js';
 import {LoadTracker} from '../routing/load.js';
@@ -61,7 +62,8 @@
 	readonly #options: EntryHostOptions;
 	readonly #logger: Logger;
 	readonly #upstream = new Upstream();
-	readonly #localScheduler = new Scheduler();
+	readonly #localLimiter: RateLimiter;
+	readonly #localScheduler: Scheduler;
 	readonly #availability = new AvailabilityTracker();
 	readonly #rateLimits = new RateLimitTable();
 	readonly #crashTable = new CrashTable();
@@ -79,6 +81,8 @@
 		this.#options = options;
 		this.#logger = options.loggers('entry');
 		const {clock, random, dataCentre, protocol, metrics} = options;
+		this.#localLimiter = createFallbackLimiter(server => this.#rateLimits.findLimit(server), {countHosts: () => this.#hostCount, random});
+		this.#localScheduler = new Scheduler({limiter: this.#localLimiter});
 		this.#retryBudget = new ServiceRetryBudget(options.retryBudget);
 		this.#subscription = new FeedSubscription({
 			host: options.host,
@@ -92,15 +96,13 @@
 				this.#handleFeed(feed, control);
 			},
 			onMessage: (message, control) => {
-				if (message.type === 'gossip') {
-					mergeCrashFacts(this.#crashTable, message.facts);
-				} else {
-					this.#placementClient.receive(message, control);
-				}
+				this.#receive(message, control);
 			},
 		});
 		this.#discovery = new ServerDiscovery(this.#subscription);
-		this.#placementClient = new PlacementClient(this.#subscription, this.#localScheduler, clock);
+		this.#placementClient = new PlacementClient({
+			hosts: this.#subscription, localScheduler: this.#localScheduler, localLimiter: this.#localLimiter, clock,
+		});
 		this.#crashMonitor = new CrashMonitor({
 			clock,
 			logger: options.loggers('routing'),
@@ -129,6 +131,9 @@
 			announceLeaving: server => {
 				this.#subscription.broadcast(this.#createFactMessage([{type: 'server', announcement: {...server, leaving: true}}]));
 			},
+			announceRateLimit: fact => {
+				this.#subscription.broadcast({type: 'rateLimits', facts: [fact]});
+			},
 			listServers: () => this.#discovery.listUsable().filter(server => this.#availability.isAvailable(server, clock.monotonicMs())),
 			findServer: server => this.#discovery.findServer(server),
 			countHosts: () => this.#hostCount,
@@ -193,6 +198,24 @@
 		this.#upstream.close();
 	}
 
+	#receive(message: Message, control: string): void {
+		switch (message.type) {
+			case 'gossip': {
+				mergeCrashFacts(this.#crashTable, message.facts);
+				break;
+			}
+
+			case 'rateLimits': {
+				this.#rateLimits.mergeAll(message.facts, this.#options.clock.monotonicMs());
+				break;
+			}
+
+			default: {
+				this.#placementClient.receive(message, control);
+			}
+		}
+	}
+
 	#handleFeed(feed: Feed, control: string): void {
 		const hasChanges = this.#discovery.merge(feed, control, this.#options.clock.monotonicMs());
 		if (feed.entries > 0) {
@@ -204,11 +227,15 @@
 			this.#crashMonitor.checkServers(server => this.#discovery.findIncarnationState(server));
 		}
 
-		// A control host that has restarted, or was disconnected, lacks the crashes that were reported meanwhile.
+		// A control host that has restarted, or was disconnected, lacks what was reported meanwhile.
 		if (feed.whole && !this.#crashTable.isEmpty) {
 			this.#subscription.send(control, this.#createFactMessage(this.#crashTable.listFacts()));
 		}
 
+		if (feed.whole && !this.#rateLimits.isEmpty) {
+			this.#subscription.send(control, {type: 'rateLimits', facts: [...this.#rateLimits.listFacts()]});
+		}
+
 		const isNewer = feed.version > (this.#routeTable?.config.version ?? 0);
 		if (feed.publication && isNewer) {
 			this.#applyPublication(feed.publication, feed.version, control);
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -1,6 +1,6 @@
 /**
- * The feed: control hosts push the publication, the status of backend servers, the list of control hosts, and the
- * requests that were in flight at servers that crashed to every subscribed host.
+ * The feed: control hosts push the publication, the status of backend servers, the list of control hosts, the requests
+ * that were in flight at servers that crashed, and the servers' rate limits to every subscribed host.
  *
  * Every entry host subscribes to every control host. A new publication or a server that deregisters thus reaches all
  * entry hosts within one network round after any control host learns of it, even if other control hosts are down or
@@ -19,6 +19,7 @@
 } from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
 import type {CrashTable} from './crashes.js';
+import type {RateLimitTable} from './ratelimits.js';
 import type {ServerRegistry} from './registry.js';
 
 /** Interval of heartbeats in both directions. A subscriber drops a connection after four missed ones. */
@@ -48,6 +49,8 @@
 	readonly isWarm: () => boolean;
 	/** Requests that were in flight at servers that crashed. */
 	readonly crashes: CrashTable;
+	/** Rates of requests that servers accept. */
+	readonly rateLimits: RateLimitTable;
 	/** This host, as sender of crash facts. */
 	readonly self: Peer;
 };
@@ -61,6 +64,8 @@
 	revision: number;
 	/** Revision of the crash table up to which changes were sent. */
 	crashRevision: number;
+	/** Revision of the table of rate limits up to which changes were sent. */
+	rateLimitRevision: number;
 	isNew: boolean;
 	lastReceivedMs: number;
 };
@@ -102,7 +107,7 @@
 		}
 
 		this.#subscribers.set(connection, {
-			host: message.host, role: message.role, version: message.version, revision: 0, crashRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
+			host: message.host, role: message.role, version: message.version, revision: 0, crashRevision: 0, rateLimitRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
 		});
 		connection.onClose(() => {
 			this.#subscribers.delete(connection);
@@ -132,6 +137,7 @@
 			}
 
 			this.#sendCrashes(connection, subscriber);
+			this.#sendRateLimits(connection, subscriber);
 			const feed = this.#createFeed(connection, subscriber);
 			if (isHeartbeat || feed.whole || feed.publication !== undefined || feed.sightings.length > 0) {
 				connection.send(feed);
@@ -147,6 +153,14 @@
 		}
 	}
 
+	#sendRateLimits(connection: Connection, subscriber: Subscriber): void {
+		const {rateLimits} = this.#options;
+		if (subscriber.rateLimitRevision < rateLimits.revision) {
+			connection.send({type: 'rateLimits', facts: [...rateLimits.listChangedSince(subscriber.rateLimitRevision)]});
+			subscriber.rateLimitRevision = rateLimits.revision;
+		}
+	}
+
 	#createFeed(connection: Connection, subscriber: Subscriber): Feed {
 		const {host, registry, readPublication, hasQuorum, isWarm, listMembers} = this.#options;
 		const publication = readPublication();
--- a/src/membership/ratelimits.ts
+++ b/src/membership/ratelimits.ts
@@ -67,6 +67,16 @@
 		return true;
 	}
 
+	/** Merges several facts; returns whether any is new. */
+	mergeAll(facts: readonly RateLimitFact[], nowMs: number): boolean {
+		let isChanged = false;
+		for (const fact of facts) {
+			isChanged = this.merge(fact, nowMs) || isChanged;
+		}
+
+		return isChanged;
+	}
+
 	/** Finds the requests a second that a server takes; undefined if it has no limit. */
 	findLimit({server, incarnation}: ServerIncarnation): number | undefined {
 		const fact = this.#records.get(server)?.fact;
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -8,8 +8,10 @@
  *
  * @module
  */
-import {DEFAULT_RESOURCE_WEIGHTS} from './cost.js';
+import {ENGINE_ROLES} from './choice.js';
+import {DEFAULT_RESOURCE_WEIGHTS, type ResourceWeights} from './cost.js';
 import {EngineState, type EngineInfo, type RequestSize} from './engine.js';
+import type {RateLimiter} from './limiter.js';
 import {
 	LATE_PRIORITY, MILESTONES, type MilestoneDetails, type MilestoneName, type ObservedRequest, type PlacementDecision, type PlacementRequest,
 } from './request.js';
@@ -37,20 +39,30 @@
 	readonly expiresMs: number;
 	reader: string | undefined;
 	runner: string | undefined;
+	/** Engine whose rate limit was charged for the runner before the runner was chosen. */
+	reserved?: EngineState;
 	/** When the runner should have the KV cache from the reader and be free. */
 	transferredAtMs?: number;
 	/** When the first event came. */
 	firstAtMs?: number;
 };
 
+export type SchedulerOptions = {
+	readonly weights?: ResourceWeights;
+	/** Keeps the requests within the rates that engines accept; absent if there are no such rates. */
+	readonly limiter?: RateLimiter;
+};
+
 /** Schedules the requests of one or more pools. */
 export class Scheduler {
 	readonly #engines = new Map<string, EngineState>();
 	readonly #openRequests = new Map<string, OpenRequest>();
 	readonly #speeds = new Map<string, PoolSpeed>();
 	readonly #selector: EngineSelector;
+	readonly #limiter: RateLimiter | undefined;
 
-	constructor(weights = DEFAULT_RESOURCE_WEIGHTS) {
+	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter}: SchedulerOptions = {}) {
+		this.#limiter = limiter;
 		this.#selector = new EngineSelector(this.#engines, weights);
 	}
 
@@ -79,12 +91,15 @@
 	}
 
 	/** Places a new request, or again one whose engine failed. */
-	place(request: PlacementRequest, nowMs: number): PlacementDecision {
+	place(original: PlacementRequest, nowMs: number): PlacementDecision {
 		this.#expireRequests(nowMs);
-		this.#closeRequest(request.id, nowMs);
+		this.#closeRequest(original.id, nowMs);
+		this.#recordDemand(original, nowMs);
+		const atLimit = this.#listAtLimit(original, nowMs);
+		const request = excludeEngines(original, atLimit);
 		const initial = this.#selector.select(request, request.priority, nowMs);
 		if (!initial) {
-			return reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS);
+			return this.#rejectWithoutEngine(request, atLimit, nowMs);
 		}
 
 		// A request that queueing has made late is scheduled behind those that can still meet their objective. A prompt
@@ -99,7 +114,7 @@
 			return reject(request, reason, Math.max(MIN_RETRY_AFTER_MS, selection.firstEventMs - request.objectiveMs));
 		}
 
-		return this.#assign(request, selection, isLate, nowMs);
+		return this.#assign(original, selection, isLate, nowMs);
 	}
 
 	/** Records another scheduler's placement, so that this one can take over if the other fails. */
@@ -110,6 +125,10 @@
 		};
 		this.#openRequests.set(request.id, openRequest);
 		this.#engines.get(reader ?? '')?.recordCached(request.parts);
+		for (const engine of [this.#engines.get(reader ?? ''), this.#engines.get(runner)]) {
+			this.#consume(engine, nowMs);
+		}
+
 		this.#engines.get(runner)?.startRun(request.id, toRequestSize(request), undefined);
 	}
 
@@ -192,11 +211,15 @@
 		}
 	}
 
-	#assign(request: PlacementRequest, {reader, runner, plan, firstEventMs}: EngineSelection, isLate: boolean, nowMs: number): PlacementDecision {
+	#assign(request: PlacementRequest, {reader, runner, expectedRunner, plan, firstEventMs}: EngineSelection, isLate: boolean, nowMs: number): PlacementDecision {
 		const engine = reader ?? runner!;
 		this.#openRequests.set(request.id, {
-			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader: reader?.info.server, runner: runner?.info.server,
+			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader: reader?.info.server, runner: runner?.info.server, ...(!runner && {reserved: expectedRunner}),
 		});
+		for (const charged of [reader, expectedRunner]) {
+			this.#consume(charged, nowMs);
+		}
+
 		const {workMs, fetchMs, cachedTokens} = plan;
 		engine.startPrefill(request.id, toRequestSize(request), {
 			workMs, fetchMs, cachedTokens, uncachedTokens: Math.max(1, request.promptTokens - cachedTokens), priority: isLate ? LATE_PRIORITY : request.priority,
@@ -215,11 +238,15 @@
 	}
 
 	#assignRunner(openRequest: OpenRequest, request: PlacementRequest, nowMs: number): PlacementDecision {
-		const found = this.#selector.findRunner(request, this.#engines.get(openRequest.reader ?? ''), {nowMs, prefilledMs: 0});
+		const reserved = openRequest.reserved?.info.server;
+		const atLimit = this.#listAtLimit(request, nowMs).filter(({server}) => server !== reserved);
+		this.#refundReserved(openRequest, nowMs);
+		const found = this.#selector.findRunner(excludeEngines(request, atLimit), this.#engines.get(openRequest.reader ?? ''), {nowMs, prefilledMs: 0});
 		if (!found) {
-			return reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS);
+			return this.#rejectWithoutEngine(request, atLimit, nowMs);
 		}
 
+		this.#consume(found.engine, nowMs);
 		openRequest.runner = found.engine.info.server;
 		openRequest.transferredAtMs = nowMs + found.startMs;
 		found.engine.recordHandoff(nowMs);
@@ -227,8 +254,43 @@
 		return {type: 'assignment', id: request.id, runner: openRequest.runner};
 	}
 
+	#consume(engine: EngineState | undefined, nowMs: number): void {
+		if (engine) {
+			this.#limiter?.consume(engine.info, nowMs);
+		}
+	}
+
+	#refundReserved(openRequest: OpenRequest | undefined, nowMs: number): void {
+		if (openRequest?.reserved) {
+			this.#limiter?.refund(openRequest.reserved.info, nowMs);
+			delete openRequest.reserved;
+		}
+	}
+
+	#recordDemand({service, priority}: PlacementRequest, nowMs: number): void {
+		for (const {info} of this.#engines.values()) {
+			if (info.service === service) {
+				this.#limiter?.recordDemand(info, priority, nowMs);
+			}
+		}
+	}
+
+	/** Lists the engines of the service that take no further request of this priority now. */
+	#listAtLimit({service, priority}: PlacementRequest, nowMs: number): EngineInfo[] {
+		const infos = [...this.#engines.values()].map(({info}) => info);
+		return infos.filter(info => info.service === service && (this.#limiter?.waitMs(info, priority, nowMs) ?? 0) > 0);
+	}
+
+	#rejectWithoutEngine(request: PlacementRequest, atLimit: readonly EngineInfo[], nowMs: number): PlacementDecision {
+		const runners = atLimit.filter(({role}) => role !== ENGINE_ROLES.prefill);
+		return runners.length === 0
+			? reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS)
+			: reject(request, 'the engines that make tokens are at their rate limits', Math.max(MIN_RETRY_AFTER_MS, this.#limiter!.planReturnMs(runners, nowMs)));
+	}
+
 	#closeRequest(id: string, nowMs: number): void {
 		const openRequest = this.#openRequests.get(id);
+		this.#refundReserved(openRequest, nowMs);
 		this.#openRequests.delete(id);
 		for (const server of [openRequest?.reader, openRequest?.runner]) {
 			this.#engines.get(server ?? '')?.endRequest(id, nowMs);
@@ -250,6 +312,10 @@
 	};
 }
 
+function excludeEngines(request: PlacementRequest, engines: readonly EngineInfo[]): PlacementRequest {
+	return engines.length === 0 ? request : {...request, excluded: [...request.excluded, ...engines.map(({server}) => server)]};
+}
+
 function toRequestSize({parts, promptTokens, outputTokens}: RequestSize): RequestSize {
 	return {parts, promptTokens, outputTokens};
 }
--- a/src/routing/selection.ts
+++ b/src/routing/selection.ts
@@ -63,6 +63,8 @@
 	/** Engine that prefills for a runner that is chosen later; undefined if the runner prefills itself. */
 	readonly reader: EngineState | undefined;
 	readonly runner: EngineState | undefined;
+	/** The runner, or the engine that would be chosen as runner now. */
+	readonly expectedRunner: EngineState;
 	readonly plan: PrefillPlan;
 	/** Time until the first event. */
 	readonly firstEventMs: number;
@@ -97,12 +99,12 @@
 		const continuation = separate && this.findRunner(request, separate.engine, {nowMs, prefilledMs: separate.prefilledMs});
 		if (separate && continuation && separate.costMs + handoffMs + continuation.costMs < direct.costMs) {
 			return {
-				reader: separate.engine, runner: undefined, plan: separate.plan, firstEventMs: separate.prefilledMs + continuation.startMs + handoffMs,
+				reader: separate.engine, runner: undefined, expectedRunner: continuation.engine, plan: separate.plan, firstEventMs: separate.prefilledMs + continuation.startMs + handoffMs,
 			};
 		}
 
 		return {
-			reader: undefined, runner: direct.engine, plan: direct.plan, firstEventMs: direct.prefilledMs,
+			reader: undefined, runner: direct.engine, expectedRunner: direct.engine, plan: direct.plan, firstEventMs: direct.prefilledMs,
 		};
 	}
 
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
-import type {Announcement} from '../generated/types.js';
+import type {Announcement, RateLimitFact} from '../generated/types.js';
 import type {RateLimitTable} from '../membership/ratelimits.js';
 import type {AvailabilityTracker} from '../routing/availability.js';
 import type {ServiceRetryBudget} from '../routing/budget.js';
@@ -46,6 +46,8 @@
 	readonly rateLimits: RateLimitTable;
 	/** Tells the other hosts that a server has said that it is leaving. */
 	readonly announceLeaving: (server: Announcement) => void;
+	/** Tells the other hosts what a server has said about the rate of requests that it takes. */
+	readonly announceRateLimit: (fact: RateLimitFact) => void;
 	/** Lists the servers that accept new work. */
 	readonly listServers: () => readonly Announcement[];
 	readonly findServer: (server: string) => Announcement | undefined;
@@ -182,7 +184,7 @@
 }
 
 /** Records what a response says about the rate of requests that its server takes. */
-function recordRateLimit({availability, clock, logger, rateLimits}: ServingContext, {server, incarnation}: Announcement, {isWrongServer, rateLimit}: ResponseHead, sentMs: number): void {
+function recordRateLimit({announceRateLimit, availability, clock, logger, rateLimits}: ServingContext, {server, incarnation}: Announcement, {isWrongServer, rateLimit}: ResponseHead, sentMs: number): void {
 	if (isWrongServer) {
 		return;
 	}
@@ -203,6 +205,7 @@
 		logger.info(`Server ${server} ${perSecond === undefined ? 'no longer limits its requests' : `takes ${perSecond} requests a second`}.`, {
 			server, incarnation, perSecond, revision,
 		});
+		announceRateLimit(fact);
 	}
 }
 
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -5,7 +5,9 @@
  */
 import {crc32} from 'node:zlib';
 import type {Clock} from '../base/clock.js';
-import type {Message} from '../generated/types.js';
+import type {ServerIncarnation} from '../base/incarnation.js';
+import type {Message, Permit} from '../generated/types.js';
+import type {PermitDecision, RateLimiter} from '../routing/limiter.js';
 import {
 	MILESTONES, type MilestoneName, type PlacementDecision, type PlacementRequest,
 } from '../routing/request.js';
@@ -19,6 +21,14 @@
 	send(host: string, message: Message): boolean;
 }
 
+/** The request for which a permit is requested. */
+export type PermitOptions = {
+	/** Identifies the query. */
+	readonly id: string;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+};
+
 /** A placement decision and the host that made it. */
 export type PlacementResult = {
 	readonly decision: PlacementDecision;
@@ -36,32 +46,56 @@
 /** Stands for this host where a scheduler host is named. */
 export const SELF = 'self';
 
+/** Responses to queries, by the type of their message. */
+type QueryReply = PlacementDecision | Permit;
+
 type PendingQuery = {
 	readonly host: string;
-	readonly settle: (decision: PlacementDecision | undefined) => void;
+	readonly settle: (reply: QueryReply | undefined) => void;
+};
+
+export type PlacementClientOptions = {
+	readonly hosts: SchedulerHosts;
+	readonly localScheduler: Scheduler;
+	/** Grants permits while no scheduler host responds. */
+	readonly localLimiter: RateLimiter;
+	readonly clock: Clock;
 };
 
 /** Client of the scheduler hosts. */
 export class PlacementClient {
 	readonly #hosts: SchedulerHosts;
 	readonly #localScheduler: Scheduler;
+	readonly #localLimiter: RateLimiter;
 	readonly #clock: Clock;
 	readonly #pendingQueries = new Map<string, PendingQuery>();
 	readonly #schedulerHosts = new Map<string, string>();
 	readonly #backupHosts = new Map<string, string>();
 	readonly #avoidedUntilMs = new Map<string, number>();
 
-	constructor(hosts: SchedulerHosts, localScheduler: Scheduler, clock: Clock) {
+	constructor({hosts, localScheduler, localLimiter, clock}: PlacementClientOptions) {
 		this.#hosts = hosts;
 		this.#localScheduler = localScheduler;
+		this.#localLimiter = localLimiter;
 		this.#clock = clock;
 	}
 
+	/** Requests to send a request to a server that limits its rate. */
+	async requestPermit(service: string, {server, incarnation}: ServerIncarnation, {id, priority}: PermitOptions): Promise<PermitDecision> {
+		const [host] = this.#rankHosts(service);
+		const reply = host === undefined
+			? undefined
+			: await this.#query(host, id, {
+				type: 'permitRequest', id, server, incarnation, priority,
+			});
+		return reply?.type === 'permit' ? reply : this.#localLimiter.request({server, incarnation}, priority, this.#clock.monotonicMs());
+	}
+
 	/** Requests a placement. */
 	async place(request: PlacementRequest): Promise<PlacementResult> {
 		const [host] = this.#rankHosts(request.service);
 		if (host !== undefined) {
-			const decision = await this.#query(host, request.id, {
+			const decision = await this.#queryDecision(host, request.id, {
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
 			if (decision) {
@@ -78,7 +112,7 @@
 	async chooseRunner(request: PlacementRequest, reader: string): Promise<PlacementResult> {
 		const host = this.#schedulerHosts.get(request.id);
 		if (host !== undefined && host !== SELF) {
-			const decision = await this.#query(host, request.id, {
+			const decision = await this.#queryDecision(host, request.id, {
 				type: 'milestone', id: request.id, stage: MILESTONES.read, server: reader, connected: [...request.connected],
 			});
 			const isExcluded = decision?.type === 'assignment' && request.excluded.includes(decision.runner ?? '');
@@ -137,7 +171,7 @@
 
 	/** Handles a scheduler host's response. */
 	receive(message: Message, host: string): void {
-		if (message.type !== 'assignment' && message.type !== 'rejection') {
+		if (message.type !== 'assignment' && message.type !== 'rejection' && message.type !== 'permit') {
 			return;
 		}
 
@@ -147,16 +181,21 @@
 		}
 	}
 
-	async #query(host: string, id: string, message: Message): Promise<PlacementDecision | undefined> {
+	async #queryDecision(host: string, id: string, message: Message): Promise<PlacementDecision | undefined> {
+		const reply = await this.#query(host, id, message);
+		return reply?.type === 'permit' ? undefined : reply;
+	}
+
+	async #query(host: string, id: string, message: Message): Promise<QueryReply | undefined> {
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
 				this.#avoidedUntilMs.set(host, this.#clock.monotonicMs() + HOST_BACKOFF_MS);
 				settle(undefined);
 			}, SCHEDULER_TIMEOUT_MS);
-			const settle = (decision: PlacementDecision | undefined) => {
+			const settle = (reply: QueryReply | undefined) => {
 				clearTimeout(timer);
 				this.#pendingQueries.delete(id);
-				resolve(decision);
+				resolve(reply);
 			};
 
 			this.#pendingQueries.set(id, {host, settle});
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -39,6 +39,10 @@
 	readonly #context: ServingContext;
 	readonly #call: Call;
 	readonly #triedServers = new Set<string>();
+	/** Servers that took no request because of their rate limit. */
+	readonly #atLimit = new Set<string>();
+	/** When the caller should come back if all servers are at their rate limits, milliseconds from now. */
+	#returnMs: number | undefined;
 	#sentCount = 0;
 	#unsentCount = 0;
 	#mayHaveRun = false;
@@ -62,6 +66,14 @@
 				return;
 			}
 
+			if (!await this.#mayUse(server)) {
+				continue;
+			}
+
+			if (caller.isEnded) {
+				return;
+			}
+
 			last = await this.#attempt(server);
 			if (caller.isEnded || this.#handleOutcome(last)) {
 				return;
@@ -69,6 +81,25 @@
 		}
 	}
 
+	/** Whether a request may be sent to a server now. One that is at its rate limit is not selected again. */
+	async #mayUse(server: Announcement): Promise<boolean> {
+		const {placement, rateLimits} = this.#context;
+		const {head, route, service, logFields} = this.#call;
+		if (rateLimits.findLimit(server) === undefined) {
+			return true;
+		}
+
+		const permit = await placement.requestPermit(service, server, {id: `${head.id} ${this.#triedServers.size + this.#atLimit.size}`, priority: route.priority});
+		if (permit.waitMs === 0) {
+			return true;
+		}
+
+		this.#atLimit.add(server.server);
+		this.#returnMs = Math.min(this.#returnMs ?? Number.POSITIVE_INFINITY, permit.returnMs ?? permit.waitMs);
+		logFields.note = `server ${server.server} is at its rate limit for ${Math.round(permit.waitMs)} ms`;
+		return false;
+	}
+
 	/** Ends the call with a response or a failure that must not be retried; returns false to retry. */
 	#handleOutcome(outcome: Outcome): boolean {
 		const isSuccess = outcome.type === 'response' && !isServerError(outcome.head);
@@ -123,6 +154,12 @@
 			return;
 		}
 
+		if (this.#returnMs !== undefined) {
+			const seconds = Math.max(REFUSED_RETRY_SECONDS, Math.ceil(this.#returnMs / 100) / 10);
+			caller.fail(createProblem('notStarted', 'The servers are at their rate limits.', seconds));
+			return;
+		}
+
 		caller.fail(outcome?.type === 'notExecuted' ? createProblem('notStarted', undefined, estimateRetrySeconds(this.#context, this.#call, REFUSED_RETRY_SECONDS)) : createNoServerProblem(this.#context, this.#call));
 	}
 
@@ -133,7 +170,7 @@
 	#selectServer(): Announcement | undefined {
 		const {clock, health, listServers, loadTracker, random, dataCentre, upstream} = this.#context;
 		const nowMs = clock.monotonicMs();
-		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server));
+		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server) && !this.#atLimit.has(server.server));
 		const healthy = all.filter(server => !health.isSuspected(server.server, nowMs));
 		let chosen: Announcement | undefined;
 		let lowest = Number.POSITIVE_INFINITY;
--- a/test/cost.test.ts
+++ b/test/cost.test.ts
@@ -53,7 +53,7 @@
  * prefill one prompt after another.
  */
 function playLoad({intervalMs}: {intervalMs: number}, weights: ResourceWeights): {connections: number; late: number; maxRunning: number} {
-	const scheduler = new Scheduler(weights);
+	const scheduler = new Scheduler({weights});
 	scheduler.updateEngines(ENGINES);
 	const connected = Array.from({length: HOSTS}, () => new Set<string>());
 	const idleAtMs = new Map<string, number>();
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -27,6 +27,7 @@
 	'routing/poison',
 	'routing/scheduler',
 	'routing/queue',
+	'routing/limiter',
 	'routing/prefill',
 	'routing/engine',
 	'routing/kvcache',
--- /dev/null
+++ b/test/limiter.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createRandom} from '../src/base/random.js';
+import type {EngineInfo} from '../src/routing/engine.js';
+import {createFallbackLimiter, createGrantingLimiter, type RateLimiter} from '../src/routing/limiter.js';
+import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
+import {Scheduler} from '../src/routing/scheduler.js';
+
+const SERVER = {server: 's1', incarnation: 1};
+const WINDOW_MS = 4000;
+
+for (const perSecond of [0.5, 1, 4.3, 40]) {
+	test(`requests that are granted stay within the limit in every window (${perSecond} a second)`, () => {
+		const limiter = createGrantingLimiter(() => perSecond);
+		const random = createRandom(1);
+		const grantedMs: number[] = [];
+		for (let nowMs = 0; nowMs < 60_000; nowMs += random() * 20) {
+			// Callers pause now and then and return in a burst.
+			if (nowMs % 9000 < 6000 && limiter.request(SERVER, 1, nowMs).waitMs === 0) {
+				grantedMs.push(nowMs);
+			}
+		}
+
+		assert.ok(countMost(grantedMs) <= (perSecond * 4) + Math.max(2, perSecond / 2) + 1, `${countMost(grantedMs)}`);
+		assert.ok(grantedMs.length > perSecond * 30);
+	});
+}
+
+test('hosts that lose all control hosts at once stay within the limit together with what was granted before', () => {
+	const perSecond = 4;
+	const granting = createGrantingLimiter(() => perSecond);
+	const hosts = Array.from({length: 13}, (_, index) => createFallbackLimiter(() => perSecond, {countHosts: () => 13, random: createRandom(index + 1)}));
+	const sentMs: number[] = [];
+	for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
+		const limiter = nowMs % 20_000 < 10_000 ? granting : hosts[(nowMs / 10) % 13]!;
+		if (limiter.request(SERVER, 1, nowMs).waitMs === 0) {
+			sentMs.push(nowMs);
+		}
+	}
+
+	assert.ok(countMost(sentMs) <= (perSecond * 4 * 1.5) + 5, `${countMost(sentMs)}`);
+	assert.ok(sentMs.some(atMs => atMs % 20_000 >= 10_000), 'hosts without a control host use a share');
+});
+
+test('less urgent requests leave the rate to more urgent ones, and get it when there are none', () => {
+	const limiter = createGrantingLimiter(() => 5);
+	const granted = {urgent: 0, other: 0};
+	const ask = (priority: number, nowMs: number) => limiter.request(SERVER, priority, nowMs).waitMs === 0 ? 1 : 0;
+	for (let nowMs = 0; nowMs < 20_000; nowMs += 50) {
+		granted.other += ask(2, nowMs);
+		granted.urgent += nowMs % 200 === 0 ? ask(1, nowMs) : 0;
+	}
+
+	assert.ok(granted.urgent > 90 && granted.other < 20, JSON.stringify(granted));
+	let alone = 0;
+	for (let nowMs = 20_000; nowMs < 40_000; nowMs += 50) {
+		alone += ask(2, nowMs);
+	}
+
+	assert.ok(alone > 75, `${alone}`);
+});
+
+test('callers are told to return one after the other, at the rate of the server, in ten seconds at most', () => {
+	const limiter = createGrantingLimiter(() => 2);
+	while (limiter.request(SERVER, 1, 0).waitMs === 0) {
+		// Uses all tokens.
+	}
+
+	const times = Array.from({length: 30}, () => limiter.request(SERVER, 1, 0).returnMs!);
+	assert.ok(times.slice(1, 10).every((time, index) => Math.round(time - times[index]!) === 500), times.join(' '));
+	assert.equal(times.at(-1), 10_000);
+});
+
+test('a server without a limit, or in a new incarnation, takes any request', () => {
+	const limits = new Map([[1, 0.5]]);
+	const limiter = createGrantingLimiter(({incarnation}) => limits.get(incarnation));
+	const countGranted = (incarnation: number) => Array.from({length: 20}, () => limiter.request({...SERVER, incarnation}, 1, 0)).filter(({waitMs}) => waitMs === 0).length;
+	assert.equal(countGranted(1), 2);
+	assert.equal(countGranted(2), 20);
+	limits.delete(1);
+	assert.equal(countGranted(1), 20);
+});
+
+test('placements at a limited engine stay within its limit, others take the rest', () => {
+	const {scheduler, placeUntil} = createPool([createEngine('limited', 'decode'), createEngine('free', 'decode')]);
+	const placed = placeUntil(10_000, () => createRequest(100));
+	assert.ok(placed.length > 300 && placed.every(({decision}) => decision.type === 'assignment'));
+	const atLimited = placed.filter(({decision}) => getRunner(decision) === 'limited').map(({atMs}) => atMs);
+	assert.ok(atLimited.length > 20 && countMost(atLimited) <= 19, `${countMost(atLimited)} of ${atLimited.length}`);
+	assert.equal(scheduler.openCount, 0);
+});
+
+test('a prefill counts towards the limit of its engine', () => {
+	const countReads = (reader: string) => {
+		const {scheduler} = createPool([createEngine(reader, 'prefill'), createEngine('decode', 'decode')]);
+		const decisions = Array.from({length: 10}, (_, index) => scheduler.place({...createRequest(9000 + index), id: `a${index}`}, 0));
+		return decisions.filter(decision => decision.type === 'assignment' && decision.reader === reader).length;
+	};
+
+	assert.ok(countReads('free') > 2);
+	assert.equal(countReads('limited'), 2);
+});
+
+test('a request is prefilled only if its runner may take it, and not refused after the prefill', () => {
+	const {placeUntil, refusedAfterPrefill} = createPool([createEngine('limited', 'decode'), createEngine('prefill', 'prefill')]);
+	const placed = placeUntil(10_000, index => createRequest(9000 + index));
+	assert.equal(refusedAfterPrefill.length, 0);
+	const refused = placed.filter(({decision}) => decision.type === 'rejection');
+	assert.ok(refused.length > 100);
+	assert.ok(refused.every(({decision}) => decision.type === 'rejection' && decision.retryAfterMs >= 200 && decision.reason.includes('rate limit')));
+	const ran = placed.filter(({decision}) => decision.type === 'assignment').map(({atMs}) => atMs);
+	assert.ok(ran.length > 30 && countMost(ran) <= 19, `${countMost(ran)} of ${ran.length}`);
+});
+
+test('a request that ends before its runner is chosen returns the token of the runner', () => {
+	const {scheduler} = createPool([createEngine('limited', 'decode'), createEngine('prefill', 'prefill')]);
+	for (let index = 0; index < 50; index++) {
+		const decision = scheduler.place({...createRequest(9000), id: `a${index}`}, 0);
+		assert.equal(decision.type, 'assignment');
+		scheduler.recordMilestone(`a${index}`, 'failed', {}, 0);
+	}
+});
+
+test('placements of another scheduler use up the limit, so that the one that takes over grants no second share', () => {
+	const {scheduler} = createPool([createEngine('limited', 'decode')]);
+	for (let index = 0; index < 4; index++) {
+		scheduler.recordPlacement({...createRequest(100), id: `b${index}`}, undefined, 'limited', 0);
+	}
+
+	assert.equal(scheduler.place(createRequest(100), 0).type, 'rejection');
+});
+
+type Placed = {readonly atMs: number; readonly decision: PlacementDecision};
+
+/** A scheduler whose engine `limited` takes four requests a second, and a load of 50 requests a second. */
+function createPool(engines: readonly EngineInfo[]) {
+	const limiter: RateLimiter = createGrantingLimiter(({server}) => server === 'limited' ? 4 : undefined);
+	const scheduler = new Scheduler({limiter});
+	scheduler.updateEngines(engines);
+	const refusedAfterPrefill: PlacementDecision[] = [];
+	return {
+		scheduler,
+		refusedAfterPrefill,
+		placeUntil(endMs: number, create: (index: number) => PlacementRequest): Placed[] {
+			const placed: Placed[] = [];
+			for (let atMs = 0; atMs < endMs; atMs += 20) {
+				const id = `r${atMs}`;
+				const decision = scheduler.place({...create(atMs / 20), id}, atMs);
+				placed.push({atMs, decision});
+				if (decision.type === 'assignment' && decision.reader !== undefined) {
+					const run = scheduler.recordMilestone(id, 'read', {}, atMs + 10);
+					if (run?.type === 'rejection') {
+						refusedAfterPrefill.push(run);
+					}
+				}
+
+				scheduler.recordMilestone(id, 'first', {}, atMs + 12);
+				scheduler.recordMilestone(id, 'done', {}, atMs + 15);
+			}
+
+			return placed;
+		},
+	};
+}
+
+function createEngine(server: string, role: 'prefill' | 'decode'): EngineInfo {
+	return {
+		server, incarnation: 1, service: 'llm', dataCentre: 'x', role, slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
+	};
+}
+
+function createRequest(promptTokens: number): PlacementRequest {
+	return {
+		id: 'a', service: 'llm', dataCentre: 'x', parts: [{key: `own-${promptTokens}`, tokens: promptTokens}], promptTokens, outputTokens: 10, priority: 1, objectiveMs: 600, patienceMs: 2400, excluded: [], bodyBytes: 0, connected: ['limited', 'free', 'prefill', 'decode'],
+	};
+}
+
+function getRunner(decision: PlacementDecision): string | undefined {
+	return decision.type === 'assignment' ? decision.runner : undefined;
+}
+
+/** Counts the most events in any window. */
+function countMost(times: readonly number[]): number {
+	return Math.max(0, ...times.map(start => times.filter(time => time >= start && time < start + WINDOW_MS).length));
+}
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -3,6 +3,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {validate} from '../src/base/validate.js';
 import type {Message} from '../src/generated/types.js';
+import {createFallbackLimiter} from '../src/routing/limiter.js';
 import type {PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient, SELF} from '../src/serving/placement.js';
@@ -72,15 +73,20 @@
 		server: 'e1', incarnation: 1, service: 'llm', dataCentre: 'x', role: 'decode', slots: 8, kvTokens: 100_000, kvBytesPerToken: 100_000, linkMbps: 100_000,
 	}]);
 	const client: PlacementClient = new PlacementClient({
-		listLive: () => live,
-		send(host, message) {
-			sent.push({host, message});
-			if (responds && message.type === 'offer') {
-				client.receive({type: 'assignment', id: message.id, runner: 'e1'}, host);
-			}
+		hosts: {
+			listLive: () => live,
+			send(host, message) {
+				sent.push({host, message});
+				if (responds && message.type === 'offer') {
+					client.receive({type: 'assignment', id: message.id, runner: 'e1'}, host);
+				}
 
-			return true;
+				return true;
+			},
 		},
-	}, localScheduler, {monotonicMs: () => 0, wallMs: () => 0});
+		localScheduler,
+		localLimiter: createFallbackLimiter(() => undefined, {countHosts: () => 2, random: () => 0.5}),
+		clock: {monotonicMs: () => 0, wallMs: () => 0},
+	});
 	return {client, sent};
 }
