--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -375,10 +375,10 @@
 		return firstStart && clock.monotonicMs() - this.#startedMs < STARTUP_MS;
 	}
 
-	#handleMergeResult(result: MergeResult, {server, incarnation, sequence, role, leaving}: Announcement): void {
+	#handleMergeResult(result: MergeResult, {server, incarnation, sequence, role, leaving, software}: Announcement): void {
 		if (result === 'change') {
 			this.#logger.info(`Server ${server} announced a change.`, {
-				server, incarnation, sequence, role, leaving,
+				server, incarnation, sequence, role, leaving, software,
 			});
 			this.#publisher.notify();
 			this.#updateEngines();
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -236,6 +236,7 @@
 		&& a.address === b.address
 		&& a.port === b.port
 		&& a.role === b.role
+		&& a.software === b.software
 		&& a.leaving === b.leaving
 		&& a.capacity === b.capacity
 		&& a.services?.join(',') === b.services?.join(',')
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -95,6 +95,10 @@
 	expectedMs?: number;
 	/** Whether the scheduler put it behind requests that can still meet their objective. */
 	isLate?: boolean;
+	/** Attempt whose stream the caller resumes. */
+	resumes?: string | undefined;
+	/** Software versions of the servers, in the order of `servers`. */
+	software?: string[];
 	readMs?: number;
 	firstMs?: number;
 	note?: string;
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -204,7 +204,7 @@
 				// The last part belongs to the request itself.
 				sharedParts: received.head.prompt?.parts.slice(0, -1).map(({key}) => key) ?? [],
 			},
-			logFields: {servers: []},
+			logFields: {servers: [], resumes: received.head.resumedAttempt},
 		});
 	}
 
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -30,6 +30,8 @@
 	readonly prompt: Prompt | undefined;
 	/** ID of the last event that the caller received of a stream that it resumes. */
 	readonly lastEventId: string | undefined;
+	/** ID of the attempt that brought the first event of that stream. */
+	readonly resumedAttempt: string | undefined;
 };
 
 /** Reference to the KV cache of a prefilled prompt at an engine. */
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -263,6 +263,7 @@
 
 		this.#runCount++;
 		logFields.servers.push(server.server);
+		(logFields.software ??= []).push(server.software ?? '');
 		const kvCache = this.#kvCache;
 		this.#kvCache = undefined;
 		this.#splitter?.takeIncomplete();
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -43,7 +43,7 @@
 	const line = findLine()!;
 	const present = Object.entries(line.fields).filter(([, value]) => value !== undefined).map(([name]) => name);
 	assert.deepEqual(present.toSorted(), [
-		'cachedTokens', 'expectedMs', 'firstMs', 'isLate', 'placedBy', 'placedMs', 'promptTokens', 'readMs', 'reader', 'request', 'route', 'servers', 'service', 'status', 'tookMs', 'version',
+		'cachedTokens', 'expectedMs', 'firstMs', 'isLate', 'placedBy', 'placedMs', 'promptTokens', 'readMs', 'reader', 'request', 'route', 'servers', 'service', 'software', 'status', 'tookMs', 'version',
 	]);
 	assert.equal(line.message, 'Request answered.');
 });
--- a/test/stub.ts
+++ b/test/stub.ts
@@ -11,6 +11,8 @@
 	readonly id: string;
 	readonly service: string;
 	readonly stage?: 'prefill' | 'decode';
+	/** Version of the stub's software, `v1` by default. */
+	readonly software?: string;
 	/** Headers that the stub adds to its responses. */
 	readonly responseHeaders?: Record<string, string>;
 	/** Handles a request instead of the stub; returns false to let the stub respond as usual. */
@@ -89,7 +91,7 @@
 		const response = await fetch(`http://${control}/-/instances/${this.#options.id}`, {
 			method: 'PUT',
 			body: JSON.stringify({
-				service: this.#options.service, address: this.address, zone: 'a', version: 'v1', slots: 8, state, 'cold-remaining-ms': 0, sequence: ++this.#sequence, born: this.#startedAtMs, ...engine,
+				service: this.#options.service, address: this.address, zone: 'a', version: this.#options.software ?? 'v1', slots: 8, state, 'cold-remaining-ms': 0, sequence: ++this.#sequence, born: this.#startedAtMs, ...engine,
 			}),
 		});
 		return response.status;
--- a/test/system.ts
+++ b/test/system.ts
@@ -128,6 +128,10 @@
 	return {
 		control: address,
 		callers: first.callers,
+		/** Where each entry host listens for callers. */
+		get callerAddresses() {
+			return entries.map(({callers}) => callers);
+		},
 		entry,
 		metrics,
 		controlRegistry,
--- /dev/null
+++ b/test/versions.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import {test} from 'node:test';
+import {decodeAnnouncement} from '../platform/announcement.js';
+import type {Address} from '../src/wire/connection.js';
+import type {StubBackendOptions} from './stub.js';
+import {startSystem} from './system.js';
+
+const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
+const TWO_EVENTS = ['1', '2'];
+const ALL_EVENTS = ['1', '2', '3', '4'];
+
+test('a stream that breaks off goes on at an engine of the same software version, in one response', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1', true), createEngine('e2', 'v2'), createEngine('e3', 'v2'), createEngine('e4', 'v1')]);
+	for (let index = 0; index < 12; index++) {
+		await system.announceServers();
+		const {events, servers} = await stream(system.callers, `a${index}`);
+		assert.deepEqual(events, ALL_EVENTS);
+		assert.ok(servers.every(server => ['e1', 'e4'].includes(server)) || servers.every(server => ['e2', 'e3'].includes(server)), servers.join(' '));
+	}
+});
+
+test('a stream that breaks off when no engine of its software version is left ends at once and incomplete', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1', true), createEngine('e2', 'v2')]);
+	const results = [];
+	for (let index = 0; index < 8; index++) {
+		await system.announceServers();
+		results.push(await stream(system.callers, `a${index}`));
+	}
+
+	const begunAtFirst = results.filter(({servers}) => servers[0] === 'e1');
+	assert.ok(begunAtFirst.length > 0);
+	for (const {events, servers, isComplete} of begunAtFirst) {
+		assert.deepEqual({events, servers, isComplete}, {events: TWO_EVENTS, servers: ['e1', 'e1'], isComplete: false});
+	}
+});
+
+test('a stream that its caller takes up at another host goes on at the software version that began it', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1', true), createEngine('e2', 'v2'), createEngine('e3', 'v2')]);
+	await system.addEntry();
+	const [first, second] = system.callerAddresses;
+	const begun = await beginAt(first!, system.announceServers);
+	await system.addServer(createEngine('e4', 'v1'));
+	for (const address of [second!, first!]) {
+		await system.announceServers();
+		const {events, servers} = await stream(address, `next-${address.port}`, {resumes: begun, 'last-event-id': '2'});
+		assert.deepEqual({events, servers}, {events: ['3', '4'], servers: ['e4', 'e4']});
+	}
+});
+
+test('a stream of unknown origin is refused while several software versions serve', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createEngine('e2', 'v2')]);
+	for (const headers of [{resumes: 'unknown', 'last-event-id': '2'}, {'last-event-id': '2'}]) {
+		const {status, retryAfter, servers} = await stream(system.callers, 'a', headers);
+		assert.equal(status, 503);
+		assert.ok(Number(retryAfter) > 0);
+		assert.deepEqual(servers, []);
+	}
+
+	assert.ok(system.servers.every(({receivedRequests}) => receivedRequests.length === 0));
+});
+
+test('a stream of unknown origin goes on when one software version serves', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createEngine('e2', 'v1')]);
+	const {events} = await stream(system.callers, 'a', {resumes: 'unknown', 'last-event-id': '2'});
+	assert.deepEqual(events, ['3', '4']);
+});
+
+test('the software version of a server is read from its announcement; one without a version is accepted', () => {
+	const fields = {
+		service: 's', address: '10.1.0.9:80', zone: 'a', state: 'ready', sequence: 1, stage: 'decode', slots: 8,
+	};
+	const read = (version: unknown) => {
+		const decoded = decodeAnnouncement('i-1', JSON.stringify({...fields, version}));
+		assert.equal(decoded._tag, 'Right');
+		return decoded._tag === 'Right' ? decoded.right.software : undefined;
+	};
+
+	assert.equal(read('v1.2'), 'v1.2');
+	assert.equal(read(undefined), undefined);
+	assert.equal(read(7), undefined);
+});
+
+/** An engine; one that breaks ends every stream that begins there in its third event. */
+function createEngine(id: string, software: string, breaks = false): StubBackendOptions {
+	return {
+		id, software, service: 'llm', stage: 'decode', intercept(request, response) {
+			const from = Number(request.headers['last-event-id'] ?? 0);
+			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'content-type': 'text/event-stream'});
+			const isBroken = breaks && from === 0;
+			for (let event = from + 1; event <= (isBroken ? 2 : 4); event++) {
+				response.write(`id: ${event}\ndata: ${id}\n\n`);
+			}
+
+			if (isBroken) {
+				response.write('id: 3\nda', () => {
+					setTimeout(() => response.socket?.resetAndDestroy(), 20);
+				});
+			} else {
+				response.end();
+			}
+
+			return true;
+		},
+	};
+}
+
+/** Begins streams until one breaks off at an engine of version `v1`; returns its id. */
+async function beginAt(address: Address, announceServers: () => Promise<void>): Promise<string> {
+	for (let index = 0; index < 20; index++) {
+		await announceServers();
+		const {servers, isComplete} = await stream(address, `begin-${index}`);
+		if (servers[0] === 'e1' && !isComplete) {
+			return `begin-${index}`;
+		}
+	}
+
+	throw new Error('No stream broke off.');
+}
+
+/** Reads a stream until it ends or its connection is closed. */
+async function stream({address, port}: Address, id: string, headers: http.OutgoingHttpHeaders = {}) {
+	return new Promise<{status: number | undefined; retryAfter: string | undefined; events: string[]; servers: string[]; isComplete: boolean}>((resolve, reject) => {
+		const request = http.request({
+			host: address, port, path: '/ask/1', method: 'POST', headers: {
+				host: 'a.example', 'carawayhoist-attempt-id': id, ...PROMPT, ...headers,
+			},
+		}, response => {
+			let text = '';
+			response.on('data', chunk => {
+				text += String(chunk);
+			});
+			response.on('error', () => undefined);
+			response.once('close', () => {
+				resolve({
+					status: response.statusCode,
+					retryAfter: response.headers['retry-after'],
+					events: [...text.matchAll(/^id: (\d+)\n/gmv)].map(([, event]) => event!),
+					servers: [...text.matchAll(/^data: (\w+)$/gmv)].map(([, server]) => server!),
+					isComplete: response.complete,
+				});
+			});
+		});
+		request.once('error', reject);
+		request.end('body');
+	});
+}
