Resume streams only at the software version that began them

Cause: the decoder of announcements dropped the version, so no placement could tell versions apart. Class: identity of a server that is narrower than what must match; all servers of a service were taken for equal.

Change: engines carry their version. Once a whole event is forwarded, the stream is bound to its version, prefills included. The scheduler that places a stream, and its backup, keep the version for a minute, so that a caller's next try goes on there from any host; an entry host asks the control hosts in turn. A stream of unknown origin goes on only while one version serves or served within a minute; else it is refused as not run. A control host whose response was too late is told to drop the placement; so test/placement.test.ts compares the two queries, not the two first messages.

--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -16,6 +16,8 @@
 	readonly service: string;
 	readonly dataCentre: string;
 	readonly role: EngineRole;
+	/** Version of its software. */
+	readonly software: string;
 	/** Maximum number of concurrent requests. */
 	readonly slots: number;
 	/** Capacity of the KV cache, tokens. */
--- a/src/routing/request.ts
+++ b/src/routing/request.ts
@@ -5,6 +5,7 @@
  */
 import type {RequestOrigin} from './cost.js';
 import type {PromptPart} from './kvcache.js';
+import type {Resumption} from './origins.js';
 
 /** A streamed request to be placed. */
 export type PlacementRequest = RequestOrigin & {
@@ -19,6 +20,8 @@
 	readonly patienceMs: number;
 	/** Engines that must not be used for this request. */
 	readonly excluded: readonly string[];
+	/** The stream that goes on, if it was begun before. */
+	readonly resumption?: Resumption;
 };
 
 /** What a scheduler needs to know about a request that another scheduler placed. */
@@ -44,7 +47,14 @@
 		/** Engine that decodes; absent until the reader has completed the prefill. */
 		readonly runner?: string;
 	}
-	| {readonly type: 'rejection'; readonly id: string; readonly reason: string; readonly retryAfterMs: number};
+	| {
+		readonly type: 'rejection';
+		readonly id: string;
+		readonly reason: string;
+		readonly retryAfterMs: number;
+		/** Whether the scheduler does not know which software version began the stream; another one may. */
+		readonly isOriginUnknown?: boolean;
+	};
 
 /** Progress of a request, as reported to the scheduler that placed it. */
 export const MILESTONES = {
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -12,6 +12,7 @@
 import {DEFAULT_RESOURCE_WEIGHTS, type ResourceWeights} from './cost.js';
 import {EngineState, type EngineInfo, type RequestSize} from './engine.js';
 import type {RateLimiter} from './limiter.js';
+import {SoftwareVersions, StreamOrigins} from './origins.js';
 import {
 	LATE_PRIORITY, MILESTONES, type MilestoneDetails, type MilestoneName, type ObservedRequest, type PlacementDecision, type PlacementRequest,
 } from './request.js';
@@ -58,6 +59,8 @@
 	readonly #engines = new Map<string, EngineState>();
 	readonly #openRequests = new Map<string, OpenRequest>();
 	readonly #speeds = new Map<string, PoolSpeed>();
+	readonly #origins = new StreamOrigins();
+	readonly #softwareVersions = new SoftwareVersions();
 	readonly #selector: EngineSelector;
 	readonly #limiter: RateLimiter | undefined;
 
@@ -68,6 +71,7 @@
 
 	/** Replaces the set of engines; keeps the state of those whose incarnation is unchanged. */
 	updateEngines(engines: readonly EngineInfo[]): void {
+		this.#softwareVersions.update(engines);
 		const names = new Set(engines.map(({server}) => server));
 		for (const server of this.#engines.keys()) {
 			if (!names.has(server)) {
@@ -91,9 +95,15 @@
 	}
 
 	/** Places a new request, or again one whose engine failed. */
-	place(original: PlacementRequest, nowMs: number): PlacementDecision {
+	place(received: PlacementRequest, nowMs: number): PlacementDecision {
+		this.#softwareVersions.recordTime(nowMs);
 		this.#expireRequests(nowMs);
-		this.#closeRequest(original.id, nowMs);
+		this.#closeRequest(received.id, nowMs);
+		const original = this.#resolveOrigin(received, nowMs);
+		if (!original) {
+			return rejectUnknownOrigin(received);
+		}
+
 		this.#recordDemand(original, nowMs);
 		const atLimit = this.#listAtLimit(original, nowMs);
 		const request = excludeEngines(original, atLimit);
@@ -130,11 +140,30 @@
 		}
 
 		this.#engines.get(runner)?.startRun(request.id, toRequestSize(request), undefined);
+		const software = this.#engines.get(runner)?.info.software;
+		if (software !== undefined) {
+			this.recordOrigin(request.id, software, nowMs);
+		}
+	}
+
+	/** Records the software version that begins a stream, or is about to. */
+	recordOrigin(attempt: string, software: string, nowMs: number): void {
+		this.#origins.record(attempt, software, nowMs);
+	}
+
+	/** Finds the software version that began a stream; undefined if it is not known here. */
+	findOrigin(attempt: string, nowMs: number): string | undefined {
+		return this.#origins.findSoftware(attempt, nowMs);
 	}
 
 	/** Chooses the runner of a request whose prefill was placed by another scheduler. */
-	chooseRunner(request: PlacementRequest, reader: string, nowMs: number): PlacementDecision {
-		this.#closeRequest(request.id, nowMs);
+	chooseRunner(received: PlacementRequest, reader: string, nowMs: number): PlacementDecision {
+		this.#closeRequest(received.id, nowMs);
+		const request = this.#resolveOrigin(received, nowMs);
+		if (!request) {
+			return rejectUnknownOrigin(received);
+		}
+
 		const openRequest: OpenRequest = {
 			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader, runner: undefined,
 		};
@@ -173,6 +202,10 @@
 
 			case MILESTONES.refused:
 			case MILESTONES.failed: {
+				if (openRequest.request && !openRequest.request.resumption && openRequest.firstAtMs === undefined) {
+					this.#origins.delete(id);
+				}
+
 				this.#closeRequest(id, nowMs);
 				return undefined;
 			}
@@ -225,6 +258,10 @@
 			workMs, fetchMs, cachedTokens, uncachedTokens: Math.max(1, request.promptTokens - cachedTokens), priority: isLate ? LATE_PRIORITY : request.priority,
 		}, nowMs);
 		runner?.startRun(request.id, toRequestSize(request), nowMs + firstEventMs);
+		if (runner) {
+			this.recordOrigin(request.id, runner.info.software, nowMs);
+		}
+
 		return {
 			type: 'assignment',
 			id: request.id,
@@ -251,9 +288,21 @@
 		openRequest.transferredAtMs = nowMs + found.startMs;
 		found.engine.recordHandoff(nowMs);
 		found.engine.startRun(request.id, toRequestSize(request), nowMs + found.delayMs + found.engine.speed.handoffMs);
+		this.recordOrigin(request.id, found.engine.info.software, nowMs);
 		return {type: 'assignment', id: request.id, runner: openRequest.runner};
 	}
 
+	/** Adds the software version that began the stream of a resumed request; undefined if that is not known. */
+	#resolveOrigin(request: PlacementRequest, nowMs: number): PlacementRequest | undefined {
+		const {resumption, service} = request;
+		if (!resumption) {
+			return request;
+		}
+
+		const software = resumption.software ?? this.findOrigin(resumption.attempt ?? '', nowMs) ?? this.#softwareVersions.findOnly(service, nowMs);
+		return software === undefined ? undefined : {...request, resumption: {...resumption, software}};
+	}
+
 	#consume(engine: EngineState | undefined, nowMs: number): void {
 		if (engine) {
 			this.#limiter?.consume(engine.info, nowMs);
@@ -282,7 +331,12 @@
 	}
 
 	#rejectWithoutEngine(request: PlacementRequest, atLimit: readonly EngineInfo[], nowMs: number): PlacementDecision {
-		const runners = atLimit.filter(({role}) => role !== ENGINE_ROLES.prefill);
+		const {resumption} = request;
+		const runners = atLimit.filter(({role, software}) => role !== ENGINE_ROLES.prefill && (!resumption || software === resumption.software));
+		if (runners.length === 0 && resumption) {
+			return reject(request, `no engine of software version ${resumption.software ?? ''} makes tokens`, NO_ENGINE_RETRY_MS);
+		}
+
 		return runners.length === 0
 			? reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS)
 			: reject(request, 'the engines that make tokens are at their rate limits', Math.max(MIN_RETRY_AFTER_MS, this.#limiter!.planReturnMs(runners, nowMs)));
@@ -306,6 +360,12 @@
 	}
 }
 
+function rejectUnknownOrigin(request: PlacementRequest): PlacementDecision {
+	return {
+		type: 'rejection', id: request.id, reason: 'it is not known which software version began the stream', retryAfterMs: NO_ENGINE_RETRY_MS, isOriginUnknown: true,
+	};
+}
+
 function reject(request: PlacementRequest, reason: string, retryAfterMs: number): PlacementDecision {
 	return {
 		type: 'rejection', id: request.id, reason, retryAfterMs,
--- a/src/routing/selection.ts
+++ b/src/routing/selection.ts
@@ -139,8 +139,9 @@
 		return healthy.length > 0 ? healthy : runners;
 	}
 
-	#listEngines(request: PlacementRequest): EngineState[] {
-		return [...this.#engines.values()].filter(({info}) => info.service === request.service && !request.excluded.includes(info.server));
+	/** Lists the engines that may serve a request. A stream goes on only at the software version that began it. */
+	#listEngines({service, excluded, resumption}: PlacementRequest): EngineState[] {
+		return [...this.#engines.values()].filter(({info}) => info.service === service && !excluded.includes(info.server) && (!resumption || info.software === resumption.software));
 	}
 
 	/** Evaluates an engine that would prefill for a runner. */
--- a/src/serving/engines.ts
+++ b/src/serving/engines.ts
@@ -17,12 +17,12 @@
  */
 export function listEngines(servers: readonly Announcement[], routeTable: RouteTable | undefined): EngineInfo[] {
 	const engines: EngineInfo[] = [];
-	for (const {server, incarnation, services, dataCentre, role} of servers) {
+	for (const {server, incarnation, services, dataCentre, role, software = ''} of servers) {
 		const service = services?.[0] ?? '';
 		const pool = routeTable?.findService(service)?.engines;
 		if (pool) {
 			engines.push({
-				server, incarnation, service, dataCentre: dataCentre ?? '', role: role ?? 'mixed', ...pool,
+				server, incarnation, service, dataCentre: dataCentre ?? '', role: role ?? 'mixed', software, ...pool,
 			});
 		}
 	}
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -92,16 +92,29 @@
 	}
 
 	/** Requests a placement. */
-	async place(request: PlacementRequest): Promise<PlacementResult> {
-		const [host] = this.#rankHosts(request.service);
-		if (host !== undefined) {
+	async place(received: PlacementRequest): Promise<PlacementResult> {
+		const request = this.#addLocalOrigin(received);
+		let rejection: PlacementResult | undefined;
+		for (const host of this.#listHostsToAsk(request)) {
 			const decision = await this.#queryDecision(host, request.id, {
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
-			if (decision) {
+			if (!decision) {
+				// A host whose response is late must neither count the placement nor take its runner for the origin of the stream.
+				this.#hosts.send(host, {type: 'milestone', id: request.id, stage: MILESTONES.refused});
+				break;
+			}
+
+			if (decision.type === 'assignment' || decision.isOriginUnknown !== true) {
 				this.#schedulerHosts.set(request.id, host);
 				return {decision, by: host};
 			}
+
+			rejection = {decision, by: host};
+		}
+
+		if (rejection) {
+			return rejection;
 		}
 
 		this.#schedulerHosts.set(request.id, SELF);
@@ -147,6 +160,11 @@
 		});
 	}
 
+	/** Records the software version of the server that has sent the first event of a stream. */
+	recordOrigin(id: string, software: string): void {
+		this.#localScheduler.recordOrigin(id, software, this.#clock.monotonicMs());
+	}
+
 	/** Reports the progress of a request to the host that placed it, and its end also to the backup host. */
 	reportMilestone(id: string, milestone: Exclude<MilestoneName, 'read'>, server: string | undefined): void {
 		const host = this.#schedulerHosts.get(id);
@@ -205,6 +223,19 @@
 		});
 	}
 
+	/** Adds the software version that began a resumed stream, if this host knows it. */
+	#addLocalOrigin(request: PlacementRequest): PlacementRequest {
+		const {resumption} = request;
+		const software = resumption?.software ?? (resumption?.attempt === undefined ? undefined : this.#localScheduler.findOrigin(resumption.attempt, this.#clock.monotonicMs()));
+		return software === undefined ? request : {...request, resumption: {...resumption, software}};
+	}
+
+	/** Lists the hosts to ask for a placement: the first in rank, and the others while the origin of a stream is not known. */
+	#listHostsToAsk({service, resumption}: PlacementRequest): string[] {
+		const hosts = this.#rankHosts(service);
+		return resumption?.attempt !== undefined && resumption.software === undefined ? hosts : hosts.slice(0, 1);
+	}
+
 	/**
 	 * Ranks the scheduler hosts by rendezvous hashing: all entry hosts that see the same scheduler hosts rank them
 	 * alike.
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -58,6 +58,11 @@
 
 	async run(): Promise<void> {
 		const {caller} = this.#call;
+		if (this.#call.head.lastEventId !== undefined && this.#countSoftwareVersions() > 1) {
+			caller.fail(createProblem('notStarted', 'It is not known which software version began the stream.', REFUSED_RETRY_SECONDS));
+			return;
+		}
+
 		let last: Outcome | undefined;
 		while (!caller.isEnded) {
 			const server = this.#selectServer();
@@ -81,6 +86,12 @@
 		}
 	}
 
+	/** Counts the software versions of the service's servers; which of them began a stream is not kept here. */
+	#countSoftwareVersions(): number {
+		const servers = this.#context.listServers().filter(server => server.services?.includes(this.#call.service));
+		return new Set(servers.map(({software}) => software)).size;
+	}
+
 	/** Whether a request may be sent to a server now. One that is at its rate limit is not selected again. */
 	async #mayUse(server: Announcement): Promise<boolean> {
 		const {placement, rateLimits} = this.#context;
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -53,6 +53,8 @@
 	#prefillCount = 0;
 	#runCount = 0;
 	#hasFirstEvent = false;
+	/** Software version of the servers whose events the stream holds, once it is known. */
+	#software: string | undefined;
 	#mayHaveRun = false;
 	/** Whether the engine that failed last sent a response, so that it may be used again if there is no other. */
 	#mayReuseExcluded = false;
@@ -121,6 +123,7 @@
 
 			let placed: PlacementResult | undefined = await this.#context.placement.place(this.#createRequest());
 			this.#logPlacement(placed);
+			this.#noteOrigin(placed.decision);
 			if (placed.decision.type === 'assignment' && placed.decision.reader !== undefined) {
 				placed = await this.#prefill(placed.decision.reader, placed.decision.expectedMs ?? 0);
 			}
@@ -232,9 +235,28 @@
 			objectiveMs: Math.max(0, arrivedMs + route.objectiveMs - nowMs),
 			patienceMs: Math.max(0, Math.min(deadlineMs, arrivedMs + patienceMs) - nowMs),
 			excluded: [...this.#excluded, ...this.#listUnavailable()],
+			...this.#createResumption(),
 		};
 	}
 
+	/** Describes the stream that goes on: events of it have been forwarded, or its caller has some from an earlier attempt. */
+	#createResumption(): Pick<PlacementRequest, 'resumption'> {
+		const {head: {lastEventId, resumedAttempt}} = this.#call;
+		if (this.#software !== undefined) {
+			return {resumption: {software: this.#software}};
+		}
+
+		return lastEventId === undefined ? {} : {resumption: resumedAttempt === undefined ? {} : {attempt: resumedAttempt}};
+	}
+
+	/** Notes the software version by which a scheduler has resolved the origin of a resumed stream. */
+	#noteOrigin(decision: PlacementDecision): void {
+		const server = decision.type === 'assignment' ? this.#context.findServer(decision.reader ?? decision.runner ?? '') : undefined;
+		if (this.#call.head.lastEventId !== undefined && server) {
+			this.#software ??= server.software ?? '';
+		}
+	}
+
 	/** Prefills the prompt at a reader; undefined if that failed. */
 	async #prefillAt(server: Announcement, expectedMs: number): Promise<KvCacheHandle | undefined> {
 		const {caller, logFields, service} = this.#call;
@@ -315,7 +337,7 @@
 				},
 				onData: chunk => {
 					if (head && !head.isNotExecuted && !head.isWrongServer) {
-						this.#forward(chunk, head.status === HTTP_OK);
+						this.#forward(chunk, server, head.status === HTTP_OK);
 					}
 
 					if ((this.#splitter?.incompleteBytes ?? 0) > MAX_EVENT_BYTES) {
@@ -355,7 +377,7 @@
 		});
 	}
 
-	#forward(chunk: Buffer, isStream: boolean): void {
+	#forward(chunk: Buffer, server: Announcement, isStream: boolean): void {
 		const {caller, head, logFields} = this.#call;
 		if (!this.#hasFirstEvent && isStream) {
 			this.#hasFirstEvent = true;
@@ -364,6 +386,11 @@
 		}
 
 		const events = this.#splitter && isStream ? this.#splitter.push(chunk) : chunk;
+		if (isStream && events.length > 0 && this.#software === undefined) {
+			this.#software = server.software ?? '';
+			this.#context.placement.recordOrigin(head.id, this.#software);
+		}
+
 		const exchange = this.#exchange;
 		const hasCapacity = events.length === 0 || caller.write(events, () => {
 			exchange?.resume();
--- a/test/cost.test.ts
+++ b/test/cost.test.ts
@@ -45,7 +45,7 @@
 const SLOTS = 16;
 const NO_WEIGHTS: ResourceWeights = {connection: 0, remoteKilobyte: 0, movedGigabyte: 0};
 const ENGINES = Array.from({length: 30}, (_, index): EngineInfo => ({
-	server: `e${index}`, incarnation: 1, service: 'llm', dataCentre: DATA_CENTRES[index % 3]!, role: index % 2 === 0 ? 'prefill' : 'decode', slots: SLOTS, kvTokens: 400_000, kvBytesPerToken: 131_072, linkMbps: 1_200_000,
+	server: `e${index}`, incarnation: 1, service: 'llm', software: 'v1', dataCentre: DATA_CENTRES[index % 3]!, role: index % 2 === 0 ? 'prefill' : 'decode', slots: SLOTS, kvTokens: 400_000, kvBytesPerToken: 131_072, linkMbps: 1_200_000,
 }));
 
 /**
--- a/test/engine.test.ts
+++ b/test/engine.test.ts
@@ -41,7 +41,7 @@
 
 function createEngine(): EngineState {
 	return new EngineState({
-		server: 'e1', incarnation: 1, service: 'llm', dataCentre: 'x', role: 'prefill', slots: 16, kvTokens: 400_000, kvBytesPerToken: 100_000, linkMbps: 1_000_000,
+		server: 'e1', incarnation: 1, service: 'llm', software: 'v1', dataCentre: 'x', role: 'prefill', slots: 16, kvTokens: 400_000, kvBytesPerToken: 100_000, linkMbps: 1_000_000,
 	}, new PoolSpeed());
 }
 
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -28,6 +28,7 @@
 	'routing/scheduler',
 	'routing/queue',
 	'routing/limiter',
+	'routing/origins',
 	'routing/prefill',
 	'routing/engine',
 	'routing/kvcache',
--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -165,7 +165,7 @@
 
 function createEngine(server: string, role: 'prefill' | 'decode'): EngineInfo {
 	return {
-		server, incarnation: 1, service: 'llm', dataCentre: 'x', role, slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
+		server, incarnation: 1, service: 'llm', dataCentre: 'x', role, software: 'v1', slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
 	};
 }
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -38,7 +38,9 @@
 	const second = await client.place({...REQUEST, id: 'r2'});
 	assert.deepEqual([first.by, second.by], [SELF, SELF]);
 	assert.equal(first.decision.type, 'assignment');
-	assert.notEqual(sent[0]?.host, sent[1]?.host);
+	const [firstQuery, secondQuery] = sent.filter(({message}) => message.type === 'offer');
+	assert.ok(firstQuery && secondQuery);
+	assert.notEqual(firstQuery.host, secondQuery.host);
 });
 
 test('without scheduler hosts the local scheduler decides immediately', async () => {
@@ -70,7 +72,7 @@
 	const sent: Array<{host: string; message: Message}> = [];
 	const localScheduler = new Scheduler();
 	localScheduler.updateEngines([{
-		server: 'e1', incarnation: 1, service: 'llm', dataCentre: 'x', role: 'decode', slots: 8, kvTokens: 100_000, kvBytesPerToken: 100_000, linkMbps: 100_000,
+		server: 'e1', incarnation: 1, service: 'llm', dataCentre: 'x', role: 'decode', software: 'v1', slots: 8, kvTokens: 100_000, kvBytesPerToken: 100_000, linkMbps: 100_000,
 	}]);
 	const client: PlacementClient = new PlacementClient({
 		hosts: {
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -232,7 +232,7 @@
 
 function createEngine(server: string, role: 'prefill' | 'decode', dataCentre: string): EngineInfo {
 	return {
-		server, incarnation: 1, service: 'llm', dataCentre, role, slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
+		server, incarnation: 1, service: 'llm', dataCentre, role, software: 'v1', slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
 	};
 }
 
--- a/test/speed.test.ts
+++ b/test/speed.test.ts
@@ -30,7 +30,7 @@
 	const random = createRandom(11);
 	const speed = new PoolSpeed();
 	const engines = Array.from({length: 10}, (_, index) => new EngineState({
-		server: `e${index}`, incarnation: 1, service: 'llm', dataCentre: 'x', role: 'prefill', slots: 16, kvTokens: 400_000, kvBytesPerToken: 100_000, linkMbps: 1_000_000,
+		server: `e${index}`, incarnation: 1, service: 'llm', software: 'v1', dataCentre: 'x', role: 'prefill', slots: 16, kvTokens: 400_000, kvBytesPerToken: 100_000, linkMbps: 1_000_000,
 	}, speed));
 	const measure = (size: PrefillSize) => simulatePrefillMs(size, {tokensPerMs: 200, stepMs: 2});
 	for (let index = 0; index < REQUESTS; index++) {
