Drop the placement of a control host that answers the end of a prefill too late

Found while reading the change of the software versions: an entry host that chose the runner itself after a timeout left the runner that the control host chose as the origin of the stream. A caller's next try would have gone on at that version. The request also counted as open there.

test/origins.test.ts "a control host that responds too late to the end of a prefill ..." failed before (origin v1 known, request open).

--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -100,8 +100,7 @@
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
 			if (!decision) {
-				// A host whose response is late must neither count the placement nor take its runner for the origin of the stream.
-				this.#hosts.send(host, {type: 'milestone', id: request.id, stage: MILESTONES.refused});
+				this.#dropPlacement(host, request.id);
 				break;
 			}
 
@@ -133,11 +132,8 @@
 				return {decision, by: host};
 			}
 
-			if (isExcluded) {
-				// The engine has become unavailable since the request was placed, and the scheduler host does not know it yet.
-				this.#hosts.send(host, {type: 'milestone', id: request.id, stage: MILESTONES.refused});
-			}
-
+			// It responded too late, or does not know yet that the engine has become unavailable since the request was placed.
+			this.#dropPlacement(host, request.id);
 			this.#schedulerHosts.set(request.id, SELF);
 		}
 
@@ -223,6 +219,11 @@
 		});
 	}
 
+	/** Tells a host not to count a placement that is not used, and not to take its runner for the origin of the stream. */
+	#dropPlacement(host: string, id: string): void {
+		this.#hosts.send(host, {type: 'milestone', id, stage: MILESTONES.refused});
+	}
+
 	/** Adds the software version that began a resumed stream, if this host knows it. */
 	#addLocalOrigin(request: PlacementRequest): PlacementRequest {
 		const {resumption} = request;
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -115,6 +115,18 @@
 	assert.equal(scheduler.openCount, 0);
 });
 
+test('a control host that responds too late to the end of a prefill is not asked for the origin of the stream', async () => {
+	const scheduler = createScheduler();
+	const {client, setLate} = createClient({c1: scheduler}, () => undefined);
+	const {decision} = await client.place(createRequest('a', undefined, 9000));
+	assert.ok(decision.type === 'assignment' && decision.reader !== undefined);
+	setLate();
+	const {by} = await client.chooseRunner(createRequest('a', undefined, 9000), decision.reader);
+	assert.equal(by, 'self');
+	assert.equal(scheduler.findOrigin('a', 0), undefined);
+	assert.equal(scheduler.openCount, 0);
+});
+
 /** A client of schedulers by control host; `prepare` is called at the first offer, with the hosts that did not get it. */
 function createClient(schedulers: Record<string, Scheduler>, prepare: (schedulers: Record<string, Scheduler>, others: string[]) => void, isLate = false) {
 	const asked: string[] = [];
@@ -124,7 +136,10 @@
 			send(host, message: Message) {
 				const scheduler = schedulers[host]!;
 				if (message.type === 'milestone') {
-					scheduler.recordMilestone(message.id, message.stage, {server: message.server}, 0);
+					const decision = scheduler.recordMilestone(message.id, message.stage, {server: message.server}, 0);
+					if (decision && !isLate) {
+						client.receive(decision, host);
+					}
 				}
 
 				if (message.type === 'offer') {
@@ -146,7 +161,14 @@
 		localLimiter: createFallbackLimiter(() => undefined, {countHosts: () => 3, random: () => 0.5}),
 		clock: {monotonicMs: () => 0, wallMs: () => 0},
 	});
-	return {client, asked};
+	return {
+		client,
+		asked,
+		/** From now on no control host responds in time. */
+		setLate() {
+			isLate = true;
+		},
+	};
 }
 
 function createScheduler(): Scheduler {
