Streams without a prompt go on after the caller's last event

Found by the test of the versions: for a stream whose headers have no prompt, Last-Event-Id was removed from the caller's request and not added again, so the caller of a resumed stream got its events from the first one on. Class: a header that the system sets itself, set on one of two paths.

test/versions.test.ts "a stream without a prompt is taken up only while one software version serves" failed before (events 1 to 4 in place of 3 and 4). It also guards the refusal while several versions serve, which no test had noticed when it was taken out by hand.

--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -240,7 +240,10 @@
 		const context = this.#context;
 		let head: ResponseHead | undefined;
 		const deadlineMs = this.#call.deadlineMs - context.clock.monotonicMs();
-		return sendAttempt(context, this.#call, {server, phase: 'full', deadlineMs}, {
+		const {lastEventId} = this.#call.head;
+		return sendAttempt(context, this.#call, {
+			server, phase: 'full', deadlineMs, ...(lastEventId !== undefined && {lastEventId}),
+		}, {
 			onHead: (status, headers) => {
 				head = context.protocol.parseResponse(status, headers);
 				this.#recordLoad(server, head);
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -60,6 +60,14 @@
 	assert.ok(system.servers.every(({receivedRequests}) => receivedRequests.length === 0));
 });
 
+test('a stream without a prompt is taken up only while one software version serves', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1')]);
+	const noPrompt = {'carawayhoist-model': '', 'carawayhoist-token-counts': '', 'last-event-id': '2'};
+	assert.deepEqual((await stream(system.callers, 'a', noPrompt)).events, ['3', '4']);
+	await system.addServer(createEngine('e2', 'v2'));
+	assert.equal((await stream(system.callers, 'b', noPrompt)).status, 503);
+});
+
 test('a stream of unknown origin goes on when one software version serves', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1'), createEngine('e2', 'v1')]);
 	const {events} = await stream(system.callers, 'a', {resumes: 'unknown', 'last-event-id': '2'});
