--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -42,6 +42,21 @@
 	assert.ok(sentMs.some(atMs => atMs % 20_000 >= 10_000), 'hosts without a control host use a share');
 });
 
+test('hosts that lose all control hosts at once do not all send a request at that moment, nor later', () => {
+	const hosts = Array.from({length: 13}, (_, index) => createFallbackLimiter(() => 1, {countHosts: () => 13, random: createRandom(index + 1)}));
+	const sentMs: number[] = [];
+	for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+		for (const limiter of hosts) {
+			if (limiter.request(SERVER, 1, nowMs).waitMs === 0) {
+				sentMs.push(nowMs);
+			}
+		}
+	}
+
+	assert.ok(sentMs.every(atMs => atMs > 0));
+	assert.ok(sentMs.length > 10 && countMost(sentMs) <= 1.5 * 4, `${countMost(sentMs)} of ${sentMs.length}`);
+});
+
 test('less urgent requests leave the rate to more urgent ones, and get it when there are none', () => {
 	const limiter = createGrantingLimiter(() => 5);
 	const granted = {urgent: 0, other: 0};
