--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -295,6 +295,11 @@
 				break;
 			}
 
+			case 'permitCopy': {
+				this.#limiter.consume(message, this.#options.clock.monotonicMs());
+				break;
+			}
+
 			case 'offer': {
 				const {bodyBytes = 0, connected = []} = message;
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -80,7 +80,10 @@
 		this.#clock = clock;
 	}
 
-	/** Requests to send a request to a server that limits its rate. */
+	/**
+	 * Requests to send a request to a server that limits its rate. What is granted is copied to the host that is next in rank, so that
+	 * it does not grant a second share if it takes over.
+	 */
 	async requestPermit(service: string, {server, incarnation}: ServerIncarnation, {id, priority}: PermitOptions): Promise<PermitDecision> {
 		const [host] = this.#rankHosts(service);
 		const reply = host === undefined
@@ -88,7 +91,13 @@
 			: await this.#query(host, id, {
 				type: 'permitRequest', id, server, incarnation, priority,
 			});
-		return reply?.type === 'permit' ? reply : this.#localLimiter.request({server, incarnation}, priority, this.#clock.monotonicMs());
+		const permit = reply?.type === 'permit' ? reply : this.#localLimiter.request({server, incarnation}, priority, this.#clock.monotonicMs());
+		const backup = this.#rankHosts(service).find(other => other !== host);
+		if (permit.waitMs === 0 && backup !== undefined) {
+			this.#hosts.send(backup, {type: 'permitCopy', server, incarnation});
+		}
+
+		return permit;
 	}
 
 	/** Requests a placement. */
--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -5,6 +5,7 @@
 import {createFallbackLimiter, createGrantingLimiter, type RateLimiter} from '../src/routing/limiter.js';
 import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
+import {PlacementClient} from '../src/serving/placement.js';
 
 const SERVER = {server: 's1', incarnation: 1};
 const WINDOW_MS = 4000;
@@ -145,6 +146,46 @@
 	assert.equal(scheduler.place(createRequest(100), 0).type, 'rejection');
 });
 
+test('permits are copied to the next host in rank, so that hosts that use different control hosts get one share together', async () => {
+	const perSecond = 4;
+	const limiters = new Map(['c1', 'c2', 'c3'].map(host => [host, createGrantingLimiter(() => perSecond)]));
+	let nowMs = 0;
+	// One entry host responds to the first control host in rank; to the other one it is too slow.
+	const clients = [[...limiters.keys()], [...limiters.keys()]].map((live, index) => {
+		const client: PlacementClient = new PlacementClient({
+			hosts: {
+				listLive: () => index === 0 ? live : live.filter(host => host !== findFirst()),
+				send(host, message) {
+					if (message.type === 'permitRequest') {
+						client.receive({type: 'permit', id: message.id, ...limiters.get(host)!.request(message, message.priority, nowMs)}, host);
+						asked.push(host);
+					} else if (message.type === 'permitCopy') {
+						limiters.get(host)!.consume(message, nowMs);
+					}
+
+					return true;
+				},
+			},
+			localScheduler: new Scheduler(),
+			localLimiter: createFallbackLimiter(() => perSecond, {countHosts: () => 13, random: () => 0.5}),
+			clock: {monotonicMs: () => nowMs, wallMs: () => 0},
+		});
+		return client;
+	});
+	const asked: string[] = [];
+	const findFirst = () => asked[0];
+	const grantedMs: number[] = [];
+	for (let count = 0; nowMs < 20_000; nowMs += 25, count++) {
+		const {waitMs} = await clients[count % 2]!.requestPermit('plain', SERVER, {id: `${count}`, priority: 1});
+		if (waitMs === 0) {
+			grantedMs.push(nowMs);
+		}
+	}
+
+	assert.equal(new Set(asked).size, 2);
+	assert.ok(countMost(grantedMs) <= (perSecond * 4) + 5, `${countMost(grantedMs)}`);
+});
+
 type Placed = {readonly atMs: number; readonly decision: PlacementDecision};
 
 /** A scheduler whose engine `limited` takes four requests a second, and a load of 50 requests a second. */
