--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -23,6 +23,7 @@
 } from './protocol.js';
 import type {ServingMetrics} from './metrics.js';
 import type {PlacementClient} from './placement.js';
+import {observeResponse} from './statements.js';
 import type {
 	ResponseHandler, Exchange, AttemptFailure, Upstream,
 } from './upstream.js';
@@ -146,73 +147,6 @@
 	return tracked ? reportCancellation(exchange, tracked) : exchange;
 }
 
-/** Wraps a handler so that what the head of the response says about the server is recorded. */
-function observeResponse(context: ServingContext, server: Announcement, handler: ResponseHandler): ResponseHandler {
-	const sentMs = context.clock.monotonicMs();
-	return {
-		onHead(status, headers) {
-			const head = context.protocol.parseResponse(status, headers);
-			recordAvailability(context, server, head);
-			recordRateLimit(context, server, head, sentMs);
-			handler.onHead(status, headers);
-		},
-		onData(chunk) {
-			handler.onData(chunk);
-		},
-		onEnd() {
-			handler.onEnd();
-		},
-		onFailure(failure, error) {
-			handler.onFailure(failure, error);
-		},
-	};
-}
-
-/** Records what a response says about whether its server takes further requests. */
-export function recordAvailability(context: ServingContext, server: Announcement, {isWrongServer, isLeaving, retryAfter}: ResponseHead): void {
-	if (isWrongServer) {
-		return;
-	}
-
-	if (retryAfter?.type === 'delay') {
-		context.availability.recordRefusal(server, retryAfter.ms, context.clock.monotonicMs());
-		context.logger.info(`Server ${server.server} refuses requests for ${retryAfter.ms} ms.`, {server: server.server, durationMs: retryAfter.ms});
-	} else if (retryAfter && context.availability.recordUnreadable(server)) {
-		context.logger.warn(`Ignored the retry time of server ${server.server}: ${retryAfter.text}`, {server: server.server});
-	}
-
-	if (isLeaving && context.availability.recordLeaving(server)) {
-		context.logger.info(`Server ${server.server} says in a response that it is leaving.`, {server: server.server, incarnation: server.incarnation});
-		context.announceLeaving(server);
-	}
-}
-
-/** Records what a response says about the rate of requests that its server takes. */
-function recordRateLimit({announceRateLimit, availability, clock, logger, rateLimits}: ServingContext, {server, incarnation}: Announcement, {isWrongServer, rateLimit}: ResponseHead, sentMs: number): void {
-	if (isWrongServer) {
-		return;
-	}
-
-	if (rateLimit?.type === 'unreadable') {
-		if (availability.recordUnreadable({server, incarnation})) {
-			logger.warn(`Ignored the rate limit of server ${server}: ${rateLimit.text}`, {server});
-		}
-
-		return;
-	}
-
-	const fact = rateLimits.record({
-		server, incarnation, perSecond: rateLimit?.perSecond, sentMs,
-	}, clock.monotonicMs());
-	if (fact) {
-		const {perSecond, revision} = fact;
-		logger.info(`Server ${server} ${perSecond === undefined ? 'no longer limits its requests' : `takes ${perSecond} requests a second`}.`, {
-			server, incarnation, perSecond, revision,
-		});
-		announceRateLimit(fact);
-	}
-}
-
 /** Wraps a handler so that the end of the response is also reported to the tracker. */
 function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
 	let status = 0;
