Plain requests wait for a slow server while no other one takes them

Read from the code and reproduced without load: a repeatable request that had no response after 2.5 times its objective was given up before it was known whether another server takes it. With no other server, none below its rate limit or no retry left in the budget it ended as 502, though its server would have responded.

Class: work under way that is given up before its replacement is certain.

Change: the other server, its permit and the retry are acquired first; without them the request waits until its deadline.

Two new tests ("a repeatable request waits for its slow server when ...") failed before with 502.

--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -24,7 +24,7 @@
 		| {readonly type: 'unsent'}
 		/** The server may have executed the request, but sent no complete response. */
 		| {readonly type: 'broken'}
-		/** The server did not respond in time; it may have executed the request. */
+		/** The server did not respond in time, and another one was found; it may have executed the request. */
 		| {readonly type: 'timedOut'};
 
 /** Maximum number of attempts in which no byte was sent to a server. */
@@ -47,6 +47,8 @@
 	#unsentCount = 0;
 	#mayHaveRun = false;
 	#exchange: Exchange | undefined;
+	/** The server of the next attempt, if it was chosen before the current attempt was given up. */
+	#nextServer: Announcement | undefined;
 
 	constructor(context: ServingContext, call: Call) {
 		this.#context = context;
@@ -65,13 +67,15 @@
 
 		let last: Outcome | undefined;
 		while (!caller.isEnded) {
-			const server = this.#selectServer();
+			const nextServer = this.#nextServer;
+			this.#nextServer = undefined;
+			const server = nextServer ?? this.#selectServer();
 			if (!server) {
 				this.#endCall(last);
 				return;
 			}
 
-			if (!await this.#mayUse(server)) {
+			if (!nextServer && !await this.#mayUse(server)) {
 				continue;
 			}
 
@@ -128,6 +132,10 @@
 
 	#mayRetry(outcome: Outcome): boolean {
 		const {route} = this.#call;
+		if (outcome.type === 'timedOut') {
+			return this.#nextServer !== undefined;
+		}
+
 		if (outcome.type === 'unsent' || (outcome.type === 'notExecuted' && outcome.isWrongServer)) {
 			this.#unsentCount++;
 			return this.#unsentCount < MAX_UNSENT_ATTEMPTS && !this.#isPastDeadline();
@@ -218,16 +226,22 @@
 	async #awaitOutcome(server: Announcement): Promise<Outcome> {
 		return new Promise(resolve => {
 			const buffer = this.#context.responseMemory.createBuffer();
+			let isSettled = false;
 			const settle = (outcome: Outcome) => {
+				isSettled = true;
 				clearTimeout(timer);
 				buffer.release();
 				resolve(outcome);
 			};
 
-			const timer = this.#startResponseTimer(() => {
+			const timer = this.#startResponseTimer(async () => {
 				this.#context.health.recordFailure(server.server, this.#context.clock.monotonicMs());
-				this.#exchange?.cancel();
-				settle({type: 'timedOut'});
+				const nextServer = await this.#prepareRetry();
+				if (nextServer && !isSettled) {
+					this.#nextServer = nextServer;
+					this.#exchange?.cancel();
+					settle({type: 'timedOut'});
+				}
 			});
 			this.#call.caller.onEnd(() => {
 				settle({type: 'broken'});
@@ -236,6 +250,22 @@
 		});
 	}
 
+	/**
+	 * Finds another server for a request whose server does not respond, and acquires a retry and a permit. Undefined if there is none: the
+	 * request then waits, since the server may still respond.
+	 */
+	async #prepareRetry(): Promise<Announcement | undefined> {
+		const {crashes} = this.#context;
+		const {caller, service, suspect} = this.#call;
+		for (let server = this.#selectServer(); server && !caller.isEnded && !crashes.isQuarantined(suspect); server = this.#selectServer()) {
+			if (await this.#mayUse(server)) {
+				return tryAcquireRetry(this.#context, service) ? server : undefined;
+			}
+		}
+
+		return undefined;
+	}
+
 	#send(server: Announcement, settle: (outcome: Outcome) => void, buffer: ResponseBuffer): Exchange {
 		const context = this.#context;
 		let head: ResponseHead | undefined;
@@ -291,7 +321,7 @@
 		}
 	}
 
-	#startResponseTimer(onTimeout: () => void): NodeJS.Timeout | undefined {
+	#startResponseTimer(onTimeout: () => Promise<void>): NodeJS.Timeout | undefined {
 		const {route} = this.#call;
 		const mayRetryElsewhere = route.kind === ROUTE_KINDS.repeatable && this.#sentCount + 1 < route.maxAttempts;
 		return mayRetryElsewhere ? setTimeout(onTimeout, route.objectiveMs * RESPONSE_TIMEOUT_FACTOR) : undefined;
--- a/test/ratelimits.test.ts
+++ b/test/ratelimits.test.ts
@@ -66,6 +66,32 @@
 	});
 }
 
+for (const [name, others] of [['there is no other one', []], ['the other one is at its rate limit', ['s2']]] as const) {
+	test(`a repeatable request waits for its slow server when ${name}`, async t => {
+		const system = await startSystem(t, ['s1', ...others].map((id): StubBackendOptions => ({
+			id, service: 'plain', intercept(request, response) {
+				const headers = {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), ...(id === 's2' && {'server-limit': '0.1'})};
+				setTimeout(() => {
+					response.writeHead(200, headers).end('slow');
+				}, id === 's1' ? 400 : 0);
+				return true;
+			},
+		})));
+		if (others.length > 0) {
+			await waitUntil(async () => {
+				await Promise.all([1, 2, 3, 4].map(async () => system.call('/read/1')));
+				await system.announceServers();
+				return system.entry.findRateLimit('s2') !== undefined;
+			}, 's2 is known to be limited');
+			await Promise.all([1, 2, 3, 4].map(async () => system.call('/read/1')));
+		}
+
+		await system.announceServers();
+		const responses = await Promise.all([1, 2, 3, 4].map(async () => system.call('/read/1')));
+		assert.deepEqual(responses.map(({status}) => status), [200, 200, 200, 200]);
+	});
+}
+
 test('a server that stops stating a limit is known to every host as unlimited', async t => {
 	const limit: Record<string, string> = {'server-limit': '5'};
 	const system = await startSystem(t, [{id: 's1', service: 'plain', responseHeaders: limit}]);
