--- a/src/routing/limiter.ts
+++ b/src/routing/limiter.ts
@@ -29,14 +29,14 @@
 	updatedMs: number;
 	usedMs: number;
 	/** When the last caller that was told to come back should find a token. */
-	returnMs: number;
+	retryMs: number;
 	/** Requests per millisecond, by priority. */
 	readonly demand: Map<number, DecayingRate>;
 };
 
 /** Requests at once at higher rates, as a time at that rate, seconds. */
 const BURST_SECONDS = 0.5;
-const MIN_OWNER_BURST = 2;
+const MIN_GRANTING_BURST = 2;
 /** Rate for a server that takes no requests, so that the end of its limit is noticed, requests a second. */
 const MIN_RATE_PER_SECOND = 0.2;
 /** A bucket that was not used for this long starts anew. */
@@ -44,7 +44,7 @@
 const DEMAND_WINDOW_MS = 2000;
 const MAX_BUCKETS = 2000;
 /** Longest time after which a caller is told to come back. */
-const MAX_RETURN_MS = 10_000;
+const MAX_RETRY_AFTER_MS = 10_000;
 /** Share of a rate that all hosts without a control host may use together, besides what control hosts grant to the others. */
 const FALLBACK_SHARE = 0.5;
 
@@ -58,7 +58,7 @@
  */
 export function createGrantingLimiter(findLimit: RateLimiterOptions['findLimit']): RateLimiter {
 	return new RateLimiter({
-		findLimit, getShare: () => 1, minBurst: MIN_OWNER_BURST, createInitialTokens: burst => burst,
+		findLimit, getShare: () => 1, minBurst: MIN_GRANTING_BURST, createInitialTokens: burst => burst,
 	});
 }
 
@@ -82,7 +82,7 @@
 	/** 0 if it may be sent now; otherwise the time after which to ask again. */
 	readonly waitMs: number;
 	/** Time after which its caller should come back, if it may not be sent. */
-	readonly returnMs?: number;
+	readonly retryAfterMs?: number;
 };
 
 /** Token buckets of the servers that limit their rate. All other servers take any request. */
@@ -124,7 +124,7 @@
 		this.recordDemand(server, priority, nowMs);
 		const waitMs = this.waitMs(server, priority, nowMs);
 		if (waitMs > 0) {
-			return {waitMs, returnMs: this.planReturnMs([server], nowMs)};
+			return {waitMs, retryAfterMs: this.planRetryAfterMs([server], nowMs)};
 		}
 
 		this.consume(server, nowMs);
@@ -148,11 +148,11 @@
 	}
 
 	/** Returns when a caller should come back, milliseconds: each caller is told the time of another token. */
-	planReturnMs(servers: readonly ServerIncarnation[], nowMs: number): number {
+	planRetryAfterMs(servers: readonly ServerIncarnation[], nowMs: number): number {
 		let next: Bucket | undefined;
 		for (const server of servers) {
 			const bucket = this.#getBucket(server, nowMs);
-			if (bucket && (!next || findReturnMs(bucket, nowMs) < findReturnMs(next, nowMs))) {
+			if (bucket && (!next || findRetryMs(bucket, nowMs) < findRetryMs(next, nowMs))) {
 				next = bucket;
 			}
 		}
@@ -161,8 +161,8 @@
 			return 0;
 		}
 
-		next.returnMs = Math.min(findReturnMs(next, nowMs), nowMs + MAX_RETURN_MS);
-		return next.returnMs - nowMs;
+		next.retryMs = Math.min(findRetryMs(next, nowMs), nowMs + MAX_RETRY_AFTER_MS);
+		return next.retryMs - nowMs;
 	}
 
 	/** Finds the bucket of a server and adds the tokens since its last use; undefined if the server has no limit. */
@@ -179,7 +179,7 @@
 		let bucket = this.#buckets.get(server);
 		if (bucket?.incarnation !== incarnation || nowMs - bucket.usedMs > IDLE_MS) {
 			bucket = {
-				incarnation, perSecond, burst, tokens: createInitialTokens(burst), updatedMs: nowMs, usedMs: nowMs, returnMs: nowMs, demand: new Map(),
+				incarnation, perSecond, burst, tokens: createInitialTokens(burst), updatedMs: nowMs, usedMs: nowMs, retryMs: nowMs, demand: new Map(),
 			};
 			this.#buckets.delete(server);
 			this.#buckets.set(server, bucket);
@@ -213,7 +213,7 @@
 }
 
 /** When the next caller should come back: one token later than the last one that was told a time. */
-function findReturnMs({returnMs, tokens, perSecond}: Bucket, nowMs: number): number {
+function findRetryMs({retryMs, tokens, perSecond}: Bucket, nowMs: number): number {
 	const nextTokenMs = nowMs + (Math.max(0, 1 - tokens) / perSecond * 1000);
-	return Math.max(returnMs + (1000 / perSecond), nextTokenMs);
+	return Math.max(retryMs + (1000 / perSecond), nextTokenMs);
 }
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -99,14 +99,14 @@
 		this.#softwareVersions.recordTime(nowMs);
 		this.#expireRequests(nowMs);
 		this.#closeRequest(received.id, nowMs);
-		const original = this.#resolveOrigin(received, nowMs);
-		if (!original) {
+		const resolved = this.#resolveOrigin(received, nowMs);
+		if (!resolved) {
 			return rejectUnknownOrigin(received);
 		}
 
-		this.#recordDemand(original, nowMs);
-		const atLimit = this.#listAtLimit(original, nowMs);
-		const request = excludeEngines(original, atLimit);
+		this.#recordDemand(resolved, nowMs);
+		const atLimit = this.#listAtLimit(resolved, nowMs);
+		const request = excludeEngines(resolved, atLimit);
 		const initial = this.#selector.select(request, request.priority, nowMs);
 		if (!initial) {
 			return this.#rejectWithoutEngine(request, atLimit, nowMs);
@@ -124,7 +124,7 @@
 			return reject(request, reason, Math.max(MIN_RETRY_AFTER_MS, selection.firstEventMs - request.objectiveMs));
 		}
 
-		return this.#assign(original, selection, isLate, nowMs);
+		return this.#assign(resolved, selection, isLate, nowMs);
 	}
 
 	/** Records another scheduler's placement, so that this one can take over if the other fails. */
@@ -339,7 +339,7 @@
 
 		return runners.length === 0
 			? reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS)
-			: reject(request, 'the engines that make tokens are at their rate limits', Math.max(MIN_RETRY_AFTER_MS, this.#limiter!.planReturnMs(runners, nowMs)));
+			: reject(request, 'the engines that make tokens are at their rate limits', Math.max(MIN_RETRY_AFTER_MS, this.#limiter!.planRetryAfterMs(runners, nowMs)));
 	}
 
 	#closeRequest(id: string, nowMs: number): void {
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -42,7 +42,7 @@
 	/** Servers that took no request because of their rate limit. */
 	readonly #atLimit = new Set<string>();
 	/** When the caller should come back if all servers are at their rate limits, milliseconds from now. */
-	#returnMs: number | undefined;
+	#retryAfterMs: number | undefined;
 	#sentCount = 0;
 	#unsentCount = 0;
 	#mayHaveRun = false;
@@ -110,7 +110,7 @@
 		}
 
 		this.#atLimit.add(server.server);
-		this.#returnMs = Math.min(this.#returnMs ?? Number.POSITIVE_INFINITY, permit.returnMs ?? permit.waitMs);
+		this.#retryAfterMs = Math.min(this.#retryAfterMs ?? Number.POSITIVE_INFINITY, permit.retryAfterMs ?? permit.waitMs);
 		logFields.note = `server ${server.server} is at its rate limit for ${Math.round(permit.waitMs)} ms`;
 		return false;
 	}
@@ -173,8 +173,8 @@
 			return;
 		}
 
-		if (this.#returnMs !== undefined) {
-			const seconds = Math.max(REFUSED_RETRY_SECONDS, Math.ceil(this.#returnMs / 100) / 10);
+		if (this.#retryAfterMs !== undefined) {
+			const seconds = Math.max(REFUSED_RETRY_SECONDS, Math.ceil(this.#retryAfterMs / 100) / 10);
 			caller.fail(createProblem('notStarted', 'The servers are at their rate limits.', seconds));
 			return;
 		}
--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -82,7 +82,7 @@
 		// Uses all tokens.
 	}
 
-	const times = Array.from({length: 30}, () => limiter.request(SERVER, 1, 0).returnMs!);
+	const times = Array.from({length: 30}, () => limiter.request(SERVER, 1, 0).retryAfterMs!);
 	assert.ok(times.slice(1, 10).every((time, index) => Math.round(time - times[index]!) === 500), times.join(' '));
 	assert.equal(times.at(-1), 10_000);
 });
