--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -43,6 +43,7 @@
 	readonly #atLimit = new Set<string>();
 	/** When the caller should come back if all servers are at their rate limits, milliseconds from now. */
 	#retryAfterMs: number | undefined;
+	#permitCount = 0;
 	#sentCount = 0;
 	#unsentCount = 0;
 	#mayHaveRun = false;
@@ -104,7 +105,7 @@
 			return true;
 		}
 
-		const permit = await placement.requestPermit(service, server, {id: `${head.id} ${this.#triedServers.size + this.#atLimit.size}`, priority: route.priority});
+		const permit = await placement.requestPermit(service, server, {id: `${head.id} ${++this.#permitCount}`, priority: route.priority});
 		if (permit.waitMs === 0) {
 			return true;
 		}
