Responses to other requests tell nothing about a rate limit

test/ratelimits.test.ts "a response that belongs to another request does not end the limit" failed before (no limit in place of 50). The heads of responses without an id (refusals) count as before.

--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -143,7 +143,7 @@
 		headers: context.protocol.buildRequestHeaders(request, {...attempt, server: server.server}),
 		body: call.body,
 		maxConnections: Math.max(MIN_CONNECTIONS, Math.min(MAX_CONNECTIONS, share)),
-	}, observeResponse(context, server, tracked ? reportEnd(handler, tracked) : handler));
+	}, observeResponse(context, {server, request: call.head.id}, tracked ? reportEnd(handler, tracked) : handler));
 	return tracked ? reportCancellation(exchange, tracked) : exchange;
 }
 
--- a/src/serving/statements.ts
+++ b/src/serving/statements.ts
@@ -14,16 +14,20 @@
  *
  * @example
  * ```ts
- * context.upstream.send(request, observeResponse(context, server, handler));
+ * context.upstream.send(request, observeResponse(context, {server, request: call.head.id}, handler));
  * ```
  */
-export function observeResponse(context: ServingContext, server: Announcement, handler: ResponseHandler): ResponseHandler {
+export function observeResponse(context: ServingContext, {server, request}: {server: Announcement; request: string}, handler: ResponseHandler): ResponseHandler {
 	const sentMs = context.clock.monotonicMs();
 	return {
 		onHead(status, headers) {
 			const head = context.protocol.parseResponse(status, headers);
 			recordAvailability(context, server, head);
-			recordRateLimit(context, server, head, sentMs);
+			// A late response to an earlier request tells nothing about now.
+			if (head.echoedId === undefined || head.echoedId === request) {
+				recordRateLimit(context, server, head, sentMs);
+			}
+
 			handler.onHead(status, headers);
 		},
 		onData(chunk) {
--- a/test/ratelimits.test.ts
+++ b/test/ratelimits.test.ts
@@ -119,6 +119,20 @@
 	assert.equal(table.findLimit(SERVER), undefined);
 });
 
+test('a response that belongs to another request does not end the limit', async t => {
+	const system = await startSystem(t, [{
+		id: 's1', service: 'plain', intercept(request, response) {
+			const isLate = request.url?.includes('late') === true;
+			response.writeHead(200, isLate ? {'carawayhoist-attempt-id': 'earlier'} : {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'server-limit': '50'}).end();
+			return true;
+		},
+	}]);
+	assert.equal((await system.call('/read/1')).status, 200);
+	assert.equal(system.entry.findRateLimit('s1'), 50);
+	assert.equal((await system.call('/book/late')).status, 502);
+	assert.equal(system.entry.findRateLimit('s1'), 50);
+});
+
 test('a limit ends with the incarnation that stated it', () => {
 	const table = new RateLimitTable();
 	table.record({
