Read again: usual terms for rate limits and resumed streams, one fixture for engines in tests

Log lines and reasons: "Server … limits requests to … per second", "all decoding engines are at their rate limits", "the software version that started the stream is unknown", "no decoding engine has software version …". The scheduler looks engines up once when it records a placement. Engines and requests of limiter.test.ts and origins.test.ts come from test/pool.ts; no assertion changed. No behaviour changes.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -169,7 +169,7 @@
 		return this.#discovery.listUsable().map(({server}) => server);
 	}
 
-	/** Requests a second that a server takes from all hosts together, as far as this host knows; undefined without a limit. */
+	/** Requests a second that a server accepts from all hosts together, as far as this host knows; undefined without a limit. */
 	findRateLimit(server: string): number | undefined {
 		const announced = this.#discovery.findServer(server);
 		return announced && this.#rateLimits.findLimit(announced);
--- a/src/membership/ratelimits.ts
+++ b/src/membership/ratelimits.ts
@@ -77,7 +77,7 @@
 		return isChanged;
 	}
 
-	/** Finds the requests a second that a server takes; undefined if it has no limit. */
+	/** Finds the requests a second that a server accepts; undefined if it has no limit. */
 	findLimit({server, incarnation}: ServerIncarnation): number | undefined {
 		const fact = this.#records.get(server)?.fact;
 		return fact?.incarnation === incarnation ? fact.perSecond : undefined;
--- a/src/routing/limiter.ts
+++ b/src/routing/limiter.ts
@@ -11,7 +11,7 @@
 import {DecayingRate} from './rate.js';
 
 export type RateLimiterOptions = {
-	/** Finds the requests a second that a server takes from all hosts together; undefined without a limit. */
+	/** Finds the requests a second that a server accepts from all hosts together; undefined without a limit. */
 	readonly findLimit: (server: ServerIncarnation) => number | undefined;
 	/** Returns the share of the rate that this limiter grants. */
 	readonly getShare: () => number;
@@ -37,7 +37,7 @@
 /** Requests at once at higher rates, as a time at that rate, seconds. */
 const BURST_SECONDS = 0.5;
 const MIN_GRANTING_BURST = 2;
-/** Rate for a server that takes no requests, so that the end of its limit is noticed, requests a second. */
+/** Rate for a server whose limit is 0, so that the end of the limit is noticed, requests a second. */
 const MIN_RATE_PER_SECOND = 0.2;
 /** A bucket that was not used for this long starts anew. */
 const IDLE_MS = 5000;
@@ -85,7 +85,7 @@
 	readonly retryAfterMs?: number;
 };
 
-/** Token buckets of the servers that limit their rate. All other servers take any request. */
+/** Token buckets of the servers that limit their rate. Other servers get any request. */
 export class RateLimiter {
 	readonly #options: RateLimiterOptions;
 	readonly #buckets = new Map<string, Bucket>();
--- a/src/routing/origins.ts
+++ b/src/routing/origins.ts
@@ -1,14 +1,14 @@
 /**
- * Remembers which software version of a service began each stream, so that a stream goes on only at that version.
+ * Remembers which software version of a service started each stream, so that a stream is resumed only at that version.
  *
  * Performs no I/O; the caller passes the current time.
  *
  * @module
  */
 
-/** A stream that was begun elsewhere and is to go on. */
+/** A stream that was started before and is resumed. */
 export type Resumption = {
-	/** Software version that began it, if it is known. */
+	/** Software version that started it, if it is known. */
 	readonly software?: string;
 	/** ID of the attempt that brought its first event, if its caller named it. */
 	readonly attempt?: string;
@@ -24,7 +24,7 @@
 /** Streams that one host places in the time of a deadline at several thousand a second. */
 const MAX_ORIGINS = 50_000;
 
-/** The software versions that began streams, by the ID of the attempt. */
+/** The software versions that started streams, by the ID of the attempt. */
 export class StreamOrigins {
 	readonly #origins = new Map<string, Origin>();
 
@@ -41,7 +41,7 @@
 		}
 	}
 
-	/** Removes an attempt that no server began. */
+	/** Removes an attempt that no server started. */
 	delete(attempt: string): void {
 		this.#origins.delete(attempt);
 	}
@@ -93,7 +93,7 @@
 		}
 	}
 
-	/** Finds the only version that can have begun a stream; undefined if there were several, or none. */
+	/** Finds the only version that can have started a stream; undefined if there were several, or none. */
 	findOnly(service: string, nowMs: number): string | undefined {
 		this.recordTime(nowMs);
 		const versions = new Set(this.#current.get(service));
--- a/src/routing/request.ts
+++ b/src/routing/request.ts
@@ -20,7 +20,7 @@
 	readonly patienceMs: number;
 	/** Engines that must not be used for this request. */
 	readonly excluded: readonly string[];
-	/** The stream that goes on, if it was begun before. */
+	/** The stream that is resumed, if there is one. */
 	readonly resumption?: Resumption;
 };
 
@@ -52,7 +52,7 @@
 		readonly id: string;
 		readonly reason: string;
 		readonly retryAfterMs: number;
-		/** Whether the scheduler does not know which software version began the stream; another one may. */
+		/** Whether the scheduler does not know which software version started the stream; another one may. */
 		readonly isOriginUnknown?: boolean;
 	};
 
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -134,24 +134,23 @@
 			request: undefined, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader, runner,
 		};
 		this.#openRequests.set(request.id, openRequest);
-		this.#engines.get(reader ?? '')?.recordCached(request.parts);
-		for (const engine of [this.#engines.get(reader ?? ''), this.#engines.get(runner)]) {
-			this.#consume(engine, nowMs);
-		}
-
-		this.#engines.get(runner)?.startRun(request.id, toRequestSize(request), undefined);
-		const software = this.#engines.get(runner)?.info.software;
-		if (software !== undefined) {
-			this.recordOrigin(request.id, software, nowMs);
+		const readerEngine = this.#engines.get(reader ?? '');
+		const runnerEngine = this.#engines.get(runner);
+		readerEngine?.recordCached(request.parts);
+		this.#consume(readerEngine, nowMs);
+		this.#consume(runnerEngine, nowMs);
+		if (runnerEngine) {
+			runnerEngine.startRun(request.id, toRequestSize(request), undefined);
+			this.recordOrigin(request.id, runnerEngine.info.software, nowMs);
 		}
 	}
 
-	/** Records the software version that begins a stream, or is about to. */
+	/** Records the software version that starts a stream, or is about to. */
 	recordOrigin(attempt: string, software: string, nowMs: number): void {
 		this.#origins.record(attempt, software, nowMs);
 	}
 
-	/** Finds the software version that began a stream; undefined if it is not known here. */
+	/** Finds the software version that started a stream; undefined if it is not known here. */
 	findOrigin(attempt: string, nowMs: number): string | undefined {
 		return this.#origins.findSoftware(attempt, nowMs);
 	}
@@ -292,7 +291,7 @@
 		return {type: 'assignment', id: request.id, runner: openRequest.runner};
 	}
 
-	/** Adds the software version that began the stream of a resumed request; undefined if that is not known. */
+	/** Adds the software version that started the stream of a resumed request; undefined if that is not known. */
 	#resolveOrigin(request: PlacementRequest, nowMs: number): PlacementRequest | undefined {
 		const {resumption, service} = request;
 		if (!resumption) {
@@ -324,7 +323,7 @@
 		}
 	}
 
-	/** Lists the engines of the service that take no further request of this priority now. */
+	/** Lists the engines of the service whose rate limits allow no request of this priority now. */
 	#listAtLimit({service, priority}: PlacementRequest, nowMs: number): EngineInfo[] {
 		const infos = [...this.#engines.values()].map(({info}) => info);
 		return infos.filter(info => info.service === service && (this.#limiter?.waitMs(info, priority, nowMs) ?? 0) > 0);
@@ -334,12 +333,12 @@
 		const {resumption} = request;
 		const runners = atLimit.filter(({role, software}) => role !== ENGINE_ROLES.prefill && (!resumption || software === resumption.software));
 		if (runners.length === 0 && resumption) {
-			return reject(request, `no engine of software version ${resumption.software ?? ''} makes tokens`, NO_ENGINE_RETRY_MS);
+			return reject(request, `no decoding engine has software version ${resumption.software ?? ''}`, NO_ENGINE_RETRY_MS);
 		}
 
 		return runners.length === 0
 			? reject(request, 'no engine makes tokens', NO_ENGINE_RETRY_MS)
-			: reject(request, 'the engines that make tokens are at their rate limits', Math.max(MIN_RETRY_AFTER_MS, this.#limiter!.planRetryAfterMs(runners, nowMs)));
+			: reject(request, 'all decoding engines are at their rate limits', Math.max(MIN_RETRY_AFTER_MS, this.#limiter!.planRetryAfterMs(runners, nowMs)));
 	}
 
 	#closeRequest(id: string, nowMs: number): void {
@@ -362,7 +361,7 @@
 
 function rejectUnknownOrigin(request: PlacementRequest): PlacementDecision {
 	return {
-		type: 'rejection', id: request.id, reason: 'it is not known which software version began the stream', retryAfterMs: NO_ENGINE_RETRY_MS, isOriginUnknown: true,
+		type: 'rejection', id: request.id, reason: 'the software version that started the stream is unknown', retryAfterMs: NO_ENGINE_RETRY_MS, isOriginUnknown: true,
 	};
 }
 
--- a/src/routing/selection.ts
+++ b/src/routing/selection.ts
@@ -139,7 +139,7 @@
 		return healthy.length > 0 ? healthy : runners;
 	}
 
-	/** Lists the engines that may serve a request. A stream goes on only at the software version that began it. */
+	/** Lists the engines that may serve a request. A stream is resumed only at the software version that started it. */
 	#listEngines({service, excluded, resumption}: PlacementRequest): EngineState[] {
 		return [...this.#engines.values()].filter(({info}) => info.service === service && !excluded.includes(info.server) && (!resumption || info.software === resumption.software));
 	}
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -47,7 +47,7 @@
 	readonly rateLimits: RateLimitTable;
 	/** Tells the other hosts that a server has said that it is leaving. */
 	readonly announceLeaving: (server: Announcement) => void;
-	/** Tells the other hosts what a server has said about the rate of requests that it takes. */
+	/** Tells the other hosts what a server has said about its rate limit. */
 	readonly announceRateLimit: (fact: RateLimitFact) => void;
 	/** Lists the servers that accept new work. */
 	readonly listServers: () => readonly Announcement[];
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -233,7 +233,7 @@
 		this.#hosts.send(host, {type: 'milestone', id, stage: MILESTONES.refused});
 	}
 
-	/** Adds the software version that began a resumed stream, if this host knows it. */
+	/** Adds the software version that started a resumed stream, if this host knows it. */
 	#addLocalOrigin(request: PlacementRequest): PlacementRequest {
 		const {resumption} = request;
 		const software = resumption?.software ?? (resumption?.attempt === undefined ? undefined : this.#localScheduler.findOrigin(resumption.attempt, this.#clock.monotonicMs()));
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -39,7 +39,7 @@
 	readonly #context: ServingContext;
 	readonly #call: Call;
 	readonly #triedServers = new Set<string>();
-	/** Servers that took no request because of their rate limit. */
+	/** Servers for which a permit was denied. */
 	readonly #atLimit = new Set<string>();
 	/** When the caller should come back if all servers are at their rate limits, milliseconds from now. */
 	#retryAfterMs: number | undefined;
@@ -62,7 +62,7 @@
 	async run(): Promise<void> {
 		const {caller} = this.#call;
 		if (this.#call.head.lastEventId !== undefined && this.#countSoftwareVersions() > 1) {
-			caller.fail(createProblem('notStarted', 'It is not known which software version began the stream.', REFUSED_RETRY_SECONDS));
+			caller.fail(createProblem('notStarted', 'The software version that started the stream is unknown.', REFUSED_RETRY_SECONDS));
 			return;
 		}
 
@@ -91,7 +91,7 @@
 		}
 	}
 
-	/** Counts the software versions of the service's servers; which of them began a stream is not kept here. */
+	/** Counts the software versions of the service's servers. Which of them started a stream is not recorded for plain requests. */
 	#countSoftwareVersions(): number {
 		const servers = this.#context.listServers().filter(server => server.services?.includes(this.#call.service));
 		return new Set(servers.map(({software}) => software)).size;
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -65,7 +65,7 @@
 	= | {readonly type: 'delay'; readonly ms: number}
 		| {readonly type: 'unreadable'; readonly text: string};
 
-/** The rate of requests that a server takes from all hosts together, for as long as its responses state it. */
+/** The rate of requests that a server accepts from all hosts together, for as long as its responses state it. */
 export type RateLimit
 	= | {readonly type: 'rate'; readonly perSecond: number}
 		| {readonly type: 'unreadable'; readonly text: string};
--- a/src/serving/statements.ts
+++ b/src/serving/statements.ts
@@ -1,6 +1,6 @@
 /**
  * Records what servers say about themselves in the heads of their responses: that they are leaving, when they want requests again,
- * and how many requests they take.
+ * and their rate limits.
  *
  * @module
  */
@@ -61,7 +61,7 @@
 	}
 }
 
-/** Records what a response says about the rate of requests that its server takes. */
+/** Records the rate limit in a response, or that there is none. */
 function recordRateLimit({announceRateLimit, availability, clock, logger, rateLimits}: ServingContext, {server, incarnation}: Announcement, {isWrongServer, rateLimit}: ResponseHead, sentMs: number): void {
 	if (isWrongServer) {
 		return;
@@ -80,7 +80,7 @@
 	}, clock.monotonicMs());
 	if (fact) {
 		const {perSecond, revision} = fact;
-		logger.info(`Server ${server} ${perSecond === undefined ? 'no longer limits its requests' : `takes ${perSecond} requests a second`}.`, {
+		logger.info(`Server ${server} ${perSecond === undefined ? 'no longer limits requests' : `limits requests to ${perSecond} per second`}.`, {
 			server, incarnation, perSecond, revision,
 		});
 		announceRateLimit(fact);
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -239,7 +239,7 @@
 		};
 	}
 
-	/** Describes the stream that goes on: events of it have been forwarded, or its caller has some from an earlier attempt. */
+	/** Describes the stream to resume: events of it have been forwarded, or its caller has some from an earlier attempt. */
 	#createResumption(): Pick<PlacementRequest, 'resumption'> {
 		const {head: {lastEventId, resumedAttempt}} = this.#call;
 		if (this.#software !== undefined) {
--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -3,12 +3,15 @@
 import {createRandom} from '../src/base/random.js';
 import type {EngineInfo} from '../src/routing/engine.js';
 import {createFallbackLimiter, createGrantingLimiter, type RateLimiter} from '../src/routing/limiter.js';
-import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
+import type {PlacementDecision} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient} from '../src/serving/placement.js';
+import {createEngine, createRequest} from './pool.js';
 
 const SERVER = {server: 's1', incarnation: 1};
 const WINDOW_MS = 4000;
+/** With idle connections to all engines, prompts of some thousand tokens are prefilled separately. */
+const CONNECTED = {connected: ['limited', 'free', 'prefill', 'decode']};
 
 for (const perSecond of [0.5, 1, 4.3, 40]) {
 	test(`requests that are granted stay within the limit in every window (${perSecond} a second)`, () => {
@@ -99,7 +102,7 @@
 
 test('placements at a limited engine stay within its limit, others take the rest', () => {
 	const {scheduler, placeUntil} = createPool([createEngine('limited', 'decode'), createEngine('free', 'decode')]);
-	const placed = placeUntil(10_000, () => createRequest(100));
+	const placed = placeUntil(10_000, 100);
 	assert.ok(placed.length > 300 && placed.every(({decision}) => decision.type === 'assignment'));
 	const atLimited = placed.filter(({decision}) => getRunner(decision) === 'limited').map(({atMs}) => atMs);
 	assert.ok(atLimited.length > 20 && countMost(atLimited) <= 19, `${countMost(atLimited)} of ${atLimited.length}`);
@@ -109,7 +112,7 @@
 test('a prefill counts towards the limit of its engine', () => {
 	const countReads = (reader: string) => {
 		const {scheduler} = createPool([createEngine(reader, 'prefill'), createEngine('decode', 'decode')]);
-		const decisions = Array.from({length: 10}, (_, index) => scheduler.place({...createRequest(9000 + index), id: `a${index}`}, 0));
+		const decisions = Array.from({length: 10}, (_, index) => scheduler.place(createRequest(`a${index}`, 9000 + index, CONNECTED), 0));
 		return decisions.filter(decision => decision.type === 'assignment' && decision.reader === reader).length;
 	};
 
@@ -119,7 +122,7 @@
 
 test('a request is prefilled only if its runner may take it, and not refused after the prefill', () => {
 	const {placeUntil, refusedAfterPrefill} = createPool([createEngine('limited', 'decode'), createEngine('prefill', 'prefill')]);
-	const placed = placeUntil(10_000, index => createRequest(9000 + index));
+	const placed = placeUntil(10_000, 9000);
 	assert.equal(refusedAfterPrefill.length, 0);
 	const refused = placed.filter(({decision}) => decision.type === 'rejection');
 	assert.ok(refused.length > 100);
@@ -131,7 +134,7 @@
 test('a request that ends before its runner is chosen returns the token of the runner', () => {
 	const {scheduler} = createPool([createEngine('limited', 'decode'), createEngine('prefill', 'prefill')]);
 	for (let index = 0; index < 50; index++) {
-		const decision = scheduler.place({...createRequest(9000), id: `a${index}`}, 0);
+		const decision = scheduler.place(createRequest(`a${index}`, 9000, CONNECTED), 0);
 		assert.equal(decision.type, 'assignment');
 		scheduler.recordMilestone(`a${index}`, 'failed', {}, 0);
 	}
@@ -140,10 +143,10 @@
 test('placements of another scheduler use up the limit, so that the one that takes over grants no second share', () => {
 	const {scheduler} = createPool([createEngine('limited', 'decode')]);
 	for (let index = 0; index < 4; index++) {
-		scheduler.recordPlacement({...createRequest(100), id: `b${index}`}, undefined, 'limited', 0);
+		scheduler.recordPlacement(createRequest(`b${index}`, 100, CONNECTED), undefined, 'limited', 0);
 	}
 
-	assert.equal(scheduler.place(createRequest(100), 0).type, 'rejection');
+	assert.equal(scheduler.place(createRequest('a', 100, CONNECTED), 0).type, 'rejection');
 });
 
 test('permits are copied to the next host in rank, so that hosts that use different control hosts get one share together', async () => {
@@ -197,11 +200,11 @@
 	return {
 		scheduler,
 		refusedAfterPrefill,
-		placeUntil(endMs: number, create: (index: number) => PlacementRequest): Placed[] {
+		placeUntil(endMs: number, promptTokens: number): Placed[] {
 			const placed: Placed[] = [];
 			for (let atMs = 0; atMs < endMs; atMs += 20) {
 				const id = `r${atMs}`;
-				const decision = scheduler.place({...create(atMs / 20), id}, atMs);
+				const decision = scheduler.place(createRequest(id, promptTokens, CONNECTED), atMs);
 				placed.push({atMs, decision});
 				if (decision.type === 'assignment' && decision.reader !== undefined) {
 					const run = scheduler.recordMilestone(id, 'read', {}, atMs + 10);
@@ -219,18 +222,6 @@
 	};
 }
 
-function createEngine(server: string, role: 'prefill' | 'decode'): EngineInfo {
-	return {
-		server, incarnation: 1, service: 'llm', dataCentre: 'x', role, software: 'v1', slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
-	};
-}
-
-function createRequest(promptTokens: number): PlacementRequest {
-	return {
-		id: 'a', service: 'llm', dataCentre: 'x', parts: [{key: `own-${promptTokens}`, tokens: promptTokens}], promptTokens, outputTokens: 10, priority: 1, objectiveMs: 600, patienceMs: 2400, excluded: [], bodyBytes: 0, connected: ['limited', 'free', 'prefill', 'decode'],
-	};
-}
-
 function getRunner(decision: PlacementDecision): string | undefined {
 	return decision.type === 'assignment' ? decision.runner : undefined;
 }
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {Message} from '../src/generated/types.js';
-import type {EngineInfo} from '../src/routing/engine.js';
 import {createFallbackLimiter} from '../src/routing/limiter.js';
 import {SoftwareVersions, StreamOrigins} from '../src/routing/origins.js';
-import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
+import type {PlacementDecision} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient} from '../src/serving/placement.js';
+import {createEngine, createRequest} from './pool.js';
 
-const ENGINES = [createEngine('d1', 'decode', 'v1'), createEngine('d2', 'decode', 'v2'), createEngine('p1', 'prefill', 'v1'), createEngine('p2', 'prefill', 'v2')];
+const ENGINES = [createEngine('d1', 'decode', {software: 'v1'}), createEngine('d2', 'decode', {software: 'v2'}), createEngine('p1', 'prefill', {software: 'v1'}), createEngine('p2', 'prefill', {software: 'v2'})];
 
 test('a resumed stream is prefilled and run only at the software version that began it, also when the others are idle', () => {
 	for (const software of ['v1', 'v2']) {
 		const scheduler = createScheduler();
 		for (let index = 0; index < 60; index++) {
 			const id = `${software}-${index}`;
-			const decision = scheduler.place(createRequest(id, {software}, index % 2 === 0 ? 100 : 9000), index);
+			const decision = scheduler.place(createRequest(id, index % 2 === 0 ? 100 : 9000, {resumption: {software}}), index);
 			const run = decision.type === 'assignment' && decision.reader !== undefined ? scheduler.recordMilestone(id, 'read', {}, index) : undefined;
 			assert.ok(listServers(decision, run).every(server => server.endsWith(software.slice(1))), `${index}`);
 		}
@@ -25,30 +25,30 @@
 test('the scheduler that placed a stream, and the one that takes over, know which software version began it', () => {
 	const placing = createScheduler();
 	const backup = createScheduler();
-	const begun = placing.place(createRequest('a', undefined, 100), 0);
+	const begun = placing.place(createRequest('a', 100), 0);
 	assert.ok(begun.type === 'assignment');
-	backup.recordPlacement(createRequest('a', undefined, 100), undefined, begun.runner!, 0);
+	backup.recordPlacement(createRequest('a', 100), undefined, begun.runner!, 0);
 	placing.recordMilestone('a', 'first', {}, 10);
 	placing.recordMilestone('a', 'failed', {server: begun.runner!}, 20);
 	backup.recordMilestone('a', 'done', {}, 20);
 	for (const scheduler of [placing, backup]) {
-		const resumed = scheduler.place(createRequest('b', {attempt: 'a'}, 100), 2000);
+		const resumed = scheduler.place(createRequest('b', 100, {resumption: {attempt: 'a'}}), 2000);
 		assert.equal(listServers(resumed)[0]?.slice(1), begun.runner!.slice(1));
 	}
 });
 
 test('a placement that brought no event is not taken for the origin of a stream', () => {
 	const scheduler = createScheduler();
-	scheduler.place(createRequest('a', undefined, 100), 0);
+	scheduler.place(createRequest('a', 100), 0);
 	scheduler.recordMilestone('a', 'refused', {}, 10);
 	assert.equal(scheduler.findOrigin('a', 20), undefined);
-	const resumed = scheduler.place(createRequest('b', {attempt: 'a'}, 100), 20);
+	const resumed = scheduler.place(createRequest('b', 100, {resumption: {attempt: 'a'}}), 20);
 	assert.ok(resumed.type === 'rejection' && resumed.isOriginUnknown === true);
 });
 
 test('a resumed stream is rejected when its software version does not serve any more', () => {
 	const scheduler = createScheduler();
-	const resumed = scheduler.place(createRequest('b', {software: 'v0'}, 100), 0);
+	const resumed = scheduler.place(createRequest('b', 100, {resumption: {software: 'v0'}}), 0);
 	assert.ok(resumed.type === 'rejection' && resumed.isOriginUnknown === undefined && resumed.reason.includes('v0'), JSON.stringify(resumed));
 });
 
@@ -88,20 +88,20 @@
 		holder = others.at(-1)!;
 		schedulers[holder]!.recordOrigin('a', 'v2', 0);
 	});
-	const {decision, by} = await client.place(createRequest('b', {attempt: 'a'}, 100));
+	const {decision, by} = await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}));
 	assert.deepEqual(listServers(decision), ['d2']);
 	assert.equal(by, holder);
 	assert.notEqual(asked[0], holder);
-	const unknown = await client.place(createRequest('c', {attempt: 'unknown'}, 100));
+	const unknown = await client.place(createRequest('c', 100, {resumption: {attempt: 'unknown'}}));
 	assert.ok(unknown.decision.type === 'rejection' && unknown.decision.isOriginUnknown === true);
 });
 
 test('a host that is cut off from the control hosts resumes only streams whose origin it knows itself', async () => {
 	const {client} = createClient({}, () => undefined);
 	client.recordOrigin('a', 'v2');
-	assert.deepEqual(listServers((await client.place(createRequest('b', {attempt: 'a'}, 100))).decision), ['d2']);
+	assert.deepEqual(listServers((await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}))).decision), ['d2']);
 	for (const resumption of [{attempt: 'other'}, {}]) {
-		const {decision} = await client.place(createRequest('c', resumption, 100));
+		const {decision} = await client.place(createRequest('c', 100, {resumption}));
 		assert.ok(decision.type === 'rejection' && decision.isOriginUnknown === true);
 	}
 });
@@ -109,7 +109,7 @@
 test('a control host that responds too late drops the placement, and its runner is not the origin of the stream', async () => {
 	const scheduler = createScheduler();
 	const {client} = createClient({c1: scheduler}, () => undefined, true);
-	const {by} = await client.place(createRequest('a', undefined, 100));
+	const {by} = await client.place(createRequest('a', 100));
 	assert.equal(by, 'self');
 	assert.equal(scheduler.findOrigin('a', 0), undefined);
 	assert.equal(scheduler.openCount, 0);
@@ -118,10 +118,10 @@
 test('a control host that responds too late to the end of a prefill is not asked for the origin of the stream', async () => {
 	const scheduler = createScheduler();
 	const {client, setLate} = createClient({c1: scheduler}, () => undefined);
-	const {decision} = await client.place(createRequest('a', undefined, 9000));
+	const {decision} = await client.place(createRequest('a', 9000));
 	assert.ok(decision.type === 'assignment' && decision.reader !== undefined);
 	setLate();
-	const {by} = await client.chooseRunner(createRequest('a', undefined, 9000), decision.reader);
+	const {by} = await client.chooseRunner(createRequest('a', 9000), decision.reader);
 	assert.equal(by, 'self');
 	assert.equal(scheduler.findOrigin('a', 0), undefined);
 	assert.equal(scheduler.openCount, 0);
@@ -177,18 +177,6 @@
 	return scheduler;
 }
 
-function createEngine(server: string, role: 'prefill' | 'decode', software: string): EngineInfo {
-	return {
-		server, incarnation: 1, service: 'llm', dataCentre: 'x', role, software, slots: 48, kvTokens: 444_000, kvBytesPerToken: 131_072, linkMbps: 1_500_000,
-	};
-}
-
-function createRequest(id: string, resumption: PlacementRequest['resumption'], promptTokens: number): PlacementRequest {
-	return {
-		id, service: 'llm', dataCentre: 'x', parts: [{key: `own-${id}`, tokens: promptTokens}], promptTokens, outputTokens: 10, priority: 1, objectiveMs: 600, patienceMs: 60_000, excluded: [], bodyBytes: 0, connected: [], ...(resumption && {resumption}),
-	};
-}
-
 function listServers(...decisions: Array<PlacementDecision | undefined>): string[] {
 	return decisions.flatMap(decision => decision?.type === 'assignment' ? [decision.reader, decision.runner] : []).filter(server => server !== undefined);
 }
