--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -30,6 +30,7 @@
 import {PlacementClient} from '../serving/placement.js';
 import {Upstream} from '../serving/upstream.js';
 import type {Address} from '../wire/connection.js';
+import {connectServer, type ServerConnector} from '../wire/connector.js';
 import {probe} from '../wire/probe.js';
 
 export type EntryHostOptions = {
@@ -49,6 +50,8 @@
 	readonly graceMs: number;
 	/** Largest response of a plain service, bytes; has a default. */
 	readonly maxResponseBytes?: number | undefined;
+	/** Opens connections to backend servers; over this host's network by default. */
+	readonly connectServer?: ServerConnector;
 };
 
 /** The load balancer checks readiness once per second and sends no more callers after two failed checks. */
@@ -61,7 +64,7 @@
 export class EntryHost {
 	readonly #options: EntryHostOptions;
 	readonly #logger: Logger;
-	readonly #upstream = new Upstream();
+	readonly #upstream: Upstream;
 	readonly #localLimiter: RateLimiter;
 	readonly #localScheduler: Scheduler;
 	readonly #availability = new AvailabilityTracker();
@@ -81,6 +84,8 @@
 		this.#options = options;
 		this.#logger = options.loggers('entry');
 		const {clock, random, dataCentre, protocol, metrics} = options;
+		const connect = options.connectServer ?? connectServer;
+		this.#upstream = new Upstream(connect);
 		this.#localLimiter = createFallbackLimiter(server => this.#rateLimits.findLimit(server), {countHosts: () => this.#hostCount, random});
 		this.#localScheduler = new Scheduler({limiter: this.#localLimiter});
 		this.#retryBudget = new ServiceRetryBudget(options.retryBudget);
@@ -107,7 +112,7 @@
 			clock,
 			logger: options.loggers('routing'),
 			table: this.#crashTable,
-			probe,
+			probe: async address => probe(address, connect),
 			publish: facts => {
 				this.#subscription.broadcast(this.#createFactMessage(facts));
 			},
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -5,9 +5,10 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
-import net from 'node:net';
+import type net from 'node:net';
 import {Client, Pool, type Dispatcher} from 'undici';
 import type {Address} from '../wire/connection.js';
+import {connectServer, type ServerConnector} from '../wire/connector.js';
 
 export type UpstreamRequest = {
 	readonly address: Address;
@@ -70,6 +71,11 @@
 /** The connection pools of one host to all backend servers. Must be closed by its creator. */
 export class Upstream {
 	readonly #pools = new Map<string, Pool>();
+	readonly #connect: ServerConnector;
+
+	constructor(connect: ServerConnector = connectServer) {
+		this.#connect = connect;
+	}
 
 	/** Sends a request; the response is passed to the handler. */
 	send(request: UpstreamRequest, responseHandler: ResponseHandler): Exchange {
@@ -114,7 +120,7 @@
 		let pool = this.#pools.get(key);
 		if (!pool) {
 			pool = new Pool(`http://${key}`, {
-				factory: (origin, options) => new TrackedConnection(origin, options),
+				factory: (origin, options) => new TrackedConnection(origin, options as Client.Options, this.#connect),
 				connections: maxConnections,
 				pipelining: 1,
 				headersTimeout: 0,
@@ -144,11 +150,11 @@
 class TrackedConnection extends Client {
 	#isReset = false;
 
-	constructor(origin: string | URL, options: Client.Options) {
+	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector) {
 		super(origin, {
 			...options,
-			connect: (target: {hostname: string; port: string}, callback: (...result: [null, net.Socket] | [Error, null]) => void) => {
-				this.#connect(target, callback);
+			connect: ({hostname, port}: {hostname: string; port: string}, callback: (...result: [null, net.Socket] | [Error, null]) => void) => {
+				this.#handshake(connect({address: hostname, port: Number(port)}), callback);
 			},
 		});
 	}
@@ -162,9 +168,9 @@
 		return super.dispatch(options, handler);
 	}
 
-	#connect({hostname, port}: {hostname: string; port: string}, callback: (...result: [null, net.Socket] | [Error, null]) => void): void {
+	/** Waits until a connection is established. */
+	#handshake(socket: net.Socket, callback: (...result: [null, net.Socket] | [Error, null]) => void): void {
 		this.#isReset = false;
-		const socket = net.connect({host: hostname, port: Number(port), noDelay: true});
 		const timer = setTimeout(() => {
 			socket.destroy(new Error('Connecting to the server timed out.'));
 		}, CONNECT_TIMEOUT_MS);
--- a/src/wire/probe.ts
+++ b/src/wire/probe.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import net from 'node:net';
 import type {Address} from './connection.js';
+import {connectServer, type ServerConnector} from './connector.js';
 
 export const PROBE_RESULTS = {
 	accepted: 'accepted',
@@ -27,9 +27,9 @@
  * await probe({address: '10.0.0.4', port: 8080}); // 'accepted'
  * ```
  */
-export async function probe({address, port}: Address): Promise<ProbeResult> {
+export async function probe(address: Address, connect: ServerConnector = connectServer): Promise<ProbeResult> {
 	return new Promise(resolve => {
-		const socket = net.connect({host: address, port});
+		const socket = connect(address);
 		const timer = setTimeout(() => {
 			finish(PROBE_RESULTS.silent);
 		}, PROBE_TIMEOUT_MS);
--- a/test/system.ts
+++ b/test/system.ts
@@ -22,6 +22,7 @@
 import {EntryHost} from '../src/daemon/entryhost.js';
 import {createServingMetrics} from '../src/serving/metrics.js';
 import type {Address} from '../src/wire/connection.js';
+import type {ServerConnector} from '../src/wire/connector.js';
 import {StubBackend, type StubBackendOptions} from './stub.js';
 
 export const ROUTES = [
@@ -45,12 +46,18 @@
 	},
 ];
 
+export type SystemOptions = {
+	readonly maxResponseBytes?: number;
+	/** How the entry hosts connect to servers, by the order in which they start. */
+	readonly connectServers?: readonly ServerConnector[];
+};
+
 type TestContext = {
 	after(handler: () => Promise<void>): void;
 };
 
 /** Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. */
-export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes}: {readonly maxResponseBytes?: number} = {}) {
+export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, connectServers = []}: SystemOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
 	const clock = createClock();
 	const loggers = createSilentLoggers();
@@ -81,7 +88,7 @@
 	const startEntry = async () => {
 		const callers = {address: '127.0.0.1', port: await findPort()};
 		const host = unwrap(await EntryHost.start({
-			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000, maxResponseBytes,
+			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
 		}));
 		return {host, callers};
 	};
