Send requests through another entry host while a host reaches no server

Cause: an entry host had no way to a server but its own connections. Class: a single path, and a state of the host itself (cut off) that was only known as failures of single servers.

Change: an entry host that gets no byte from any server for 400 ms while a request waits, or fails to connect to two servers, probes up to three servers (one of each service first). If none accepts, it tells the control hosts, which name up to three entry hosts that reach the servers; attempts are sent through those until a probe succeeds again. Only the attempt travels: retries, permits, placement, deadline and retry budget stay with the host that has the caller. A relay sends directly or declines, so requests cannot go in circles; it takes 64 requests at a time and declines while it stops. Relays are selected by rendezvous hashing, in the data centre while half of it reaches the servers. Repeatable attempts that hang are failed, and so retried; bookings wait, since they may have run.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -8,7 +8,9 @@
 import type {Logger, LoggerFactory} from '../base/logger.js';
 import type {Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
-import type {Fact, Feed, Message} from '../generated/types.js';
+import type {
+	Fact, Feed, Message, Watch,
+} from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedSubscription, inflatePublication} from '../membership/feed.js';
 import {ServerDiscovery} from '../membership/discovery.js';
@@ -28,8 +30,10 @@
 import {Gateway} from '../serving/gateway.js';
 import type {ServingMetrics} from '../serving/metrics.js';
 import {PlacementClient} from '../serving/placement.js';
-import {Upstream} from '../serving/upstream.js';
-import type {Address} from '../wire/connection.js';
+import {RelayClient} from '../serving/relayclient.js';
+import {RelayService} from '../serving/relayservice.js';
+import {ServerTransport} from '../serving/transport.js';
+import {Listener, type Address} from '../wire/connection.js';
 import {connectServer, type ServerConnector} from '../wire/connector.js';
 import {probe} from '../wire/probe.js';
 
@@ -38,6 +42,8 @@
 	readonly dataCentre: string;
 	/** Address to listen on for callers. */
 	readonly callerAddress: Address;
+	/** Address to listen on for other entry hosts. */
+	readonly peerAddress: Address;
 	/** Control hosts to contact first. */
 	readonly seeds: readonly Address[];
 	readonly clock: Clock;
@@ -64,7 +70,10 @@
 export class EntryHost {
 	readonly #options: EntryHostOptions;
 	readonly #logger: Logger;
-	readonly #upstream: Upstream;
+	readonly #relayClient: RelayClient;
+	readonly #transport: ServerTransport;
+	readonly #relayService: RelayService;
+	readonly #listener: Listener;
 	readonly #localLimiter: RateLimiter;
 	readonly #localScheduler: Scheduler;
 	readonly #availability = new AvailabilityTracker();
@@ -85,10 +94,22 @@
 		this.#logger = options.loggers('entry');
 		const {clock, random, dataCentre, protocol, metrics} = options;
 		const connect = options.connectServer ?? connectServer;
-		this.#upstream = new Upstream(connect);
 		this.#localLimiter = createFallbackLimiter(server => this.#rateLimits.findLimit(server), {countHosts: () => this.#hostCount, random});
 		this.#localScheduler = new Scheduler({limiter: this.#localLimiter});
 		this.#retryBudget = new ServiceRetryBudget(options.retryBudget);
+		this.#relayClient = new RelayClient({clock, logger: options.loggers('routing'), metrics});
+		this.#transport = new ServerTransport({
+			clock,
+			logger: options.loggers('routing'),
+			random,
+			metrics,
+			connect,
+			relays: this.#relayClient,
+			listServers: () => this.#discovery.listUsable(),
+			onChange: () => {
+				this.#subscription.announceChange();
+			},
+		});
 		this.#subscription = new FeedSubscription({
 			host: options.host,
 			dataCentre,
@@ -97,6 +118,7 @@
 			clock,
 			logger: options.loggers('membership'),
 			readVersion: () => this.#routeTable?.config.version ?? 0,
+			describe: () => this.#describe(),
 			onFeed: (feed, control) => {
 				this.#handleFeed(feed, control);
 			},
@@ -124,7 +146,7 @@
 			protocol,
 			metrics,
 			logger: options.loggers('routing'),
-			upstream: this.#upstream,
+			transport: this.#transport,
 			health: new HealthTracker(),
 			loadTracker: new LoadTracker(),
 			retryBudget: this.#retryBudget,
@@ -144,12 +166,17 @@
 			countHosts: () => this.#hostCount,
 		};
 		this.#gateway = new Gateway({context, getRouteTable: () => this.#routeTable});
+		this.#relayService = new RelayService({context, getRouteTable: () => this.#routeTable});
+		this.#listener = new Listener((message, connection) => {
+			this.#relayService.receive(message, connection);
+		});
 	}
 
 	/** Starts listening for callers and subscribes to the feeds of the control hosts. */
 	static async start(options: EntryHostOptions): Promise<Either.Either<Problem, EntryHost>> {
 		const host = new EntryHost(options);
-		const listening = await host.#gateway.listen(options.callerAddress);
+		const peerPort = await host.#listener.listen(options.peerAddress);
+		const listening = Either.isLeft(peerPort) ? peerPort : await host.#gateway.listen(options.callerAddress);
 		if (Either.isLeft(listening)) {
 			host.close();
 			return listening;
@@ -187,9 +214,11 @@
 		this.#isStopping = true;
 		this.#logger.info('Shutting down: reporting not ready.', {active: this.#gateway.activeCount});
 		this.#gateway.startDraining();
+		this.#relayService.startDraining();
+		this.#subscription.announceChange();
 		await sleep(Math.min(LOAD_BALANCER_DELAY_MS, graceMs / 2));
 		this.#gateway.stopAccepting();
-		while (this.#gateway.activeCount > 0 && clock.monotonicMs() - startedMs < graceMs - STOP_MARGIN_MS) {
+		while (this.#gateway.activeCount + this.#relayService.activeCount > 0 && clock.monotonicMs() - startedMs < graceMs - STOP_MARGIN_MS) {
 			await sleep(POLL_MS);
 		}
 
@@ -200,7 +229,9 @@
 	close(): void {
 		this.#gateway.close();
 		this.#subscription.close();
-		this.#upstream.close();
+		this.#listener.close();
+		this.#relayClient.close();
+		this.#transport.close();
 	}
 
 	#receive(message: Message, control: string): void {
@@ -241,6 +272,10 @@
 			this.#subscription.send(control, {type: 'rateLimits', facts: [...this.#rateLimits.listFacts()]});
 		}
 
+		if (feed.relays) {
+			this.#relayClient.update(feed.relays);
+		}
+
 		const isNewer = feed.version > (this.#routeTable?.config.version ?? 0);
 		if (feed.publication && isNewer) {
 			this.#applyPublication(feed.publication, feed.version, control);
@@ -251,6 +286,15 @@
 		}
 	}
 
+	/** Tells the control hosts whether this host reaches the servers and where it takes requests of hosts that do not. */
+	#describe(): Pick<Watch, 'relay' | 'isCutOff'> {
+		if (this.#transport.isCutOff) {
+			return {isCutOff: true};
+		}
+
+		return this.#isStopping ? {} : {relay: this.#options.peerAddress};
+	}
+
 	#createFactMessage(facts: readonly Fact[]): Message {
 		const {host, callerAddress} = this.#options;
 		return {type: 'gossip', from: {host, ...callerAddress}, facts: [...facts]};
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -19,6 +19,7 @@
 } from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
 import type {CrashTable} from './crashes.js';
+import {selectRelays, type RelayCandidate} from './relays.js';
 import type {RateLimitTable} from './ratelimits.js';
 import type {ServerRegistry} from './registry.js';
 
@@ -57,7 +58,12 @@
 
 type Subscriber = {
 	readonly host: string;
+	readonly dataCentre: string;
 	readonly role: Watch['role'];
+	/** Where it takes requests of other hosts, if it does. */
+	relay: Address | undefined;
+	/** Whether it cannot reach the backend servers. */
+	isCutOff: boolean;
 	/** Version of the latest publication it holds or was sent. */
 	version: number;
 	/** Revision of the server registry up to which changes were sent. */
@@ -100,14 +106,22 @@
 	/** Subscribes the connection, or records a heartbeat of an existing subscriber. */
 	handleWatch(message: Watch, connection: Connection): void {
 		const known = this.#subscribers.get(connection);
+		const {host, dataCentre, role, version, relay, isCutOff = false} = message;
 		if (known) {
-			known.version = Math.max(known.version, message.version);
+			const hasChanged = known.isCutOff !== isCutOff || (known.relay === undefined) !== (relay === undefined);
+			known.version = Math.max(known.version, version);
+			known.relay = relay;
+			known.isCutOff = isCutOff;
 			known.lastReceivedMs = this.#options.clock.monotonicMs();
+			if (hasChanged) {
+				this.notify();
+			}
+
 			return;
 		}
 
 		this.#subscribers.set(connection, {
-			host: message.host, role: message.role, version: message.version, revision: 0, crashRevision: 0, rateLimitRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
+			host, dataCentre, role, relay, isCutOff, version, revision: 0, crashRevision: 0, rateLimitRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
 		});
 		connection.onClose(() => {
 			this.#subscribers.delete(connection);
@@ -139,7 +153,7 @@
 			this.#sendCrashes(connection, subscriber);
 			this.#sendRateLimits(connection, subscriber);
 			const feed = this.#createFeed(connection, subscriber);
-			if (isHeartbeat || feed.whole || feed.publication !== undefined || feed.sightings.length > 0) {
+			if (isHeartbeat || feed.whole || feed.publication !== undefined || feed.sightings.length > 0 || feed.relays !== undefined) {
 				connection.send(feed);
 			}
 		}
@@ -174,6 +188,7 @@
 			sightings: registry.listChangedSince(subscriber.revision, subscriber.role === 'control'),
 			members: listMembers(),
 			entries: this.entryHostCount,
+			...(subscriber.isCutOff && {relays: selectRelays(subscriber, this.#listRelayCandidates())}),
 		};
 		subscriber.revision = registry.revision;
 		subscriber.isNew = false;
@@ -185,6 +200,10 @@
 		return feed;
 	}
 
+	#listRelayCandidates(): RelayCandidate[] {
+		return [...this.#subscribers.values()].filter(({role}) => role === 'entry');
+	}
+
 	#compress({version, body}: PublicationText): Uint8Array {
 		if (this.#compressed?.version !== version) {
 			this.#compressed = {version, bytes: deflateRawSync(body)};
@@ -217,6 +236,8 @@
 	/** Returns the version of the publication held. */
 	readonly readVersion: () => number;
 	readonly onFeed: (feed: Feed, control: string) => void;
+	/** Returns what the subscriber tells about itself beside its name. */
+	readonly describe?: () => Pick<Watch, 'relay' | 'isCutOff'>;
 	/** Called with every message from a control host that is not a feed. */
 	readonly onMessage?: (message: Message, control: string) => void;
 	readonly onDisconnect?: (control: string) => void;
@@ -303,6 +324,11 @@
 		}
 	}
 
+	/** Tells the control hosts at once that what this host tells about itself has changed. */
+	announceChange(): void {
+		this.broadcast(this.#createWatch());
+	}
+
 	close(): void {
 		this.#isClosed = true;
 		clearInterval(this.#timer);
@@ -393,9 +419,9 @@
 	}
 
 	#createWatch(): Watch {
-		const {host, dataCentre, role, readVersion} = this.#options;
+		const {host, dataCentre, role, readVersion, describe} = this.#options;
 		return {
-			type: 'watch', host, dataCentre, role, version: readVersion(),
+			type: 'watch', host, dataCentre, role, version: readVersion(), ...describe?.(),
 		};
 	}
 }
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -12,20 +12,21 @@
 import type {RateLimitTable} from '../membership/ratelimits.js';
 import type {AvailabilityTracker} from '../routing/availability.js';
 import type {ServiceRetryBudget} from '../routing/budget.js';
-import type {Route, RouteTable} from '../routing/routes.js';
+import {ROUTE_KINDS, type Route, type RouteTable} from '../routing/routes.js';
 import type {HealthTracker} from '../routing/health.js';
 import type {LoadTracker} from '../routing/load.js';
 import type {ResponseMemory} from './buffer.js';
 import type {Caller} from './caller.js';
 import type {CrashMonitor, SuspectRequest, TrackedAttempt} from './crashes.js';
 import {
-	ATTEMPT_PHASES, type ResponseHead, type Attempt, type RequestHead, type ProtocolAdapter,
+	ATTEMPT_PHASES, type AttemptPhase, type ResponseHead, type Attempt, type RequestHead, type ProtocolAdapter,
 } from './protocol.js';
 import type {ServingMetrics} from './metrics.js';
 import type {PlacementClient} from './placement.js';
 import {observeResponse} from './statements.js';
+import type {ServerTransport} from './transport.js';
 import type {
-	ResponseHandler, Exchange, AttemptFailure, Upstream,
+	ResponseHandler, Exchange, AttemptFailure,
 } from './upstream.js';
 
 /** Dependencies that all requests of an entry host share. */
@@ -35,7 +36,7 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly protocol: ProtocolAdapter;
-	readonly upstream: Upstream;
+	readonly transport: ServerTransport;
 	readonly health: HealthTracker;
 	readonly loadTracker: LoadTracker;
 	readonly retryBudget: ServiceRetryBudget;
@@ -82,6 +83,8 @@
 /** Fields of a request's log line. */
 export type RequestLogFields = {
 	readonly servers: string[];
+	/** Entry hosts through which attempts were sent, in their order. */
+	relays?: string[];
 	/** Host whose scheduler placed the request; 'self' for this host. */
 	placedBy?: string;
 	/** Engine that prefilled the prompt for the runner. */
@@ -132,21 +135,45 @@
  */
 export function sendAttempt(context: ServingContext, call: Call, {server, ...attempt}: AttemptOptions, handler: ResponseHandler): Exchange {
 	const {request} = call.caller;
-	const cap = call.routeTable.findService(call.service)?.maxConnections ?? MAX_CONNECTIONS;
-	const share = Math.floor((cap * CONNECTION_SHARE) / context.countHosts());
 	// A prefill starts no response, so it is not what crashes an engine.
 	const tracked = attempt.phase === ATTEMPT_PHASES.prefill ? undefined : context.crashes.track(server, call.suspect);
-	const exchange = context.upstream.send({
+	const exchange = context.transport.send({
+		server: server.server,
+		service: call.service,
+		request: call.head.id,
+		isRepeatable: isRepeatable(call, attempt.phase),
 		address: {address: server.address, port: server.port},
 		method: request.method ?? 'GET',
 		path: request.url ?? '/',
 		headers: context.protocol.buildRequestHeaders(request, {...attempt, server: server.server}),
 		body: call.body,
-		maxConnections: Math.max(MIN_CONNECTIONS, Math.min(MAX_CONNECTIONS, share)),
+		maxConnections: limitConnections(context, call.routeTable, call.service),
+		onRelay(relay) {
+			(call.logFields.relays ??= []).push(relay);
+		},
 	}, observeResponse(context, {server, request: call.head.id}, tracked ? reportEnd(handler, tracked) : handler));
 	return tracked ? reportCancellation(exchange, tracked) : exchange;
 }
 
+/**
+ * Computes how many connections a host may open to one server of a service.
+ *
+ * @example
+ * ```ts
+ * limitConnections(context, routeTable, 'summaries'); // 34
+ * ```
+ */
+export function limitConnections(context: ServingContext, routeTable: RouteTable | undefined, service: string): number {
+	const cap = routeTable?.findService(service)?.maxConnections ?? MAX_CONNECTIONS;
+	const share = Math.floor((cap * CONNECTION_SHARE) / context.countHosts());
+	return Math.max(MIN_CONNECTIONS, Math.min(MAX_CONNECTIONS, share));
+}
+
+/** Whether an attempt may be sent again if its response is lost. */
+function isRepeatable({route, head}: Call, phase: AttemptPhase): boolean {
+	return phase === ATTEMPT_PHASES.prefill || route.kind === ROUTE_KINDS.repeatable || (route.isResumable && head.prompt !== undefined);
+}
+
 /** Wraps a handler so that the end of the response is also reported to the tracker. */
 function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
 	let status = 0;
@@ -201,9 +228,6 @@
 		resume() {
 			exchange.resume();
 		},
-		get isSent() {
-			return exchange.isSent;
-		},
 	};
 }
 
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -15,6 +15,8 @@
 	readonly firstByte: Histogram<'route'>;
 	readonly duration: Histogram<'route'>;
 	readonly active: Gauge;
+	readonly serversReachable: Gauge;
+	readonly relayed: Counter<'direction'>;
 };
 
 /** Histogram buckets, milliseconds: from a simple read to the longest stream. */
@@ -51,5 +53,9 @@
 			name: 'carawayhoist_call_duration_ms', help: 'Time to the end of the answer, milliseconds.', labelNames: ['route'], buckets: BUCKETS_MS, registers,
 		}),
 		active: new Gauge({name: 'carawayhoist_calls_active', help: 'Requests in service.', registers}),
+		serversReachable: new Gauge({name: 'carawayhoist_servers_reachable', help: 'Whether this host reaches backend servers over its own network, 1 or 0.', registers}),
+		relayed: new Counter({
+			name: 'carawayhoist_relayed_requests_total', help: 'Requests that were sent through another host, or received from one.', labelNames: ['direction'], registers,
+		}),
 	};
 }
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -188,7 +188,7 @@
 	 * in this data centre.
 	 */
 	#selectServer(): Announcement | undefined {
-		const {clock, health, listServers, loadTracker, random, dataCentre, upstream} = this.#context;
+		const {clock, health, listServers, loadTracker, random, dataCentre, transport} = this.#context;
 		const nowMs = clock.monotonicMs();
 		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server) && !this.#atLimit.has(server.server));
 		const healthy = all.filter(server => !health.isSuspected(server.server, nowMs));
@@ -196,7 +196,7 @@
 		let lowest = Number.POSITIVE_INFINITY;
 		for (const server of healthy.length > 0 ? healthy : all) {
 			const load = loadTracker.estimate(server.server).requests / (server.capacity ?? 1);
-			const connectionCost = upstream.hasIdleConnection(server) ? 0 : CONNECTION_WEIGHT;
+			const connectionCost = transport.hasIdleConnection(server) ? 0 : CONNECTION_WEIGHT;
 			const score = load + connectionCost + (server.dataCentre === dataCentre ? 0 : LOCALITY_WEIGHT) + (random() * LOCALITY_WEIGHT);
 			if (score < lowest) {
 				lowest = score;
--- a/src/serving/prefill.ts
+++ b/src/serving/prefill.ts
@@ -85,7 +85,7 @@
 			}
 
 			context.health.recordSuccess(server.server);
-			settle({address: {address: server.address, port: server.port}, handle});
+			settle({server: server.server, address: {address: server.address, port: server.port}, handle});
 		},
 		onFailure(failure, error) {
 			recordAttemptFailure(context, call, server, {failure, error});
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -36,6 +36,7 @@
 
 /** Reference to the KV cache of a prefilled prompt at an engine. */
 export type KvCacheHandle = {
+	readonly server: string;
 	readonly address: Address;
 	readonly handle: string;
 };
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -227,7 +227,7 @@
 			service,
 			dataCentre: this.#context.dataCentre,
 			bodyBytes: this.#call.body?.length ?? 0,
-			connected: this.#context.listServers().filter(server => this.#context.upstream.hasIdleConnection(server)).map(({server}) => server),
+			connected: this.#context.listServers().filter(server => this.#context.transport.hasIdleConnection(server)).map(({server}) => server),
 			parts: this.#prompt.parts,
 			promptTokens: this.#prompt.promptTokens,
 			outputTokens: this.#prompt.outputTokens,
@@ -443,8 +443,16 @@
 		}
 
 		const ignore = () => undefined;
-		this.#context.upstream.send({
-			address: kvCache.address, ...this.#context.protocol.buildReleaseRequest(kvCache), headers: [], body: null, maxConnections: 1,
+		this.#context.transport.send({
+			server: kvCache.server,
+			service: this.#call.service,
+			request: this.#call.head.id,
+			isRepeatable: true,
+			address: kvCache.address,
+			...this.#context.protocol.buildReleaseRequest(kvCache),
+			headers: [],
+			body: null,
+			maxConnections: 1,
 		}, {
 			onHead: ignore, onData: ignore, onEnd: ignore, onFailure: (failure, error) => {
 				this.#context.logger.warn(`Could not release a KV cache: ${error.message}`, {failure});
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -11,7 +11,14 @@
 import {connectServer, type ServerConnector} from '../wire/connector.js';
 
 export type UpstreamRequest = {
+	/** The server to send the request to, and the service that it offers. */
+	readonly server: string;
+	readonly service: string;
 	readonly address: Address;
+	/** ID of the caller's request. */
+	readonly request: string;
+	/** Whether the request may be sent again if its response is lost. */
+	readonly isRepeatable: boolean;
 	readonly method: string;
 	readonly path: string;
 	/** Alternating names and values. */
@@ -19,6 +26,8 @@
 	readonly body: Buffer | null;
 	/** Maximum number of connections from this host to the server. */
 	readonly maxConnections: number;
+	/** Called with the address of each host through which the request is sent. */
+	readonly onRelay?: (relay: string) => void;
 };
 
 /** How far an exchange came before it failed. */
@@ -51,10 +60,22 @@
 	pause(): void;
 	/** Continues reading the response. */
 	resume(): void;
-	/** Whether a connection has started to send the request. */
-	readonly isSent: boolean;
 };
 
+/** Sends requests to backend servers. */
+export interface Transport {
+	/** Sends a request; the response is passed to the handler. */
+	send(request: UpstreamRequest, handler: ResponseHandler): Exchange;
+	/** Whether a request to a server can be sent on an open connection. */
+	hasIdleConnection(address: Address): boolean;
+}
+
+/** Receives whether connections to servers could be established. */
+export interface ConnectionObserver {
+	onConnected(address: Address): void;
+	onConnectFailed(address: Address): void;
+}
+
 /** A server that does not accept a connection within this time counts as unreachable. */
 export const CONNECT_TIMEOUT_MS = 600;
 /** Idle connections are closed after this time, which is shorter than the idle timeout of either user's servers. */
@@ -69,15 +90,16 @@
 const MAX_INTERIM_HEADS = 8;
 
 /** The connection pools of one host to all backend servers. Must be closed by its creator. */
-export class Upstream {
+export class Upstream implements Transport {
 	readonly #pools = new Map<string, Pool>();
 	readonly #connect: ServerConnector;
+	readonly #observer: ConnectionObserver | undefined;
 
-	constructor(connect: ServerConnector = connectServer) {
+	constructor(connect: ServerConnector = connectServer, observer?: ConnectionObserver) {
 		this.#connect = connect;
+		this.#observer = observer;
 	}
 
-	/** Sends a request; the response is passed to the handler. */
 	send(request: UpstreamRequest, responseHandler: ResponseHandler): Exchange {
 		const exchange = new UpstreamExchange(responseHandler);
 		const options: TrackedDispatchOptions = {
@@ -94,7 +116,6 @@
 		return exchange;
 	}
 
-	/** Whether a request to a server can be sent on an open connection. */
 	hasIdleConnection({address, port}: Address): boolean {
 		return (this.#pools.get(`${address}:${port}`)?.stats.free ?? 0) > 0;
 	}
@@ -120,7 +141,7 @@
 		let pool = this.#pools.get(key);
 		if (!pool) {
 			pool = new Pool(`http://${key}`, {
-				factory: (origin, options) => new TrackedConnection(origin, options as Client.Options, this.#connect),
+				factory: (origin, options) => new TrackedConnection(origin, options, this.#connect, this.#observer),
 				connections: maxConnections,
 				pipelining: 1,
 				headersTimeout: 0,
@@ -143,6 +164,8 @@
 	readonly onConnection: (connection: TrackedConnection) => void;
 };
 
+type ConnectCallback = (...result: [null, net.Socket] | [Error, null]) => void;
+
 /**
  * A connection to a server that records whether it was reset. The library does not report this, and a response without
  * a content length that is cut off by a reset would look complete.
@@ -150,11 +173,21 @@
 class TrackedConnection extends Client {
 	#isReset = false;
 
-	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector) {
+	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector, observer: ConnectionObserver | undefined) {
 		super(origin, {
 			...options,
-			connect: ({hostname, port}: {hostname: string; port: string}, callback: (...result: [null, net.Socket] | [Error, null]) => void) => {
-				this.#handshake(connect({address: hostname, port: Number(port)}), callback);
+			connect: ({hostname, port}: {hostname: string; port: string}, callback: ConnectCallback) => {
+				const address = {address: hostname, port: Number(port)};
+				this.#handshake(connect(address), (error, socket) => {
+					if (error) {
+						observer?.onConnectFailed(address);
+						callback(error, null);
+						return;
+					}
+
+					observer?.onConnected(address);
+					callback(null, socket);
+				});
 			},
 		});
 	}
@@ -169,7 +202,7 @@
 	}
 
 	/** Waits until a connection is established. */
-	#handshake(socket: net.Socket, callback: (...result: [null, net.Socket] | [Error, null]) => void): void {
+	#handshake(socket: net.Socket, callback: ConnectCallback): void {
 		this.#isReset = false;
 		const timer = setTimeout(() => {
 			socket.destroy(new Error('Connecting to the server timed out.'));
@@ -237,10 +270,6 @@
 		};
 	}
 
-	get isSent(): boolean {
-		return this.#controller !== undefined;
-	}
-
 	/** Starts the timeout within which a connection must accept the request. */
 	startSendTimeout(): void {
 		if (!this.#controller && !this.#isEnded) {
@@ -278,7 +307,7 @@
 	}
 
 	#fail(error: Error): void {
-		const failure = this.isSent ? ATTEMPT_FAILURES.broken : ATTEMPT_FAILURES.unsent;
+		const failure = this.#controller ? ATTEMPT_FAILURES.broken : ATTEMPT_FAILURES.unsent;
 		if (this.#end()) {
 			this.#responseHandler.onFailure(failure, error);
 		}
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -23,9 +23,14 @@
 export class Connection {
 	readonly #socket: net.Socket;
 	readonly #closeHandlers: Array<() => void> = [];
+	#wasEstablished: boolean;
 
 	constructor(socket: net.Socket, onMessage: MessageHandler) {
 		this.#socket = socket;
+		this.#wasEstablished = !socket.connecting;
+		socket.once('connect', () => {
+			this.#wasEstablished = true;
+		});
 		const decoder = new FrameDecoder();
 		socket.setNoDelay(true);
 		socket.on('data', bytes => {
@@ -51,6 +56,11 @@
 		return !this.#socket.destroyed;
 	}
 
+	/** Whether the connection was ever established; if not, no message has reached the peer. */
+	get wasEstablished(): boolean {
+		return this.#wasEstablished;
+	}
+
 	/** Bytes written but not yet handed to the operating system. */
 	get bufferedBytes(): number {
 		return this.#socket.writableLength;
@@ -74,6 +84,11 @@
 		this.#closeHandlers.push(handler);
 	}
 
+	/** Registers a handler that is called whenever all buffered bytes have been handed to the operating system. */
+	onDrain(handler: () => void): void {
+		this.#socket.on('drain', handler);
+	}
+
 	close(): void {
 		this.#socket.destroy();
 	}
--- a/test/detour.test.ts
+++ b/test/detour.test.ts
@@ -26,24 +26,29 @@
 		});
 		const system = await startSystem(t, SERVERS, {connectServers: [network.connect]});
 		await system.addEntry();
-		const keepAnnouncing = setInterval(() => {
-			void system.announceServers();
-		}, 300);
-		t.after(async () => {
-			clearInterval(keepAnnouncing);
-		});
 		const callAll = async () => Promise.all([system.call('/read/1'), system.call('/book/1', {}, 'seat'), system.call('/ask/1', PROMPT), system.call('/tell/1', PROMPT)]);
+		// More requests at a time than there are open connections.
+		const callMany = async () => {
+			await system.announceServers();
+			return (await Promise.all([callAll(), callAll(), callAll(), callAll()])).flat().map(({status}) => status);
+		};
+
 		await callAll();
 		network.cut(cut);
-		await waitUntil(async () => (await callAll()).every(({status}) => status === 200), 'the host serves again');
+		await waitUntil(async () => {
+			const statuses = await callMany();
+			return system.entryLines.some(({message}) => message.startsWith('This host reaches no server')) && statuses.every(status => status === 200);
+		}, 'the host has noticed the cut and serves again');
 		for (let round = 0; round < 5; round++) {
-			const responses = await Promise.all([callAll(), callAll()]);
-			assert.deepEqual(responses.flat().map(({status}) => status), Array.from({length: 8}, () => 200));
+			assert.deepEqual(await callMany(), Array.from({length: 16}, () => 200));
 		}
 
 		const ids = system.servers.flatMap(({receivedRequests}) => receivedRequests.filter(({path}) => path === '/book/1').map(({headers}) => headers['carawayhoist-attempt-id']));
 		assert.equal(ids.length, new Set(ids).size);
 		network.heal();
-		await waitUntil(async () => (await callAll()).every(({status}) => status === 200), 'the host serves over its own network');
+		await waitUntil(async () => {
+			const statuses = await callMany();
+			return system.entryLines.some(({message}) => message.startsWith('This host reaches servers')) && statuses.every(status => status === 200);
+		}, 'the host serves over its own network');
 	});
 }
--- a/test/system.ts
+++ b/test/system.ts
@@ -87,8 +87,9 @@
 	let entryCount = 0;
 	const startEntry = async () => {
 		const callers = {address: '127.0.0.1', port: await findPort()};
+		const peerAddress = {address: '127.0.0.1', port: await findPort()};
 		const host = unwrap(await EntryHost.start({
-			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
+			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, peerAddress, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
 		}));
 		return {host, callers};
 	};
