A host that reaches no server does not take its own cut for crashes

What callers would see: requests that were in flight when a host lost its servers (connections reset, new ones refused) were recorded as crashing them, on all hosts; after two such cuts they are refused fleet-wide for an hour. Cause: CrashMonitor confirms a crash when a probe is refused, and a cut host is refused everywhere. Evidence: the test fails on ("Server p1 crashed with 2 requests of this host in flight."). Change: a refused probe counts only if another server can be reached. Left: if every probed server has crashed at once, crashes are confirmed only by their new announcements.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -35,7 +35,7 @@
 import {ServerTransport} from '../serving/transport.js';
 import {Listener, type Address} from '../wire/connection.js';
 import {connectServer, type ServerConnector} from '../wire/connector.js';
-import {probe} from '../wire/probe.js';
+import {probe, PROBE_RESULTS, type ProbeResult} from '../wire/probe.js';
 
 export type EntryHostOptions = {
 	readonly host: string;
@@ -134,7 +134,7 @@
 			clock,
 			logger: options.loggers('routing'),
 			table: this.#crashTable,
-			probe: async address => probe(address, connect),
+			probe: async address => this.#probeServer(address),
 			publish: facts => {
 				this.#subscription.broadcast(this.#createFactMessage(facts));
 			},
@@ -286,6 +286,12 @@
 		}
 	}
 
+	/** Probes a server. What a host that reaches no server sees tells nothing about a single one. */
+	async #probeServer(address: Address): Promise<ProbeResult> {
+		const result = await probe(address, this.#options.connectServer);
+		return result === PROBE_RESULTS.refused && !await this.#transport.canReachServers() ? PROBE_RESULTS.silent : result;
+	}
+
 	/** Tells the control hosts whether this host reaches the servers and where it takes requests of hosts that do not. */
 	#describe(): Pick<Watch, 'relay' | 'isCutOff'> {
 		if (this.#transport.isCutOff) {
--- a/test/detour.test.ts
+++ b/test/detour.test.ts
@@ -52,3 +52,22 @@
 		}, 'the host serves over its own network');
 	});
 }
+
+test('requests that are in flight when a host loses its servers are not taken for the cause of crashes', async t => {
+	const network = await HostNetwork.start();
+	t.after(() => {
+		network.stop();
+	});
+	let isHolding = true;
+	const system = await startSystem(t, SERVERS.map(server => ({...server, intercept: () => isHolding})), {connectServers: [network.connect]});
+	const callSecond = await system.addEntry();
+	const calls = ['/book/1', '/book/2', '/book/3', '/book/4'].map(async path => system.call(path, {}, 'seat'));
+	await waitUntil(async () => system.servers.flatMap(({receivedRequests}) => receivedRequests).length === 4, 'the requests have arrived');
+	network.cut({open: 'reset', fresh: 'refused'});
+	assert.deepEqual((await Promise.all(calls)).map(({status}) => status), [502, 502, 502, 502]);
+	await waitUntil(async () => system.entryLines.some(({message}) => message.startsWith('This host reaches no server') || message.includes('crashed')), 'the host has an explanation');
+	isHolding = false;
+	await system.announceServers();
+	assert.equal((await callSecond('/book/1', {}, 'seat')).status, 200);
+	assert.deepEqual(system.entryLines.filter(({message}) => message.includes('crashed')), []);
+});
