--- /dev/null
+++ b/test/relay.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import {test} from 'node:test';
+import {waitUntil} from '../dev/fleet.js';
+import {HostNetwork} from './network.js';
+import type {StubBackendOptions} from './stub.js';
+import {startSystem} from './system.js';
+
+type TestContext = Parameters<typeof startSystem>[0];
+
+/** Starts a system whose first host is cut off from all servers, and waits until it knows its relays. */
+async function startCutSystem(t: TestContext, servers: readonly StubBackendOptions[], {relays = 1, cutRelays = 0} = {}) {
+	const networks = await Promise.all(Array.from({length: 1 + relays}, async () => HostNetwork.start()));
+	t.after(async () => {
+		for (const network of networks) {
+			network.stop();
+		}
+	});
+	const system = await startSystem(t, servers, {connectServers: networks.map(({connect}) => connect)});
+	const callRelays: Array<typeof system.call> = [];
+	for (let index = 0; index < relays; index++) {
+		callRelays.push(await system.addEntry());
+	}
+
+	const cutHosts = [system.call, ...callRelays].slice(0, 1 + cutRelays);
+	for (const [index] of cutHosts.entries()) {
+		networks[index]!.cut({open: 'reset', fresh: 'refused'});
+	}
+
+	await waitUntil(async () => {
+		await system.announceServers();
+		await Promise.all(cutHosts.map(async call => call('/read/warm-up')));
+		return system.entryLines.filter(({message}) => message.startsWith('This host reaches no server')).length === cutHosts.length;
+	}, 'the hosts have noticed the cut');
+	await waitUntil(async () => cutRelays === relays || (await system.call('/read/warm-up')).status === 200, 'the host has a relay');
+	const countReceived = (path: string) => system.servers.flatMap(({receivedRequests}) => receivedRequests).filter(received => received.path === path).length;
+	return {system, callRelays, countReceived};
+}
+
+const PLAIN_SERVERS = ['p1', 'p2'].map(id => ({id, service: 'plain'}));
+
+test('a booking in flight at a relay that stops working is not sent again', async t => {
+	const {system, countReceived} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({...server, intercept: ({url}) => url === '/book/1'})), {relays: 2});
+	const booking = system.call('/book/1', {}, 'seat');
+	await waitUntil(async () => countReceived('/book/1') === 1, 'the booking has reached a server');
+	for (const relay of system.entries.slice(1)) {
+		relay.close();
+	}
+
+	assert.equal((await booking).status, 502);
+	assert.equal(countReceived('/book/1'), 1);
+});
+
+test('a request whose caller leaves is cancelled at the server behind a relay', async t => {
+	let closedCount = 0;
+	const {system, countReceived} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
+		...server,
+		intercept(request, response) {
+			response.once('close', () => {
+				closedCount += request.url === '/read/1' ? 1 : 0;
+			});
+			return request.url === '/read/1';
+		},
+	})));
+	const request = http.get({
+		host: system.callers.address, port: system.callers.port, path: '/read/1', headers: {host: 'a.example', 'carawayhoist-attempt-id': 'leaving'},
+	});
+	request.on('error', () => undefined);
+	await waitUntil(async () => countReceived('/read/1') > 0, 'the request has reached a server');
+	request.destroy();
+	await waitUntil(async () => closedCount === countReceived('/read/1'), 'every server has lost the connection');
+});
+
+test('a large response passes a relay whole', async t => {
+	const body = Buffer.alloc(4 * 1024 * 1024, 'response ');
+	const {system} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
+		...server,
+		intercept(request, response) {
+			response.writeHead(200, {'carawayhoist-attempt-id': request.headers['carawayhoist-attempt-id'], 'x-list': ['a', 'b']}).end(request.url === '/read/large' ? body : 'small');
+			return true;
+		},
+	})));
+	const response = await system.call('/read/large');
+	assert.equal(response.status, 200);
+	assert.ok(response.text === body.toString());
+	assert.deepEqual(response.headers['x-list'], ['a', 'b']);
+});
+
+test('a relay that stops finishes the requests that it has and declines others', async t => {
+	let finish: (() => void) | undefined;
+	const {system, countReceived} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
+		...server,
+		intercept(request, response) {
+			if (request.url !== '/book/slow') {
+				return false;
+			}
+
+			finish = () => {
+				response.writeHead(200, {'carawayhoist-attempt-id': request.headers['carawayhoist-attempt-id']}).end('booked');
+			};
+
+			return true;
+		},
+	})));
+	const booking = system.call('/book/slow', {}, 'seat');
+	await waitUntil(async () => finish !== undefined, 'the booking has reached a server');
+	const stopping = system.entries[1]!.stop();
+	await waitUntil(async () => (await system.call('/read/other')).status === 503, 'the relay declines');
+	const received = countReceived('/read/other');
+	assert.equal((await system.call('/read/other')).status, 503);
+	assert.equal(countReceived('/read/other'), received);
+	finish!();
+	assert.equal((await booking).status, 200);
+	await stopping;
+});
+
+test('hosts that all reach no server do not send requests to each other', async t => {
+	const {system, callRelays, countReceived} = await startCutSystem(t, PLAIN_SERVERS, {relays: 2, cutRelays: 2});
+	const countRelayed = async () => (await system.metrics.relayed.get()).values.find(({labels}) => labels.direction === 'received')?.value;
+	// Hosts may have relayed requests of each other before they noticed that they were cut off themselves.
+	const relayed = await countRelayed();
+	for (const call of [system.call, ...callRelays]) {
+		assert.equal((await call('/book/lost', {}, 'seat')).status, 503);
+	}
+
+	assert.equal(countReceived('/book/lost'), 0);
+	assert.equal(await countRelayed(), relayed);
+});
+
+test('a server that refuses requests from a relay for some time gets none from it, for whichever host', async t => {
+	const {system, callRelays, countReceived} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
+		...server,
+		intercept(request, response) {
+			if (request.url !== '/read/refused') {
+				return false;
+			}
+
+			response.writeHead(503, {'carawayhoist-attempt-id': request.headers['carawayhoist-attempt-id'], 'carawayhoist-not-executed': '1', 'retry-after': '100'}).end();
+			return true;
+		},
+	})));
+	assert.equal((await system.call('/read/refused')).status, 503);
+	await waitUntil(async () => (await system.call('/read/refused')).status === 503 && countReceived('/read/refused') === 2, 'both servers have refused');
+	for (const call of [system.call, ...callRelays]) {
+		assert.equal((await call('/read/refused')).status, 503);
+	}
+
+	assert.equal(countReceived('/read/refused'), 2);
+});
