Ask whether a server takes requests when a connection is ready, not only when it is chosen

What callers saw in the users' record: requests reached servers that had asked their host for rest (BUDGET). Cause of what could be reproduced: AvailabilityTracker was asked when a server was listed. A request that then waited up to 0.6 s for a connection was sent although the server had refused further requests meanwhile. Class: check at the time of choosing. Evidence: the new test of trouble.test.ts fails on (three of three waiting requests are sent, 200 in place of 503) and passes here. Change: Upstream asks before a request's first byte; it then fails as not sent. The same check serves relays, in place of their own. Schedulers get such a failure as a refusal, so that the engine is not taken for a failing one.

--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -148,6 +148,7 @@
 		headers: context.protocol.buildRequestHeaders(request, {...attempt, server: server.server}),
 		body: call.body,
 		maxConnections: limitConnections(context, call.routeTable, call.service),
+		maySend: () => context.availability.isAvailable(server, context.clock.monotonicMs()),
 		onRelay(relay) {
 			(call.logFields.relays ??= []).push(relay);
 		},
--- a/src/serving/relayservice.ts
+++ b/src/serving/relayservice.ts
@@ -98,11 +98,6 @@
 			return;
 		}
 
-		if (!context.availability.isAvailable(server, context.clock.monotonicMs())) {
-			fail('unsent', `Server ${server.server} takes no requests from the relay.`);
-			return;
-		}
-
 		connection.send({type: 'relayAccepted', id});
 		context.metrics.relayed.inc({direction: 'received'});
 		const startedMs = context.clock.monotonicMs();
@@ -127,6 +122,7 @@
 			body,
 			isRepeatable: false,
 			maxConnections: limitConnections(context, getRouteTable(), service),
+			maySend: () => context.availability.isAvailable(server, context.clock.monotonicMs()),
 		}, observeResponse(context, {server, request}, {
 			onHead(receivedStatus, receivedHeaders) {
 				status = receivedStatus;
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -97,7 +97,7 @@
 
 			this.#mayHaveRun ||= outcome.type === 'broken';
 			this.#mayReuseExcluded = outcome.type === 'broken' && outcome.hasResponded;
-			this.#context.placement.reportMilestone(this.#call.head.id, outcome.type === 'notExecuted' ? 'refused' : 'failed', runner.server);
+			this.#context.placement.reportMilestone(this.#call.head.id, outcome.type === 'notExecuted' || !this.#isAvailable(runner) ? 'refused' : 'failed', runner.server);
 			this.#excluded.add(runner.server);
 			const problem = this.#findFinalProblem(outcome);
 			if (problem) {
@@ -144,7 +144,7 @@
 			}
 
 			const runner = decision.runner === undefined ? undefined : this.#context.findServer(decision.runner);
-			if (runner && this.#context.availability.isAvailable(runner, this.#context.clock.monotonicMs())) {
+			if (runner && this.#isAvailable(runner)) {
 				this.#context.placement.notifyBackup(this.#createRequest(), logFields.reader, runner.server);
 				return runner;
 			}
@@ -169,10 +169,10 @@
 
 	/** Prefills the prompt at a reader and requests a runner; undefined if the request has to be placed again, or has ended. */
 	async #prefill(server: string, expectedMs: number): Promise<PlacementResult | undefined> {
-		const {placement, availability, findServer} = this.#context;
+		const {placement, findServer} = this.#context;
 		const {caller, head, logFields} = this.#call;
 		const reader = findServer(server);
-		if (reader && !availability.isAvailable(reader, this.#context.clock.monotonicMs())) {
+		if (reader && !this.#isAvailable(reader)) {
 			placement.reportMilestone(head.id, 'refused', undefined);
 			this.#placementCount--;
 			return undefined;
@@ -184,7 +184,7 @@
 		}
 
 		if (!kvCache) {
-			placement.reportMilestone(head.id, 'failed', server);
+			placement.reportMilestone(head.id, reader && !this.#isAvailable(reader) ? 'refused' : 'failed', server);
 			this.#excluded.add(server);
 			return undefined;
 		}
@@ -194,6 +194,10 @@
 		return placement.chooseRunner(this.#createRequest(), server);
 	}
 
+	#isAvailable(engine: Announcement): boolean {
+		return this.#context.availability.isAvailable(engine, this.#context.clock.monotonicMs());
+	}
+
 	/** Lists the engines that have told this host that they take no further requests. */
 	#listUnavailable(): string[] {
 		const {availability, findServer} = this.#context;
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -26,6 +26,11 @@
 	readonly body: Buffer | null;
 	/** Maximum number of connections from this host to the server. */
 	readonly maxConnections: number;
+	/**
+	 * Asked when a connection is ready to send the request, since a server may have refused further requests while this one
+	 * waited for a connection. If false, the request fails as not sent.
+	 */
+	readonly maySend?: () => boolean;
 	/** Called with the address of each host through which the request is sent. */
 	readonly onRelay?: (relay: string) => void;
 };
@@ -101,7 +106,7 @@
 	}
 
 	send(request: UpstreamRequest, responseHandler: ResponseHandler): Exchange {
-		const exchange = new UpstreamExchange(responseHandler);
+		const exchange = new UpstreamExchange(responseHandler, request.maySend);
 		const options: TrackedDispatchOptions = {
 			method: request.method,
 			path: request.path,
@@ -228,13 +233,15 @@
 	connection: TrackedConnection | undefined;
 	readonly handler: Dispatcher.DispatchHandler;
 	readonly #responseHandler: ResponseHandler;
+	readonly #maySend: (() => boolean) | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isEnded = false;
 	#interimHeads = 0;
 
-	constructor(responseHandler: ResponseHandler) {
+	constructor(responseHandler: ResponseHandler, maySend: (() => boolean) | undefined) {
 		this.#responseHandler = responseHandler;
+		this.#maySend = maySend;
 		this.handler = {
 			onRequestStart: controller => {
 				this.#start(controller);
@@ -303,6 +310,13 @@
 			return;
 		}
 
+		if (this.#maySend?.() === false) {
+			const error = new Error('The server takes no requests now.');
+			this.#fail(error);
+			controller.abort(error);
+			return;
+		}
+
 		this.#controller = controller;
 	}
 
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage} from 'node:http';
+import net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {PlatformProtocol} from '../platform/protocol.js';
 import {AvailabilityTracker} from '../src/routing/availability.js';
 import {ResponseMemory} from '../src/serving/buffer.js';
 import type {Address} from '../src/wire/connection.js';
+import {connectServer} from '../src/wire/connector.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
@@ -72,6 +74,52 @@
 	}, 'r1 is out of use');
 });
 
+test('requests that wait for a connection are not sent to a server that has refused further requests meanwhile', async t => {
+	let isSlow = false;
+	let refuseFirst: (() => void) | undefined;
+	const system = await startSystem(t, [{
+		id: 'p1',
+		service: 'plain',
+		intercept(request, response) {
+			const refuseRequest = () => {
+				response.writeHead(503, {'carawayhoist-attempt-id': request.headers['carawayhoist-attempt-id'], 'carawayhoist-not-executed': '1', 'retry-after': '100'}).end();
+			};
+
+			if (request.url === '/book/first') {
+				refuseFirst = refuseRequest;
+				return true;
+			}
+
+			return false;
+		},
+	}], {
+		connectServers: [address => {
+			if (!isSlow) {
+				return connectServer(address);
+			}
+
+			// Connects once the first request has been refused.
+			const socket = new net.Socket();
+			void (async () => {
+				await waitUntil(async () => system.entryLines.some(({message}) => message.includes('refuses requests for')), 'the refusal has arrived');
+				socket.connect({host: address.address, port: address.port});
+			})();
+			return socket;
+		}],
+	});
+	const [server] = system.servers;
+	const first = system.call('/book/first', {}, 'seat');
+	await waitUntil(async () => refuseFirst !== undefined, 'the first request is at the server');
+	isSlow = true;
+	const others = [1, 2, 3].map(async index => system.call(`/book/${index}`, {}, 'seat'));
+	await waitUntil(async () => (await system.metrics.active.get()).values[0]!.value === 4, 'the other requests wait for a connection');
+	refuseFirst!();
+	const responses = await Promise.all([first, ...others]);
+	assert.deepEqual(responses.map(({status}) => status), [503, 503, 503, 503]);
+	assert.ok(responses.every(({headers}) => Number(headers['retry-after']) > 1));
+	assert.deepEqual(server!.receivedRequests.map(({path}) => path), ['/book/first']);
+});
+
 test('a server that refuses with a retry time gets no further requests from that host meanwhile; another one serves them', async t => {
 	const system = await startSystem(t, ['p1', 'p2'].map(id => ({
 		id, service: 'plain', intercept: id === 'p1' ? refuse('1000') : undefined,
