Entry hosts tell once, and on changes, whether they need relays or are one

Each heartbeat carried the relay's address: 118 bytes in place of 83, 580 bytes a second and entry host at five control hosts (sizes of encoded messages). Now the first message on a connection and changes carry it.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -9,7 +9,7 @@
 import type {Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
 import type {
-	Fact, Feed, Message, Watch,
+	Fact, Feed, Message, RelayingState,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedSubscription, inflatePublication} from '../membership/feed.js';
@@ -107,7 +107,7 @@
 			relays: this.#relayClient,
 			listServers: () => this.#discovery.listUsable(),
 			onChange: () => {
-				this.#subscription.announceChange();
+				this.#subscription.announceRelaying();
 			},
 		});
 		this.#subscription = new FeedSubscription({
@@ -118,7 +118,7 @@
 			clock,
 			logger: options.loggers('membership'),
 			readVersion: () => this.#routeTable?.config.version ?? 0,
-			describe: () => this.#describe(),
+			readRelaying: () => this.#readRelaying(),
 			onFeed: (feed, control) => {
 				this.#handleFeed(feed, control);
 			},
@@ -215,7 +215,7 @@
 		this.#logger.info('Shutting down: reporting not ready.', {active: this.#gateway.activeCount});
 		this.#gateway.startDraining();
 		this.#relayService.startDraining();
-		this.#subscription.announceChange();
+		this.#subscription.announceRelaying();
 		await sleep(Math.min(LOAD_BALANCER_DELAY_MS, graceMs / 2));
 		this.#gateway.stopAccepting();
 		while (this.#gateway.activeCount + this.#relayService.activeCount > 0 && clock.monotonicMs() - startedMs < graceMs - STOP_MARGIN_MS) {
@@ -292,13 +292,10 @@
 		return result === PROBE_RESULTS.refused && !await this.#transport.canReachServers() ? PROBE_RESULTS.silent : result;
 	}
 
-	/** Tells the control hosts whether this host reaches the servers and where it takes requests of hosts that do not. */
-	#describe(): Pick<Watch, 'relay' | 'isCutOff'> {
-		if (this.#transport.isCutOff) {
-			return {isCutOff: true};
-		}
-
-		return this.#isStopping ? {} : {relay: this.#options.peerAddress};
+	/** Returns whether this host reaches the servers, and where it takes requests of hosts that do not. */
+	#readRelaying(): RelayingState {
+		const {isCutOff} = this.#transport;
+		return isCutOff || this.#isStopping ? {isCutOff} : {isCutOff, relay: this.#options.peerAddress};
 	}
 
 	#createFactMessage(facts: readonly Fact[]): Message {
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -15,7 +15,7 @@
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {
-	Feed, Member, Message, Peer, Watch,
+	Feed, Member, Message, Peer, RelayingState, Watch,
 } from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
 import type {CrashTable} from './crashes.js';
@@ -60,10 +60,7 @@
 	readonly host: string;
 	readonly dataCentre: string;
 	readonly role: Watch['role'];
-	/** Where it takes requests of other hosts, if it does. */
-	relay: Address | undefined;
-	/** Whether it cannot reach the backend servers. */
-	isCutOff: boolean;
+	relaying: RelayingState;
 	/** Version of the latest publication it holds or was sent. */
 	version: number;
 	/** Revision of the server registry up to which changes were sent. */
@@ -106,14 +103,12 @@
 	/** Subscribes the connection, or records a heartbeat of an existing subscriber. */
 	handleWatch(message: Watch, connection: Connection): void {
 		const known = this.#subscribers.get(connection);
-		const {host, dataCentre, role, version, relay, isCutOff = false} = message;
+		const {host, dataCentre, role, version, relaying} = message;
 		if (known) {
-			const hasChanged = known.isCutOff !== isCutOff || (known.relay === undefined) !== (relay === undefined);
 			known.version = Math.max(known.version, version);
-			known.relay = relay;
-			known.isCutOff = isCutOff;
 			known.lastReceivedMs = this.#options.clock.monotonicMs();
-			if (hasChanged) {
+			if (relaying) {
+				known.relaying = relaying;
 				this.notify();
 			}
 
@@ -121,7 +116,7 @@
 		}
 
 		this.#subscribers.set(connection, {
-			host, dataCentre, role, relay, isCutOff, version, revision: 0, crashRevision: 0, rateLimitRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
+			host, dataCentre, role, relaying: relaying ?? {isCutOff: false}, version, revision: 0, crashRevision: 0, rateLimitRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
 		});
 		connection.onClose(() => {
 			this.#subscribers.delete(connection);
@@ -188,7 +183,7 @@
 			sightings: registry.listChangedSince(subscriber.revision, subscriber.role === 'control'),
 			members: listMembers(),
 			entries: this.entryHostCount,
-			...(subscriber.isCutOff && {relays: selectRelays(subscriber, this.#listRelayCandidates())}),
+			...(subscriber.relaying.isCutOff && {relays: selectRelays(subscriber, this.#listRelayCandidates())}),
 		};
 		subscriber.revision = registry.revision;
 		subscriber.isNew = false;
@@ -201,7 +196,7 @@
 	}
 
 	#listRelayCandidates(): RelayCandidate[] {
-		return [...this.#subscribers.values()].filter(({role}) => role === 'entry');
+		return [...this.#subscribers.values()].filter(({role}) => role === 'entry').map(({host, dataCentre, relaying}) => ({host, dataCentre, ...relaying}));
 	}
 
 	#compress({version, body}: PublicationText): Uint8Array {
@@ -236,8 +231,8 @@
 	/** Returns the version of the publication held. */
 	readonly readVersion: () => number;
 	readonly onFeed: (feed: Feed, control: string) => void;
-	/** Returns what the subscriber tells about itself beside its name. */
-	readonly describe?: () => Pick<Watch, 'relay' | 'isCutOff'>;
+	/** Returns whether the subscriber needs relays or is one; absent for control hosts. */
+	readonly readRelaying?: () => RelayingState;
 	/** Called with every message from a control host that is not a feed. */
 	readonly onMessage?: (message: Message, control: string) => void;
 	readonly onDisconnect?: (control: string) => void;
@@ -324,9 +319,9 @@
 		}
 	}
 
-	/** Tells the control hosts at once that what this host tells about itself has changed. */
-	announceChange(): void {
-		this.broadcast(this.#createWatch());
+	/** Tells the control hosts at once whether this host needs relays or is one. */
+	announceRelaying(): void {
+		this.broadcast(this.#createFirstWatch());
 	}
 
 	close(): void {
@@ -374,7 +369,7 @@
 				this.#options.onDisconnect?.(key);
 			}
 		});
-		connection.send(this.#createWatch());
+		connection.send(this.#createFirstWatch());
 	}
 
 	#onMessage(message: Message, key: string, source: Source): void {
@@ -419,11 +414,17 @@
 	}
 
 	#createWatch(): Watch {
-		const {host, dataCentre, role, readVersion, describe} = this.#options;
+		const {host, dataCentre, role, readVersion} = this.#options;
 		return {
-			type: 'watch', host, dataCentre, role, version: readVersion(), ...describe?.(),
+			type: 'watch', host, dataCentre, role, version: readVersion(),
 		};
 	}
+
+	/** Creates a message with the state that the following heartbeats on the connection leave out. */
+	#createFirstWatch(): Watch {
+		const {readRelaying} = this.#options;
+		return {...this.#createWatch(), ...(readRelaying && {relaying: readRelaying()})};
+	}
 }
 
 function formatKey({address, port}: Address): string {
--- a/src/membership/relays.ts
+++ b/src/membership/relays.ts
@@ -4,15 +4,13 @@
  * @module
  */
 import {crc32} from 'node:zlib';
+import type {RelayingState} from '../generated/types.js';
 import type {Address} from '../wire/connection.js';
 
 /** An entry host as a control host knows it. */
-export type RelayCandidate = {
+export type RelayCandidate = RelayingState & {
 	readonly host: string;
 	readonly dataCentre: string;
-	/** Where it accepts requests of other hosts; undefined if it takes none. */
-	readonly relay: Address | undefined;
-	readonly isCutOff: boolean;
 };
 
 /** Number of relays of one host: enough to go on when one or two of them fail. */
--- a/test/reachability.test.ts
+++ b/test/reachability.test.ts
@@ -67,7 +67,7 @@
 	const isolated = candidates.map(candidate => ({...candidate, isCutOff: candidate.dataCentre === 'a'}));
 	assert.equal(listDataCentres(isolated).length, RELAYS_PER_HOST);
 	assert.ok(!listDataCentres(isolated).includes('a'));
-	assert.deepEqual(selectRelays({host: 'a0', dataCentre: 'a'}, candidates.map(candidate => ({...candidate, relay: undefined}))), []);
+	assert.deepEqual(selectRelays({host: 'a0', dataCentre: 'a'}, candidates.map(({host, dataCentre, isCutOff}) => ({host, dataCentre, isCutOff}))), []);
 });
 
 test('the hosts of a data centre that is cut off are spread over the hosts of the others', () => {
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -104,6 +104,7 @@
 				await waitUntil(async () => system.entryLines.some(({message}) => message.includes('refuses requests for')), 'the refusal has arrived');
 				socket.connect({host: address.address, port: address.port});
 			})();
+
 			return socket;
 		}],
 	});
