Requests in flight on working connections are not failed when new ones are refused

What callers would see: overloaded servers reset new connections while they answer on open ones. A host then took itself for cut off and failed every repeatable request that had been silent for 400 ms, which sends it again: more load in an overload. Cause: requests were failed whenever the host was cut off, also where its open connections worked. Class: one sign taken for two different faults. Change: requests in flight are failed only if no connection had brought anything for 400 ms when the cut was noticed.

--- a/src/routing/reachability.ts
+++ b/src/routing/reachability.ts
@@ -21,6 +21,7 @@
 export class ServerReachability {
 	readonly #failedServers = new Set<string>();
 	#isCutOff = false;
+	#areConnectionsSilent = false;
 	#contactMs = Number.NEGATIVE_INFINITY;
 	#checkedMs = Number.NEGATIVE_INFINITY;
 
@@ -29,6 +30,14 @@
 		return this.#isCutOff;
 	}
 
+	/**
+	 * Whether no open connection brought anything either when the servers became unreachable. If one did, new connections
+	 * are refused, and a request without a response may just take long.
+	 */
+	get areConnectionsSilent(): boolean {
+		return this.#areConnectionsSilent;
+	}
+
 	/** Records that a server has sent something. */
 	recordContact(nowMs: number): void {
 		this.#contactMs = nowMs;
@@ -68,7 +77,12 @@
 			this.recordConnection(nowMs);
 		}
 
-		return this.#isCutOff !== wasCutOff;
+		const hasChanged = this.#isCutOff !== wasCutOff;
+		if (hasChanged) {
+			this.#areConnectionsSilent = this.#isCutOff && nowMs - this.#contactMs >= SILENCE_MS;
+		}
+
+		return hasChanged;
 	}
 }
 
--- a/src/serving/transport.ts
+++ b/src/serving/transport.ts
@@ -158,7 +158,7 @@
 			void this.#startCheck();
 		}
 
-		if (this.isCutOff) {
+		if (this.#reachability.areConnectionsSilent) {
 			this.#abortSilentRequests(nowMs);
 		}
 	}
--- a/test/detour.test.ts
+++ b/test/detour.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {sleep} from '../src/base/clock.js';
 import {HostNetwork, type NetworkCut} from './network.js';
 import {startSystem} from './system.js';
 
@@ -71,3 +73,42 @@
 	assert.equal((await callSecond('/book/1', {}, 'seat')).status, 200);
 	assert.deepEqual(system.entryLines.filter(({message}) => message.includes('crashed')), []);
 });
+
+test('a request in flight on a connection that still works is not sent again when new connections are refused', async t => {
+	const network = await HostNetwork.start();
+	t.after(() => {
+		network.stop();
+	});
+	const held: ServerResponse[] = [];
+	const system = await startSystem(t, SERVERS.map(server => ({
+		...server,
+		intercept(request: IncomingMessage, response: ServerResponse) {
+			if (request.url !== '/ask/slow') {
+				return false;
+			}
+
+			held.push(response);
+			return true;
+		},
+	})), {connectServers: [network.connect]});
+	await system.addEntry();
+	const callMany = async () => Promise.all([1, 2, 3, 4].flatMap(index => [system.call(`/read/${index}`), system.call(`/ask/${index}`, PROMPT)]));
+	await callMany();
+	const slow = system.call('/ask/slow', PROMPT);
+	await waitUntil(async () => held.length === 1, 'the slow request has reached an engine');
+	network.cut({open: 'work', fresh: 'refused'});
+	await waitUntil(async () => {
+		await system.announceServers();
+		await Promise.all([callMany(), callMany(), callMany()]);
+		return system.entryLines.some(({message}) => message.startsWith('This host reaches no server'));
+	}, 'the host has noticed the cut');
+	for (let round = 0; round < 10; round++) {
+		await system.announceServers();
+		await callMany();
+		await sleep(60);
+	}
+
+	assert.equal(held.length, 1);
+	held[0]!.writeHead(200, {'carawayhoist-attempt-id': held[0]!.req.headers['carawayhoist-attempt-id']!, 'content-type': 'text/event-stream'}).end('id: 1\ndata: late\n\n');
+	assert.equal((await slow).status, 200);
+});
--- a/test/reachability.test.ts
+++ b/test/reachability.test.ts
@@ -49,6 +49,18 @@
 	assert.equal(reachability.isCutOff, false);
 });
 
+test('connections that bring responses while new ones fail are not taken for silent', () => {
+	const reachability = new ServerReachability();
+	reachability.recordContact(900);
+	reachability.recordCheck(false, 1000);
+	assert.equal(reachability.areConnectionsSilent, false);
+	reachability.recordCheck(false, 5000);
+	assert.equal(reachability.areConnectionsSilent, false);
+	reachability.recordCheck(true, 6000);
+	reachability.recordCheck(false, 7000);
+	assert.equal(reachability.areConnectionsSilent, true);
+});
+
 test('one server of each service is probed first, those that sent something last before the others', () => {
 	const engines = Array.from({length: 5}, (_, index) => ({server: `e${index}`, services: ['llm'], contactMs: index}));
 	assert.deepEqual(selectProbes([...engines, {server: 'p1', services: ['api'], contactMs: undefined}]), ['e4', 'p1', 'e3']);
