Fuzzer: replace running replicas, so that a swap in one step is found again

Change: in 0.3 of the runs a spare control host replaces a running voter, mostly with the leader and the spare cut off from the others meanwhile; the host that was replaced comes back empty as the next spare. These runs draw from a random source of their own, the schedules of the others are as before.

--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -69,6 +69,8 @@
 	readonly leaderIsolationProbability: number;
 	/** Probability of a long pause of the leader each time it is found with an open order or sends one. */
 	readonly orderPauseProbability: number;
+	/** Whether running replicas are replaced by a spare one. */
+	readonly replacesReplicas: boolean;
 	readonly timing: ControllerTiming;
 	/** Longest delay of a message while the network is degraded, milliseconds. */
 	readonly degradedMaxDelayMs: number;
@@ -88,6 +90,10 @@
 	readonly #unansweredKeys = new Set<string>();
 	/** Leaders that have been partitioned from at least half of the others since their election. */
 	readonly #isolatedLeaders = new Set<ControlProcess>();
+	/** Control hosts that are no voters: the spare one, and those that were replaced. */
+	readonly #spares = new Set<ControlProcess>();
+	/** The replacement of a running replica that is in progress. */
+	#replacement: {readonly spare: ControlProcess; readonly replica: string} | undefined;
 	#nextKey = 1;
 	#nextPut = 1;
 	#nextModel = 1;
@@ -166,6 +172,8 @@
 			leaderKillProbability: this.#random() < 0.3 ? this.#random() * 0.8 : 0,
 			leaderIsolationProbability: isElectionRun ? 0.8 : 0,
 			orderPauseProbability: isOrderRun ? 0.3 : 0,
+			// Has a random source of its own, so that the schedules of the other runs do not depend on it.
+			replacesReplicas: createRandom(this.#seed * 31)() < 0.3,
 			timing: this.#random() < 0.5 && !isOrderRun ? DEFAULT_CONTROLLER_TIMING : SHORT_TIMING,
 			entriesPerAppend: isElectionRun ? 1 : (this.#random() < 0.5 ? 1 + draw(3) : 512),
 			degradedMaxDelayMs: this.#random() < 0.3 ? 1500 : 250,
@@ -177,6 +185,10 @@
 			new ControlProcess(context, member.host, configuration); // eslint-disable-line no-new
 		}
 
+		if (this.#profile.replacesReplicas) {
+			this.#spares.add(new ControlProcess(context, `control${configuration.voters.length + 1}`, undefined));
+		}
+
 		for (const name of ['plain1', 'plain2']) {
 			this.#plainServers.push(new PlainServerProcess(name, this.#simulator, this.#checker));
 		}
@@ -230,6 +242,12 @@
 		this.#repeat(500, () => {
 			this.#replaceWipedReplicas();
 		});
+		if (this.#profile.replacesReplicas) {
+			this.#repeat(300, () => {
+				this.#replaceRunningReplica();
+			});
+		}
+
 		this.#repeat(25, () => {
 			this.#readConfiguration();
 		});
@@ -451,7 +469,7 @@
 		const {voters} = leader?.replica?.configuration ?? {voters: []};
 		for (const control of this.#controls.values()) {
 			const old = voters.find(member => member.host === control.host);
-			const isMissing = control.process.isAlive && !voters.some(member => member.replica === control.identity);
+			const isMissing = control.process.isAlive && !this.#spares.has(control) && !voters.some(member => member.replica === control.identity);
 			if (leader && isMissing) {
 				const add = createMember(control.host, control.identity);
 				if (leader.beginReconfiguration(old ? {add, remove: old.replica} : {add})) {
@@ -461,6 +479,70 @@
 		}
 	}
 
+	/** Replaces, as an operator does, a replica that works by a spare one; the host that was replaced becomes the next spare. */
+	#replaceRunningReplica(): void {
+		const voters = this.#listVoters();
+		if (this.#replacement) {
+			this.#continueReplacement(this.#replacement, voters);
+			return;
+		}
+
+		const spare = [...this.#spares].find(control => control.process.isAlive && control.isAwaitingAdmission);
+		const replica = pick([...voters], this.#random);
+		const isComplete = voters.size === this.#profile.controlCount && [...this.#controls.values()].every(control => voters.has(control.identity) || this.#spares.has(control));
+		if (spare && replica !== undefined && isComplete && !this.#isRecovering) {
+			this.#replacement = {spare, replica};
+			this.#continueReplacement(this.#replacement, voters);
+		}
+	}
+
+	#continueReplacement({spare, replica}: {readonly spare: ControlProcess; readonly replica: string}, voters: ReadonlySet<string>): void {
+		if (voters.has(spare.identity) && !voters.has(replica)) {
+			this.#replacement = undefined;
+			this.#spares.delete(spare);
+			this.#retire([...this.#controls.values()].find(control => control.identity === replica)!);
+			return;
+		}
+
+		const leader = [...this.#controls.values()].find(control => control.isLeader);
+		const hasBegun = leader?.beginReconfiguration({add: createMember(spare.host, spare.identity), remove: replica}) ?? false;
+		if (hasBegun && !this.#isRecovering && this.#random() < 0.7) {
+			this.#simulator.schedule(this.#random() * 400, () => {
+				this.#partitionReplacement(leader!, spare);
+			});
+		}
+	}
+
+	/** Cuts the leader and the spare replica off from the others, so that the old and the new voters may each have a majority. */
+	#partitionReplacement(leader: ControlProcess, spare: ControlProcess): void {
+		if (this.#isRecovering) {
+			return;
+		}
+
+		this.#recordFault('cut', `${leader.host} and ${spare.host} from the other control hosts`);
+		for (const other of [...this.#controls.values()].filter(control => control !== leader && control !== spare)) {
+			for (const {host} of [leader, spare]) {
+				this.#simulator.blockLink(host, other.host);
+				this.#simulator.blockLink(other.host, host);
+			}
+		}
+
+		this.#simulator.schedule(500 + (this.#random() * 4000), () => {
+			this.#simulator.unblockLinks();
+		});
+	}
+
+	/** Stops a host that was replaced; it comes back with an empty disk. */
+	#retire(control: ControlProcess): void {
+		this.#spares.add(control);
+		this.#simulator.schedule(this.#random() * 2000, () => {
+			control.kill({wipe: true});
+			this.#simulator.schedule(50 + (this.#random() * 1000), () => {
+				control.restart();
+			});
+		});
+	}
+
 	#scheduleFault(): void {
 		if (this.#isRecovering) {
 			return;
@@ -538,8 +620,8 @@
 		const voters = this.#listVoters();
 		const intact = [...this.#controls.values()].filter(control => voters.has(control.identity));
 		const control = pick(intact, this.#random);
-		const isReconfiguring = [...this.#controls.values()].some(other => !voters.has(other.identity) || other.reconfiguration);
-		if (control?.process.isAlive && !isReconfiguring && voters.size === this.#controls.size) {
+		const isReconfiguring = this.#replacement !== undefined || [...this.#controls.values()].some(other => (!voters.has(other.identity) && !this.#spares.has(other)) || other.reconfiguration);
+		if (control?.process.isAlive && !isReconfiguring && voters.size === this.#profile.controlCount) {
 			this.#recordFault('wipe', control.host);
 			control.kill({wipe: true});
 			this.#simulator.schedule(50 + (this.#random() * 1000), () => {
