--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -23,9 +23,10 @@
 	Announcement, Fact, Message, Publication, PutCommand, ViewUpdate,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
-import {FeedPublisher, FeedSubscription} from '../membership/feed.js';
+import {FeedPublisher} from '../membership/feed.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
 import {DEFAULT_REGISTRY_TIMING, ServerRegistry, type MergeResult} from '../membership/registry.js';
+import {FeedSubscription} from '../membership/subscription.js';
 import {createGrantingLimiter} from '../routing/limiter.js';
 import {RouteTable, type RoutingConfig} from '../routing/routes.js';
 import {Scheduler} from '../routing/scheduler.js';
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -12,9 +12,9 @@
 	Fact, Feed, Message, RelayingState,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
-import {FeedSubscription, inflatePublication} from '../membership/feed.js';
 import {ServerDiscovery} from '../membership/discovery.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
+import {FeedSubscription, inflatePublication} from '../membership/subscription.js';
 import {AvailabilityTracker} from '../routing/availability.js';
 import {ServiceRetryBudget, type RetryBudgetLimits} from '../routing/budget.js';
 import {createFallbackLimiter, type RateLimiter} from '../routing/limiter.js';
