--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -272,7 +272,8 @@
 			this.#subscription.send(control, {type: 'rateLimits', facts: [...this.#rateLimits.listFacts()]});
 		}
 
-		if (feed.relays) {
+		// A control host that has just started may know no other entry host yet.
+		if (feed.relays && feed.relays.length > 0) {
 			this.#relayClient.update(feed.relays);
 		}
 
