--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -287,7 +287,7 @@
 		}
 	}
 
-	/** Probes a server. What a host that reaches no server sees tells nothing about a single one. */
+	/** Probes a server. A refusal counts only if this host reaches another server; otherwise its own network may be cut. */
 	async #probeServer(address: Address): Promise<ProbeResult> {
 		const result = await probe(address, this.#options.connectServer);
 		return result === PROBE_RESULTS.refused && !await this.#transport.canReachServers() ? PROBE_RESULTS.silent : result;
--- a/src/serving/relayclient.ts
+++ b/src/serving/relayclient.ts
@@ -30,7 +30,7 @@
 	avoidedUntilMs: number;
 };
 
-/** Part of a relay that an exchange uses. */
+/** What an exchange asks of the client. */
 type RelayLink = {
 	/** Chooses a relay that the exchange has not tried and sends the request to it; returns its address, or undefined without one. */
 	dispatch(exchange: RelayedExchange): string | undefined;
@@ -91,8 +91,8 @@
 		return exchange;
 	}
 
-	/** Sends no further requests through relays; connections are closed once their requests have ended. */
-	closeIdle(): void {
+	/** Forgets all relays; their connections are closed once the requests on them have ended. */
+	clear(): void {
 		this.update([]);
 	}
 
--- a/src/serving/transport.ts
+++ b/src/serving/transport.ts
@@ -190,7 +190,7 @@
 		metrics.serversReachable.set(hasReachedServer ? 1 : 0);
 		if (hasReachedServer) {
 			logger.info('This host reaches servers over its own network again.', {servers});
-			relays.closeIdle();
+			relays.clear();
 		} else {
 			logger.warn('This host reaches no server over its own network; it sends requests through other hosts.', {servers, inFlight: this.#inFlight.size});
 		}
@@ -226,13 +226,8 @@
 			return firstResult;
 		}
 
-		const results = [firstResult, ...others.map(async server => isAccepted(server))];
-		const firstAccepted = Promise.any(results.map(async result => {
-			if (!await result) {
-				throw new Error('The server did not accept a connection.');
-			}
-		}));
-		return firstAccepted.then(() => true, () => false);
+		const results = await Promise.all([firstResult, ...others.map(async server => isAccepted(server))]);
+		return results.includes(true);
 	}
 
 	#now(): number {
