Tests: a failed start stops what it started, port ranges are claimed

Cause: two test processes whose IDs are equal modulo 60 used the same ports, and the check whether a port is free takes it for a moment, so a listen could fail. startSystem and ProcessFleet.start threw then, but left the control host, the folder and child processes running: they registered their cleanup last. The test process never ended, and the runner prints what a file reported early only when the file ends, so no failure was shown.

--- a/bench/commits.ts
+++ b/bench/commits.ts
@@ -22,7 +22,8 @@
 import type {Command, Configuration, Member} from '../src/generated/types.js';
 import {Listener} from '../src/wire/connection.js';
 import {decodeCbor, encodeCbor} from '../src/wire/frame.js';
-import {findPort, ProcessFleet, waitUntil} from '../dev/fleet.js';
+import {ProcessFleet, waitUntil} from '../dev/fleet.js';
+import {findPort} from '../dev/ports.js';
 import {bookSeat, findLeader} from '../dev/client.js';
 import {summarizeDurations, type DurationPercentiles} from './statistics.js';
 
--- a/bench/entry.ts
+++ b/bench/entry.ts
@@ -15,9 +15,8 @@
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {Agent, request as undiciRequest} from 'undici';
-import {
-	killProcess, findPort, ProcessFleet, waitUntil,
-} from '../dev/fleet.js';
+import {killProcess, ProcessFleet, waitUntil} from '../dev/fleet.js';
+import {findPort} from '../dev/ports.js';
 import {percentile} from './statistics.js';
 
 const {values} = parseArgs({
--- a/dev/fleet.ts
+++ b/dev/fleet.ts
@@ -6,21 +6,17 @@
 import type {Buffer} from 'node:buffer';
 import {type ChildProcess, spawn} from 'node:child_process';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import type {Peer, Settings} from '../src/generated/types.js';
+import {findPort} from './ports.js';
 
 const DIST = path.resolve(import.meta.dirname, '..');
 const DAEMON = path.join(DIST, 'src/daemon/carawayhoistd.js');
 const FAKE_BACKEND = path.join(DIST, 'fakes/main.js');
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 50;
-const FIRST_PORT = 20_000;
-const PORTS_PER_PROCESS = 200;
-const PROCESS_RANGES = 60;
-let nextPort = 0;
 
 /** A running host (entry, or control and entry) or fake backend server. */
 export type FleetProcess = {
@@ -55,29 +51,19 @@
 		this.folder = folder;
 	}
 
-	/** Starts every process and waits until all hosts are ready and list all backend servers. */
+	/**
+	 * Starts every process and waits until all hosts are ready and list all backend servers. Throws if a process exits or a
+	 * host is not ready in time; no process is left running then.
+	 */
 	static async start(options: FleetOptions): Promise<ProcessFleet> {
 		const fleet = new ProcessFleet(await mkdtemp(path.join(os.tmpdir(), 'carawayhoist-')));
-		const settings = await createSettings(fleet.folder, options);
-		for (const hostSettings of settings) {
-			fleet.hosts.push(await fleet.startHost(hostSettings));
-		}
-
-		const entries = fleet.hosts.map(host => host.url);
-		for (let index = 1; index <= options.engines; index++) {
-			fleet.backends.push(fleet.startBackend({
-				kind: 'engine', name: `engine-${index}`, port: await findPort(), entries, extra: options.engineArguments ?? [],
-			}));
-		}
-
-		for (let index = 1; index <= options.plainServers; index++) {
-			fleet.backends.push(fleet.startBackend({
-				kind: 'plain', name: `plain-${index}`, port: await findPort(), entries, extra: options.plainServerArguments ?? [],
-			}));
+		try {
+			await fleet.#startAll(options);
+		} catch (error) {
+			await fleet.stop();
+			throw error;
 		}
 
-		await Promise.all(fleet.hosts.map(async host => waitUntil(async () => (await fetch(`${host.url}/readyz`)).status === 200, `${host.name} ready`)));
-		await Promise.all(fleet.hosts.map(async host => waitUntil(async () => fleet.#listsAllBackends(host), `${host.name} lists the backend servers`)));
 		return fleet;
 	}
 
@@ -130,6 +116,42 @@
 		}
 	}
 
+	async #startAll(options: FleetOptions): Promise<void> {
+		const settings = await createSettings(this.folder, options);
+		for (const hostSettings of settings) {
+			this.hosts.push(await this.startHost(hostSettings));
+		}
+
+		const entries = this.hosts.map(host => host.url);
+		for (let index = 1; index <= options.engines; index++) {
+			this.backends.push(this.startBackend({
+				kind: 'engine', name: `engine-${index}`, port: await findPort(), entries, extra: options.engineArguments ?? [],
+			}));
+		}
+
+		for (let index = 1; index <= options.plainServers; index++) {
+			this.backends.push(this.startBackend({
+				kind: 'plain', name: `plain-${index}`, port: await findPort(), entries, extra: options.plainServerArguments ?? [],
+			}));
+		}
+
+		await Promise.all(this.hosts.map(async host => this.#waitUntilStarted(host, async () => (await fetch(`${host.url}/readyz`)).status === 200, 'is ready')));
+		await Promise.all(this.hosts.map(async host => this.#waitUntilStarted(host, async () => this.#listsAllBackends(host), 'lists the backend servers')));
+	}
+
+	/** Waits until a condition holds. Throws as soon as the host's process has exited. */
+	async #waitUntilStarted(host: FleetProcess, condition: () => Promise<boolean>, description: string): Promise<void> {
+		const exit = new Promise<boolean>(resolve => {
+			host.child.once('exit', () => {
+				resolve(true);
+			});
+		});
+		await waitUntil(async () => !isRunning(host) || Promise.race([condition(), exit]), `${host.name} ${description}`);
+		if (!isRunning(host)) {
+			throw new Error(`${host.name} exited with code ${host.child.exitCode ?? 'none'}, signal ${host.child.signalCode ?? 'none'} before it was ready.`);
+		}
+	}
+
 	async #listsAllBackends(host: FleetProcess): Promise<boolean> {
 		const status = await (await fetch(`${host.url}/api/v1/status`)).json() as {servers: unknown[]};
 		return status.servers.length >= this.backends.length;
@@ -165,11 +187,11 @@
 	}
 }
 
-/** Polls a condition until it holds; a rejection counts as false. Throws after the timeout. */
+/** Polls a condition until it holds; a rejection counts as false. Throws after the timeout, also if the condition is pending. */
 export async function waitUntil(condition: () => Promise<boolean>, description: string, timeoutMs = READY_TIMEOUT_MS): Promise<void> {
 	const deadlineMs = performance.now() + timeoutMs;
 	for (;;) {
-		if (await condition().catch(() => false)) {
+		if (await holdsInTime(condition, deadlineMs - performance.now())) {
 			return;
 		}
 
@@ -183,31 +205,14 @@
 	}
 }
 
-/**
- * Finds a free TCP port on 127.0.0.1. It lies below the range of outgoing connections and in a range of this process, so
- * that nothing else takes it before the caller listens on it.
- */
-export async function findPort(): Promise<number> {
-	for (let attempt = 0; attempt < PORTS_PER_PROCESS; attempt++) {
-		const port = FIRST_PORT + ((process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS) + (nextPort++ % PORTS_PER_PROCESS);
-		if (await isFree(port)) {
-			return port;
-		}
-	}
-
-	throw new Error(`No free port among ${PORTS_PER_PROCESS}.`);
-}
-
-async function isFree(port: number): Promise<boolean> {
+async function holdsInTime(condition: () => Promise<boolean>, timeoutMs: number): Promise<boolean> {
 	return new Promise(resolve => {
-		const server = net.createServer();
-		server.once('error', () => {
+		const timer = setTimeout(() => {
 			resolve(false);
-		});
-		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
+		}, timeoutMs);
+		void condition().catch(() => false).then(holds => {
+			clearTimeout(timer);
+			resolve(holds);
 		});
 	});
 }
--- a/test/fixture.ts
+++ b/test/fixture.ts
@@ -8,7 +8,8 @@
 import os from 'node:os';
 import path from 'node:path';
 import * as Either from 'fp-ts/lib/Either.js';
-import {findPort, waitUntil} from '../dev/fleet.js';
+import {waitUntil} from '../dev/fleet.js';
+import {findPort} from '../dev/ports.js';
 import type {FakeBackend} from '../fakes/backend.js';
 import {createSilentLoggers} from '../src/base/logger.js';
 import {Host} from '../src/daemon/host.js';
@@ -41,13 +42,29 @@
 	};
 	const host = new Host({settings, loggers: createSilentLoggers()});
 	const started = await host.start();
+	const backends: FakeBackend[] = [];
+	const stop = async () => {
+		for (const backend of backends) {
+			backend.stop();
+		}
+
+		await host.close();
+		await rm(folder, {recursive: true, force: true});
+	};
+
 	if (Either.isLeft(started)) {
+		await stop();
 		throw new Error(started.left.text);
 	}
 
 	const url = `http://127.0.0.1:${started.right.httpPort}`;
-	const backends: FakeBackend[] = [];
-	await waitUntil(async () => (await fetch(`${url}/readyz`)).status === 200, 'ready');
+	try {
+		await waitUntil(async () => (await fetch(`${url}/readyz`)).status === 200, 'ready');
+	} catch (error) {
+		await stop();
+		throw error;
+	}
+
 	return {
 		url,
 		host,
@@ -65,13 +82,6 @@
 			}, `${backend.options.name} is listed`);
 			return backend;
 		},
-		async stop() {
-			for (const backend of backends) {
-				backend.stop();
-			}
-
-			await host.close();
-			await rm(folder, {recursive: true, force: true});
-		},
+		stop,
 	};
 }
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -7,7 +7,8 @@
 import {before, test} from 'node:test';
 import {promisify} from 'node:util';
 import * as Either from 'fp-ts/lib/Either.js';
-import {findPort, waitUntil} from '../dev/fleet.js';
+import {waitUntil} from '../dev/fleet.js';
+import {findPort} from '../dev/ports.js';
 import {Listener} from '../src/wire/connection.js';
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -3,7 +3,7 @@
 import net, {type AddressInfo} from 'node:net';
 import {after, before, test} from 'node:test';
 import {streamCompletion} from '../dev/client.js';
-import {findPort} from '../dev/fleet.js';
+import {findPort} from '../dev/ports.js';
 import {FakeEngine} from '../fakes/engine.js';
 import {generateToken} from '../fakes/completion.js';
 import {sendJson} from '../fakes/backend.js';
--- a/test/system.ts
+++ b/test/system.ts
@@ -10,7 +10,8 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {Registry} from 'prom-client';
 import {request} from 'undici';
-import {findPort, waitUntil} from '../dev/fleet.js';
+import {waitUntil} from '../dev/fleet.js';
+import {findPort as findOwnPort} from '../dev/ports.js';
 import {PlatformProtocol} from '../platform/protocol.js';
 import {createControlHandler, startHttpServer} from '../platform/endpoints.js';
 import {PlatformOrderTransport} from '../platform/orders.js';
@@ -50,15 +51,25 @@
 	readonly maxResponseBytes?: number;
 	/** How the entry hosts connect to servers, by the order in which they start. */
 	readonly connectServers?: readonly ServerConnector[];
+	readonly findPort?: () => Promise<number>;
 };
 
 type TestContext = {
 	after(handler: () => Promise<void>): void;
 };
 
-/** Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. */
-export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, connectServers = []}: SystemOptions = {}) {
+/**
+ * Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. After the test,
+ * everything that was started is stopped, also if the start failed.
+ */
+export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, connectServers = [], findPort = findOwnPort}: SystemOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
+	const cleanups: Array<() => Promise<void> | void> = [async () => rm(folder, {recursive: true, force: true})];
+	t.after(async () => {
+		for (const cleanUp of cleanups.toReversed()) {
+			await cleanUp();
+		}
+	});
 	const clock = createClock();
 	const loggers = createSilentLoggers();
 	const entryLog = createRecordingLoggers();
@@ -83,7 +94,11 @@
 		leaseMs: 500,
 		announceIntervalMs: 400,
 	}));
+	cleanups.push(async () => control.close());
 	const api = unwrap(await startHttpServer(operators, createControlHandler(control)));
+	cleanups.push(() => {
+		closeServer(api);
+	});
 	let entryCount = 0;
 	const startEntry = async () => {
 		const callers = {address: '127.0.0.1', port: await findPort()};
@@ -91,6 +106,9 @@
 		const host = unwrap(await EntryHost.start({
 			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, peerAddress, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
 		}));
+		cleanups.push(() => {
+			host.close();
+		});
 		return {host, callers};
 	};
 
@@ -98,18 +116,10 @@
 	const entry = first.host;
 	const entries = [first];
 	const servers = options.map(option => new StubBackend(option));
-	t.after(async () => {
-		for (const {host} of entries) {
-			host.close();
-		}
-
-		closeServer(api);
-		await control.close();
+	cleanups.push(() => {
 		for (const server of servers) {
 			server.stop();
 		}
-
-		await rm(folder, {recursive: true, force: true});
 	});
 	const address = `${operators.address}:${operators.port}`;
 	await waitUntil(async () => {
