Upstream: break off responses with too many bytes besides the body

Seen: a response whose chunk extension does not end was read until the caller's deadline, as fast as the server sends (the new test timed out). The parser discards extensions without a limit, and no event of the exchange tells. Change: the bytes of the connection are compared with those of the body whenever the socket has data; more than 1 MiB and 256 bytes for each piece of the body break the exchange. Trailers and headers were bounded already (32 KiB), which the new tests show; 100,000 chunks of one byte with an extension each pass.

--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -93,6 +93,10 @@
 const MAX_HEAD_BYTES = 32_768;
 /** Maximum number of interim (1xx) responses before the final one. */
 const MAX_INTERIM_HEADS = 8;
+/** Maximum bytes of a response besides its body: all heads, and what a socket holds that is not parsed yet. */
+const MAX_FRAMING_BYTES = 1_048_576;
+/** What each piece of a body may add to that: the size of a chunk, its extensions and line ends. */
+const MAX_FRAMING_BYTES_PER_PIECE = 256;
 
 /** The connection pools of one host to all backend servers. Must be closed by its creator. */
 export class Upstream implements Transport {
@@ -176,6 +180,9 @@
  * a content length that is cut off by a reset would look complete.
  */
 class TrackedConnection extends Client {
+	/** The exchange that the received bytes belong to. */
+	exchange: UpstreamExchange | undefined;
+	#socket: net.Socket | undefined;
 	#isReset = false;
 
 	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector, observer: ConnectionObserver | undefined) {
@@ -201,6 +208,11 @@
 		return this.#isReset;
 	}
 
+	/** Bytes received since the connection was established. */
+	get receivedBytes(): number {
+		return this.#socket?.bytesRead ?? 0;
+	}
+
 	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
 		(options as TrackedDispatchOptions).onConnection(this);
 		return super.dispatch(options, handler);
@@ -224,6 +236,10 @@
 			socket.on('error', () => {
 				this.#isReset = true;
 			});
+			this.#socket = socket;
+			socket.on('readable', () => {
+				this.exchange?.checkFraming();
+			});
 			callback(null, socket);
 		});
 	}
@@ -238,6 +254,10 @@
 	#timer: NodeJS.Timeout | undefined;
 	#isEnded = false;
 	#interimHeads = 0;
+	/** Bytes that the connection had received before this exchange. */
+	#previousBytes = 0;
+	#bodyBytes = 0;
+	#bodyPieces = 0;
 
 	constructor(responseHandler: ResponseHandler, maySend: (() => boolean) | undefined) {
 		this.#responseHandler = responseHandler;
@@ -260,6 +280,8 @@
 				}
 			},
 			onResponseData: (_controller, chunk) => {
+				this.#bodyBytes += chunk.length;
+				this.#bodyPieces++;
 				if (!this.#isEnded) {
 					responseHandler.onData(chunk);
 				}
@@ -286,6 +308,16 @@
 		}
 	}
 
+	/** Breaks the exchange if the server sends too much besides the body, which the parser discards without a limit. */
+	checkFraming(): void {
+		const framingBytes = (this.connection?.receivedBytes ?? 0) - this.#previousBytes - this.#bodyBytes;
+		if (!this.#isEnded && framingBytes > MAX_FRAMING_BYTES + (this.#bodyPieces * MAX_FRAMING_BYTES_PER_PIECE)) {
+			const error = new Error(`The server sent ${framingBytes} bytes besides ${this.#bodyBytes} bytes of body.`);
+			this.#fail(error);
+			this.#controller?.abort(error);
+		}
+	}
+
 	cancel(): boolean {
 		const isFirst = this.#end();
 		if (isFirst) {
@@ -318,6 +350,10 @@
 		}
 
 		this.#controller = controller;
+		if (this.connection) {
+			this.connection.exchange = this;
+			this.#previousBytes = this.connection.receivedBytes;
+		}
 	}
 
 	#fail(error: Error): void {
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -5,6 +5,9 @@
 import {test} from 'node:test';
 import {Upstream, type Exchange} from '../src/serving/upstream.js';
 
+/** Limit on what is read of a response besides its body, with the socket buffers of both sides and one write. */
+const MAX_SENT_BYTES = 16 * 1024 * 1024;
+
 type Result = {
 	readonly outcome: 'complete' | 'unsent' | 'broken';
 	readonly body: string;
@@ -52,18 +55,36 @@
 
 test('a server that sends interim responses without end breaks the exchange', async t => {
 	const {ask} = await startServer(t, socket => {
-		const send = () => {
-			while (!socket.destroyed && socket.write('HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n')) {
-				// Writes until the buffer is full.
-			}
-		};
-
-		socket.on('drain', send);
-		send();
+		sendWithoutEnd(socket, 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n');
 	});
 	assert.equal((await ask()).outcome, 'broken');
 });
 
+for (const [name, head, part] of [
+	['chunk extension', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;', 'x'.repeat(1024)],
+	['trailer section', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n', `name: ${'x'.repeat(1000)}\r\n`],
+	['header section', 'HTTP/1.1 200 OK\r\n', `name: ${'x'.repeat(1000)}\r\n`],
+] as const) {
+	test(`a response whose ${name} does not end breaks the exchange`, async t => {
+		let sentBytes = 0;
+		const {ask} = await startServer(t, socket => {
+			socket.write(head);
+			sendWithoutEnd(socket, part, size => {
+				sentBytes += size;
+			});
+		});
+		assert.equal((await ask()).outcome, 'broken');
+		assert.ok(sentBytes <= MAX_SENT_BYTES, `The server sent ${sentBytes} bytes.`);
+	});
+}
+
+test('a response of many small chunks is complete', async t => {
+	const {ask} = await startServer(t, socket => {
+		socket.end(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${'0001;name=value\r\nx\r\n'.repeat(100_000)}0\r\n\r\n`);
+	});
+	assert.equal((await ask()).body.length, 100_000);
+});
+
 test('a request whose connection is refused is unsent', async t => {
 	const {ask, stop} = await startServer(t, () => undefined);
 	await stop();
@@ -83,6 +104,20 @@
 	await isClosed;
 });
 
+/** Writes a text again and again, as fast as it is read, until the socket is closed. */
+function sendWithoutEnd(socket: Socket, text: string, onWritten?: (size: number) => void): void {
+	const send = () => {
+		let hasRoom = true;
+		while (hasRoom && !socket.destroyed) {
+			hasRoom = socket.write(text);
+			onWritten?.(text.length);
+		}
+	};
+
+	socket.on('drain', send);
+	send();
+}
+
 function unexpected(): void {
 	assert.fail('The handler of a cancelled exchange was called.');
 }
