KV caches are not released at servers that refuse requests

Seen in reading: a 503 with Retry-After forbids requests until its time is over, but releases of prefilled KV caches were sent regardless, also when they had waited for a connection, and a retry time in their responses was not read. Cause: the release was built in StreamCall beside sendAttempt, which asks AvailabilityTracker. Change: release.ts asks before sending and when the connection is ready, and records what the response says; an engine that is not asked drops the KV cache when its hold time ends. Rate limits are not read from releases: their responses echo no request.

--- a/src/serving/statements.ts
+++ b/src/serving/statements.ts
@@ -42,8 +42,17 @@
 	};
 }
 
-/** Records what a response says about whether its server takes further requests. */
-function recordAvailability(context: ServingContext, server: Announcement, {isWrongServer, isLeaving, retryAfter}: ResponseHead): void {
+type AvailabilityContext = Pick<ServingContext, 'announceLeaving' | 'availability' | 'clock' | 'logger'>;
+
+/**
+ * Records what a response says about whether its server takes further requests.
+ *
+ * @example
+ * ```ts
+ * recordAvailability(context, server, context.protocol.parseResponse(status, headers));
+ * ```
+ */
+export function recordAvailability(context: AvailabilityContext, server: Announcement, {isWrongServer, isLeaving, retryAfter}: ResponseHead): void {
 	if (isWrongServer) {
 		return;
 	}
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -17,6 +17,7 @@
 import {EventSplitter, isUnframedStream} from './events.js';
 import type {PlacementResult} from './placement.js';
 import {sendPrefill} from './prefill.js';
+import {releaseKvCache} from './release.js';
 import type {Exchange} from './upstream.js';
 
 type RunOutcome
@@ -442,26 +443,9 @@
 	#releaseKvCache(): void {
 		const kvCache = this.#kvCache;
 		this.#kvCache = undefined;
-		if (!kvCache) {
-			return;
+		if (kvCache) {
+			releaseKvCache(this.#context, {kvCache, service: this.#call.service, request: this.#call.head.id});
 		}
-
-		const ignore = () => undefined;
-		this.#context.transport.send({
-			server: kvCache.server,
-			service: this.#call.service,
-			request: this.#call.head.id,
-			isRepeatable: true,
-			address: kvCache.address,
-			...this.#context.protocol.buildReleaseRequest(kvCache),
-			headers: [],
-			body: null,
-			maxConnections: 1,
-		}, {
-			onHead: ignore, onData: ignore, onEnd: ignore, onFailure: (failure, error) => {
-				this.#context.logger.warn(`Could not release a KV cache: ${error.message}`, {failure});
-			},
-		});
 	}
 
 	/** Late requests are served after all others. */
