Servers get their requests back in steps after a long refusal

Change: for three seconds after a refusal of 2 s or more (refusals with pauses under a second count as one) a host considers the server for a quarter, half and three quarters of its requests, drawn for each request. Others are preferred, not required: a plain request takes the server when no other healthy one is left, a stream is placed again with it when the scheduler rejects the request without it, at no cost in placements. Each host keeps its own record, as for the refusal itself. Result: trouble.test.ts green; without the two fallbacks the tests of the only server fail. Not measured yet.

--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -188,13 +188,15 @@
 	 * in this data centre.
 	 */
 	#selectServer(): Announcement | undefined {
-		const {clock, health, listServers, loadTracker, random, dataCentre, transport} = this.#context;
+		const {availability, clock, health, listServers, loadTracker, random, dataCentre, transport} = this.#context;
 		const nowMs = clock.monotonicMs();
 		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server) && !this.#atLimit.has(server.server));
 		const healthy = all.filter(server => !health.isSuspected(server.server, nowMs));
+		const heldBack = availability.drawHeldBack(nowMs, random);
+		const preferred = healthy.filter(({server, incarnation}) => !heldBack.some(other => other.server === server && other.incarnation === incarnation));
 		let chosen: Announcement | undefined;
 		let lowest = Number.POSITIVE_INFINITY;
-		for (const server of healthy.length > 0 ? healthy : all) {
+		for (const server of [preferred, healthy].find(({length}) => length > 0) ?? all) {
 			const load = loadTracker.estimate(server.server).requests / (server.capacity ?? 1);
 			const connectionCost = transport.hasIdleConnection(server) ? 0 : CONNECTION_WEIGHT;
 			const score = load + connectionCost + (server.dataCentre === dataCentre ? 0 : LOCALITY_WEIGHT) + (random() * LOCALITY_WEIGHT);
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {Buffer} from 'node:buffer';
+import type {ServerIncarnation} from '../base/incarnation.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
 import {LATE_PRIORITY, type PlacementDecision, type PlacementRequest} from '../routing/request.js';
@@ -59,6 +60,8 @@
 	#mayHaveRun = false;
 	/** Whether the engine that failed last sent a response, so that it may be used again if there is no other. */
 	#mayReuseExcluded = false;
+	/** Engines that return from a long refusal and are left out of this request unless no other engine can serve it. */
+	#heldBack: readonly string[] | undefined;
 	#kvFetchSource: Announcement | undefined;
 
 	constructor(context: ServingContext, call: Call, prompt: Prompt) {
@@ -136,7 +139,7 @@
 			const {decision, by} = placed;
 			this.#context.metrics.placements.inc({by});
 			if (decision.type === 'rejection') {
-				if (this.#readmitExcluded()) {
+				if (this.#readmitHeldBack() || this.#readmitExcluded()) {
 					continue;
 				}
 
@@ -199,10 +202,27 @@
 		return this.#context.availability.isAvailable(engine, this.#context.clock.monotonicMs());
 	}
 
-	/** Lists the engines that have told this host that they take no further requests. */
+	/** Lists the engines that have told this host that they take no further requests, and those that are held back. */
 	#listUnavailable(): string[] {
-		const {availability, findServer} = this.#context;
-		return availability.listUnavailable(this.#context.clock.monotonicMs()).filter(({server, incarnation}) => findServer(server)?.incarnation === incarnation).map(({server}) => server);
+		const {availability, clock, random} = this.#context;
+		this.#heldBack ??= this.#listNames(availability.drawHeldBack(clock.monotonicMs(), random));
+		return [...this.#listNames(availability.listUnavailable(clock.monotonicMs())), ...this.#heldBack];
+	}
+
+	#listNames(servers: readonly ServerIncarnation[]): string[] {
+		return servers.filter(({server, incarnation}) => this.#context.findServer(server)?.incarnation === incarnation).map(({server}) => server);
+	}
+
+	/** Allows the engines that are held back; returns false if there are none. */
+	#readmitHeldBack(): boolean {
+		const isReadmitted = this.#heldBack !== undefined && this.#heldBack.length > 0;
+		this.#heldBack = [];
+		if (isReadmitted) {
+			this.#placementCount--;
+			this.#releaseKvCache();
+		}
+
+		return isReadmitted;
 	}
 
 	/** Allows the engines that failed this request again, if the last one sent a response. Returns false otherwise. */
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -189,6 +189,49 @@
 	assert.ok(availability.isAvailable(server, 606_000));
 });
 
+test('a server is considered for a growing share of the requests after a refusal of two seconds or more', () => {
+	const server = {server: 's1', incarnation: 1};
+	const measureShare = (availability: AvailabilityTracker, nowMs: number) => {
+		const draws = Array.from({length: 100}, (_, index) => availability.drawHeldBack(nowMs, () => index / 100));
+		return draws.filter(({length}) => length === 0).length / 100;
+	};
+
+	const long = new AvailabilityTracker();
+	long.recordRefusal(server, 2000, 0);
+	assert.deepEqual([2000, 3000, 4000, 5000].map(nowMs => measureShare(long, nowMs)), [0.25, 0.5, 0.75, 1]);
+	const short = new AvailabilityTracker();
+	short.recordRefusal(server, 1999, 0);
+	assert.equal(measureShare(short, 1999), 1);
+	const repeated = new AvailabilityTracker();
+	for (let nowMs = 0; nowMs < 3000; nowMs += 500) {
+		repeated.recordRefusal(server, 400, nowMs);
+	}
+
+	assert.equal(measureShare(repeated, 2900), 0.25);
+});
+
+for (const [name, path, headers] of [['plain server', '/read/1', {}], ['engine', '/ask/1', SHORT_PROMPT]] as const) {
+	test(`the only server (${name}) gets all requests right after a long refusal`, async t => {
+		let hasRefused = false;
+		const kind = path.startsWith('/ask') ? {service: 'llm', stage: 'decode' as const} : {service: 'plain'};
+		const system = await startSystem(t, [{
+			id: 's1', ...kind, intercept(request, response, body) {
+				const refuses = !hasRefused;
+				hasRefused = true;
+				return refuses && refuse('2')!(request, response, body);
+			},
+		}]);
+		assert.equal((await system.call(path, headers, 'body')).status, 503);
+		await waitUntil(async () => {
+			await system.announceServers();
+			return (await system.call(path, headers, 'body')).status === 200;
+		}, 's1 takes requests again');
+		for (let index = 0; index < 10; index++) {
+			assert.equal((await system.call(path, headers, 'body')).status, 200);
+		}
+	});
+}
+
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 
 for (const [name, headers] of [['with a prompt', SHORT_PROMPT], ['without a prompt', {}]] as const) {
