Idle connections keep no ended exchange

Seen in reading: since a connection refers to the exchange whose bytes it counts, also after its end, and with it to the request's body, for as long as the connection is idle (up to 30 s).

--- a/src/routing/availability.ts
+++ b/src/routing/availability.ts
@@ -85,8 +85,8 @@
 	}
 
 	/**
-	 * Draws the servers that one request should leave out, if others can serve it, because they have refused for long until a
-	 * moment ago: so they get their share of the requests back in steps.
+	 * Draws the servers that one request should leave out if others can serve it, because a long refusal of theirs has just ended.
+	 * So they get their share of the requests back in steps.
 	 */
 	drawHeldBack(nowMs: number, random: Random): ServerIncarnation[] {
 		return [...this.#refusing.values()].filter(refusal => random() >= findReturnShare(refusal, nowMs))
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -366,6 +366,10 @@
 	/** Marks the exchange as ended; returns false if it has already ended. */
 	#end(): boolean {
 		clearTimeout(this.#timer);
+		if (this.connection?.exchange === this) {
+			this.connection.exchange = undefined;
+		}
+
 		const isFirst = !this.#isEnded;
 		this.#isEnded = true;
 		return isFirst;
