--- a/bench/endless.ts
+++ b/bench/endless.ts
@@ -10,6 +10,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import process from 'node:process';
+import {createResponseHeaders} from '../test/stub.js';
 import {startSystem} from '../test/system.js';
 
 const RESPONSES = 200;
@@ -60,7 +61,7 @@
 			response.once('close', () => {
 				open--;
 			});
-			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id'])});
+			response.writeHead(200, createResponseHeaders(request));
 			write(response);
 			return true;
 		},
--- a/test/stub.ts
+++ b/test/stub.ts
@@ -158,3 +158,8 @@
 		response.end();
 	}
 }
+
+/** Creates the headers with which a server marks a response as the one to a request. */
+export function createResponseHeaders(request: IncomingMessage): Record<string, string> {
+	return {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id'])};
+}
