--- a/dev/fleet.ts
+++ b/dev/fleet.ts
@@ -52,8 +52,8 @@
 	}
 
 	/**
-	 * Starts every process and waits until all hosts are ready and list all backend servers. Throws if a process exits or a
-	 * host is not ready in time; no process is left running then.
+	 * Starts every process and waits until all hosts are ready and list all backend servers. Throws if a host exits or is
+	 * not ready in time; no process is left running then.
 	 */
 	static async start(options: FleetOptions): Promise<ProcessFleet> {
 		const fleet = new ProcessFleet(await mkdtemp(path.join(os.tmpdir(), 'carawayhoist-')));
