--- a/bench/endless.ts
+++ b/bench/endless.ts
@@ -1,6 +1,7 @@
 /**
  * Measures the memory of an entry host while servers send responses without end: as fast as they can, and a few bytes at a
- * time. The servers run in the same process and write one shared buffer, so that what grows belongs to the host.
+ * time. The servers and the callers run in the same process, so the figures are upper bounds; the servers write
+ * one shared buffer.
  *
  * @example
  * ```sh
--- a/test/startup.test.ts
+++ b/test/startup.test.ts
@@ -11,7 +11,7 @@
 
 const RANGE = 7;
 
-test('two processes that prefer the same ports find different ones', async t => {
+test('two owners of port ranges that prefer the same range find different ports', async t => {
 	const ranges = [await PortRange.claim(RANGE), await PortRange.claim(RANGE)];
 	t.after(async () => Promise.all(ranges.map(async range => range.release())));
 	const ports = new Set<number>();
