Message validators: one function per definition and a table by type, so that the compiler does not overflow its stack

Cause: on arm64 (Node 20.19.0) `npm run build` ended with RangeError: Maximum call stack size exceeded in getTypeAtFlowNode. The validator of Message held all 32 variants in one chain of branches, with simple definitions inlined into it; the compiler's flow analysis follows such branches recursively, so each new message type used more stack. Ruled out: a larger stack; leaving the generated file to a copy step (the compiler would no longer see its exports). Change: each variant and each definition has a validator of its own; validate() looks up the variant by its type.

--- a/src/base/validate.ts
+++ b/src/base/validate.ts
@@ -8,7 +8,7 @@
 import {
 	checkAnnouncement, checkPlatformSettings, checkSettings, checkSpecification,
 } from '../generated/checkers.js';
-import {checkMessage} from '../generated/messages.js';
+import {messageValidators} from '../generated/messages.js';
 import type {
 	Announcement, PlatformSettings, Message, Settings, Specification,
 } from '../generated/types.js';
@@ -31,8 +31,10 @@
 };
 
 const VALIDATORS = {
-	Settings: checkSettings, Specification: checkSpecification, Announcement: checkAnnouncement, Message: checkMessage, PlatformSettings: checkPlatformSettings,
-} as unknown as Record<keyof ValidatedTypes, ValidateFunction>;
+	Settings: checkSettings, Specification: checkSpecification, Announcement: checkAnnouncement, PlatformSettings: checkPlatformSettings,
+} as unknown as Record<Exclude<keyof ValidatedTypes, 'Message'>, ValidateFunction>;
+
+const MESSAGE_VALIDATORS = messageValidators as unknown as ReadonlyMap<unknown, ValidateFunction>;
 
 /**
  * Validates a value. Fills in the defaults of its schema and returns every violation, except for messages: they have no
@@ -45,7 +47,11 @@
  * ```
  */
 export function validate<Name extends keyof ValidatedTypes>(name: Name, value: unknown): Either.Either<ValidationError[], ValidatedTypes[Name]> {
-	const validator = VALIDATORS[name];
+	const validator = name === 'Message' ? findMessageValidator(value) : VALIDATORS[name as Exclude<Name, 'Message'>];
+	if (!validator) {
+		return Either.left([{pointer: '/type', text: 'must be the type of a message'}]);
+	}
+
 	return validator(value)
 		? Either.right(value as ValidatedTypes[Name])
 		: Either.left((validator.errors ?? []).map(error => describeError(error)));
@@ -63,6 +69,10 @@
 	return errors.map(error => `${error.pointer} ${error.text}`).join('; ');
 }
 
+function findMessageValidator(value: unknown): ValidateFunction | undefined {
+	return MESSAGE_VALIDATORS.get((value as {readonly type?: unknown} | null | undefined)?.type);
+}
+
 function describeError(error: ErrorObject): ValidationError {
 	const parameters = error.params as {
 		missingProperty?: string;
