Requests that outlast a shutdown get an answer and a log line

What callers saw: a closed connection without an answer at the end of the grace period; operators saw no line of the request. Cause: close() destroyed the connections of the requests that were left, and the process exited before their end was logged. The line says when the request arrived relative to SIGTERM.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -64,6 +64,8 @@
 const LOAD_BALANCER_DELAY_MS = 2500;
 /** Time before the end of the grace period at which the remaining requests are aborted, in milliseconds. */
 const STOP_MARGIN_MS = 400;
+/** Time within which the responses of aborted requests are handed to the operating system, in milliseconds. */
+const FLUSH_MS = 200;
 const POLL_MS = 50;
 
 /** A running entry host. Whoever starts it must stop it. */
@@ -210,7 +212,7 @@
 	/** Stops accepting callers, waits for the running requests until shortly before the grace period ends, then closes. */
 	async stop(): Promise<void> {
 		const {clock, graceMs} = this.#options;
-		const startedMs = clock.monotonicMs();
+		const abortMs = clock.monotonicMs() + graceMs - STOP_MARGIN_MS;
 		this.#isStopping = true;
 		this.#logger.info('Shutting down: reporting not ready.', {active: this.#gateway.activeCount});
 		this.#gateway.startDraining();
@@ -218,11 +220,10 @@
 		this.#subscription.announceRelaying();
 		await sleep(Math.min(LOAD_BALANCER_DELAY_MS, graceMs / 2));
 		this.#gateway.stopAccepting();
-		while (this.#gateway.activeCount + this.#relayService.activeCount > 0 && clock.monotonicMs() - startedMs < graceMs - STOP_MARGIN_MS) {
-			await sleep(POLL_MS);
-		}
-
-		this.#logger.info('Shutdown complete.', {active: this.#gateway.activeCount});
+		await this.#waitUntilIdle(abortMs);
+		this.#gateway.abort();
+		await this.#waitUntilIdle(abortMs + FLUSH_MS);
+		this.#logger.info('Shutdown complete.', {active: this.#gateway.activeCount, relayed: this.#relayService.activeCount});
 		this.close();
 	}
 
@@ -234,6 +235,13 @@
 		this.#transport.close();
 	}
 
+	/** Waits until no request is in progress, or a monotonic time has come. */
+	async #waitUntilIdle(untilMs: number): Promise<void> {
+		while (this.#gateway.activeCount + this.#relayService.activeCount > 0 && this.#options.clock.monotonicMs() < untilMs) {
+			await sleep(POLL_MS);
+		}
+	}
+
 	#receive(message: Message, control: string): void {
 		switch (message.type) {
 			case 'gossip': {
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -41,8 +41,10 @@
 	readonly #options: GatewayOptions;
 	readonly #server: http.Server;
 	readonly #startedMs: number;
-	#active = 0;
-	#isStopping = false;
+	/** The requests in progress; one without a call has not been received completely. */
+	readonly #requests = new Map<Caller, {call?: Call}>();
+	/** Monotonic time at which this host began to shut down, milliseconds. */
+	#stoppedMs: number | undefined;
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
@@ -59,7 +61,7 @@
 
 	/** Number of requests in progress. */
 	get activeCount(): number {
-		return this.#active;
+		return this.#requests.size;
 	}
 
 	/** Applies the time limits of connections. */
@@ -81,7 +83,7 @@
 
 	/** Closes each connection after the next response on it. */
 	startDraining(): void {
-		this.#isStopping = true;
+		this.#stoppedMs = this.#options.context.clock.monotonicMs();
 	}
 
 	/** Stops accepting connections and closes idle ones. */
@@ -90,6 +92,13 @@
 		this.#server.closeIdleConnections();
 	}
 
+	/** Ends all requests: with an error response, or by closing the connection if a response has started. */
+	abort(): void {
+		for (const [caller, {call}] of this.#requests) {
+			caller.fail(call ? createProblem('aborted') : createProblem('shuttingDown', undefined, 0));
+		}
+	}
+
 	close(): void {
 		this.#server.close();
 		this.#server.closeAllConnections();
@@ -99,16 +108,16 @@
 		const {context} = this.#options;
 		const arrivedMs = context.clock.monotonicMs();
 		const caller = new Caller(request, response);
-		if (this.#isStopping) {
+		if (this.#stoppedMs !== undefined) {
 			response.setHeader('connection', 'close');
 		}
 
-		this.#active++;
-		context.metrics.active.set(this.#active);
 		const served: {call?: Call} = {};
+		this.#requests.set(caller, served);
+		context.metrics.active.set(this.#requests.size);
 		caller.onEnd(outcome => {
-			this.#active--;
-			context.metrics.active.set(this.#active);
+			this.#requests.delete(caller);
+			context.metrics.active.set(this.#requests.size);
 			this.#logEnd(caller, served.call, outcome, arrivedMs);
 		});
 		const found = await this.#createCall(caller, arrivedMs);
@@ -225,8 +234,9 @@
 		}
 
 		const {problem, status} = caller;
+		const arrivedAfterStopMs = this.#stoppedMs === undefined ? undefined : Math.round(arrivedMs - this.#stoppedMs);
 		logger.info(`Request ${outcome}.`, {
-			request: call?.head.id, route, service: call?.service, version: call?.routeTable.config.version, status, tookMs: durationMs, ...call?.logFields, code: problem?.code, reason: problem?.text,
+			request: call?.head.id, route, service: call?.service, version: call?.routeTable.config.version, status, tookMs: durationMs, arrivedAfterStopMs, ...call?.logFields, code: problem?.code, reason: problem?.text,
 		});
 	}
 }
