A shutdown closes connections on which a stream began before it

What callers saw (LOST): a request that ran at a server was closed without an answer around the SIGTERM of its host. Cause: only a response that begins after SIGTERM says 'connection: close'. A connection whose stream began before stayed open after the listener had closed; while other requests kept the host alive, the next request on it was taken, sent to a server and cut at the end of the grace period. Class: a promise made per response for a state of the connection. Evidence: test 'a connection on which a stream began before the shutdown takes no request after it'; before, the caller's second request reached the server and its connection was closed in the middle of the response. Change: CallerConnections knows the requests of each connection and closes it after the last response, from SIGTERM on; a request that crosses the close is not sent to a server, so that its caller may send it again.

--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -10,6 +10,7 @@
 import {
 	chooseService, ROUTE_KINDS, type CallerLimits, type RouteTable,
 } from '../routing/routes.js';
+import {CallerConnections} from '../wire/callers.js';
 import type {Address} from '../wire/connection.js';
 import {Caller, type CallOutcome} from './caller.js';
 import {PlainCall} from './plaincall.js';
@@ -41,6 +42,7 @@
 	readonly #options: GatewayOptions;
 	readonly #server: http.Server;
 	readonly #startedMs: number;
+	readonly #connections = new CallerConnections();
 	/** The requests in progress; one without a call has not been received completely. */
 	readonly #requests = new Map<Caller, {call?: Call}>();
 	/** Monotonic time at which this host began to shut down, milliseconds. */
@@ -50,7 +52,9 @@
 		this.#options = options;
 		this.#startedMs = options.context.clock.monotonicMs();
 		this.#server = http.createServer({maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true}, (request, response) => {
-			void this.#serve(request, response);
+			if (this.#connections.accept(request, response)) {
+				void this.#serve(request, response);
+			}
 		});
 		this.#server.requestTimeout = 0;
 		this.applyLimits(DEFAULT_LIMITS);
@@ -81,9 +85,10 @@
 		});
 	}
 
-	/** Closes each connection after the next response on it. */
+	/** Closes each connection after its current response, or after the next one if it is idle. */
 	startDraining(): void {
 		this.#stoppedMs = this.#options.context.clock.monotonicMs();
+		this.#connections.startDraining();
 	}
 
 	/** Stops accepting connections and closes idle ones. */
@@ -108,10 +113,6 @@
 		const {context} = this.#options;
 		const arrivedMs = context.clock.monotonicMs();
 		const caller = new Caller(request, response);
-		if (this.#stoppedMs !== undefined) {
-			response.setHeader('connection', 'close');
-		}
-
 		const served: {call?: Call} = {};
 		this.#requests.set(caller, served);
 		context.metrics.active.set(this.#requests.size);
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -1,11 +1,44 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
 import net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import type {Address} from '../src/wire/connection.js';
+import {createResponseHeaders} from './stub.js';
 import {startSystem} from './system.js';
 
+const SHORT_PROMPT = 'carawayhoist-model: m\r\ncarawayhoist-token-counts: 10,80\r\ncarawayhoist-prompt-prefix: aa:10\r\n';
+
+test('a connection on which a stream began before the shutdown takes no request after it', async t => {
+	const streams: ServerResponse[] = [];
+	const system = await startSystem(t, [{
+		id: 'e1', service: 'llm', stage: 'decode', intercept(request, response) {
+			response.writeHead(200, {...createResponseHeaders(request), 'content-type': 'text/event-stream'});
+			response.write('id: 1\ndata: first\n\n');
+			streams.push(response);
+			return true;
+		},
+	}], {graceMs: 3000});
+	const caller = await connectCaller(system.callers);
+	caller.send('/tell/1', 'kept-1', SHORT_PROMPT);
+	await waitUntil(async () => caller.text.includes('data: first'), 'the stream has begun');
+	const other = await connectCaller(system.callers);
+	other.send('/tell/1', 'other', SHORT_PROMPT);
+	await waitUntil(async () => other.text.includes('data: first'), 'the other stream has begun');
+	const stopped = system.entry.stop();
+	await waitUntil(async () => !await accepts(system.callers), 'the host accepts no further connection');
+	streams[0]!.end();
+	await waitUntil(async () => caller.text.endsWith('0\r\n\r\n') || caller.isClosed, 'the stream has ended');
+	caller.send('/tell/1', 'kept-2', SHORT_PROMPT);
+	await waitUntil(async () => caller.isClosed, 'the connection is closed');
+	streams[1]!.end();
+	await waitUntil(async () => other.isClosed, 'the other connection is closed');
+	await stopped;
+	assert.deepEqual([caller, other].map(({text}) => text.endsWith('0\r\n\r\n')), [true, true]);
+	assert.deepEqual(system.servers[0]!.receivedRequests.map(({headers}) => headers['carawayhoist-attempt-id']), ['kept-1', 'other']);
+});
+
 test('a request that has not ended when the grace period does is answered and logged', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: () => true}], {graceMs: 1000});
 	const caller = await connectCaller(system.callers);
@@ -19,6 +52,20 @@
 	assert.ok(Number(line?.fields.arrivedAfterStopMs) <= 0);
 });
 
+/** Whether a host accepts connections. */
+async function accepts({address, port}: Address): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = net.connect({host: address, port});
+		socket.once('connect', () => {
+			socket.destroy();
+			resolve(true);
+		});
+		socket.once('error', () => {
+			resolve(false);
+		});
+	});
+}
+
 /** Opens a connection as a caller that sends several requests on it. */
 async function connectCaller({address, port}: Address) {
 	const socket = net.connect({host: address, port});
