A shutdown delivers responses that their callers read slowly

What callers could see (LOST): a response that breaks off, at the moment at which a stopping host stops accepting connections. Cause: Node's server counts a connection as idle once its response has ended, although the process still holds bytes that the caller has not taken; close() and closeIdleConnections() destroy it. The host's count of requests fell at the same moment, so it did not wait for them either. Evidence: test 'a response that its caller reads slowly is delivered whole at a shutdown' (32 MB); before, the host had stopped while the caller had not read anything. Change: CallerConnections replaces the server's notion of an idle connection: all responses handed to the operating system, nothing received since. The host waits for the same count.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -223,7 +223,7 @@
 		await this.#waitUntilIdle(abortMs);
 		this.#gateway.abort();
 		await this.#waitUntilIdle(abortMs + FLUSH_MS);
-		this.#logger.info('Shutdown complete.', {active: this.#gateway.activeCount, relayed: this.#relayService.activeCount});
+		this.#logger.info('Shutdown complete.', {unsent: this.#gateway.activeCount, relayed: this.#relayService.activeCount});
 		this.close();
 	}
 
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -42,7 +42,7 @@
 	readonly #options: GatewayOptions;
 	readonly #server: http.Server;
 	readonly #startedMs: number;
-	readonly #connections = new CallerConnections();
+	readonly #connections: CallerConnections;
 	/** The requests in progress; one without a call has not been received completely. */
 	readonly #requests = new Map<Caller, {call?: Call}>();
 	/** Monotonic time at which this host began to shut down, milliseconds. */
@@ -56,6 +56,7 @@
 				void this.#serve(request, response);
 			}
 		});
+		this.#connections = new CallerConnections(this.#server);
 		this.#server.requestTimeout = 0;
 		this.applyLimits(DEFAULT_LIMITS);
 		this.#server.on('clientError', (error, socket) => {
@@ -63,9 +64,9 @@
 		});
 	}
 
-	/** Number of requests in progress. */
+	/** Number of requests in progress, including those whose response has not been handed to the operating system completely. */
 	get activeCount(): number {
-		return this.#requests.size;
+		return this.#connections.openCount;
 	}
 
 	/** Applies the time limits of connections. */
@@ -94,7 +95,6 @@
 	/** Stops accepting connections and closes idle ones. */
 	stopAccepting(): void {
 		this.#server.close();
-		this.#server.closeIdleConnections();
 	}
 
 	/** Ends all requests: with an error response, or by closing the connection if a response has started. */
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -39,6 +39,31 @@
 	assert.deepEqual(system.servers[0]!.receivedRequests.map(({headers}) => headers['carawayhoist-attempt-id']), ['kept-1', 'other']);
 });
 
+test('a response that its caller reads slowly is delivered whole at a shutdown', async t => {
+	const body = Buffer.alloc(32 * 1024 * 1024, 'x');
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept(request, response) {
+			response.writeHead(200, createResponseHeaders(request)).end(body);
+			return true;
+		},
+	}], {graceMs: 20_000, maxResponseBytes: body.length});
+	const caller = await connectCaller(system.callers);
+	caller.pause();
+	caller.send('/book/1', 'slow');
+	await waitUntil(async () => system.entryLines.some(({fields}) => fields.request === 'slow' && 'status' in fields), 'the response has ended');
+	let hasStopped = false;
+	const stopped = (async () => {
+		await system.entry.stop();
+		hasStopped = true;
+	})();
+	await waitUntil(async () => !await accepts(system.callers), 'the host accepts no further connection');
+	assert.ok(!hasStopped);
+	caller.resume();
+	await waitUntil(async () => caller.isClosed, 'the connection is closed');
+	await stopped;
+	assert.equal(caller.text.length - caller.text.indexOf('\r\n\r\n') - 4, body.length);
+});
+
 test('a request that has not ended when the grace period does is answered and logged', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: () => true}], {graceMs: 1000});
 	const caller = await connectCaller(system.callers);
