A request behind the last response of a connection is not served

What callers could see (LOST, TWICE): a request that is sent behind another one on a connection of a stopping host ran at a server, and its connection was closed without an answer. Cause: the host says 'connection: close' in the response to the first request and closes after it, but had already begun to serve the second one. Evidence: test 'a request behind one that ends its connection does not reach a server'; before, the server had both. Change: requests behind a response that ends its connection are discarded, as HTTP demands (RFC 9112, section 9.6).

--- a/src/wire/callers.ts
+++ b/src/wire/callers.ts
@@ -11,7 +11,7 @@
 	openCount: number;
 	/** Bytes received when the last response ended; undefined before the first one. */
 	receivedBytes: number | undefined;
-	/** Whether the connection is closed without another response. */
+	/** Whether the connection ends with a response that is in progress; requests behind it are not served. */
 	isEnding: boolean;
 };
 
@@ -55,7 +55,7 @@
 		this.#isDraining = true;
 	}
 
-	/** Registers a request. Returns false if its connection is being closed, so that it must not be served. */
+	/** Registers a request. Returns false if its connection is closed after an earlier one, so that it must not be served. */
 	accept({socket}: IncomingMessage, response: ServerResponse): boolean {
 		const state = this.#track(socket);
 		if (state.isEnding) {
@@ -64,6 +64,7 @@
 
 		if (this.#isDraining) {
 			response.setHeader('connection', 'close');
+			state.isEnding = true;
 		}
 
 		state.openCount++;
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -64,6 +64,19 @@
 	assert.equal(caller.text.length - caller.text.indexOf('\r\n\r\n') - 4, body.length);
 });
 
+test('a request behind one that ends its connection does not reach a server', async t => {
+	const system = await startSystem(t, [{id: 'p1', service: 'plain'}], {graceMs: 1000});
+	const caller = await connectCaller(system.callers);
+	const stopped = system.entry.stop();
+	caller.send('/book/1', 'pipelined-1');
+	caller.send('/book/1', 'pipelined-2');
+	await waitUntil(async () => caller.isClosed, 'the connection is closed');
+	await stopped;
+	assert.match(caller.text, /^HTTP\/1\.1 200 OK\r\n/v);
+	assert.match(caller.text, /plain pipelined-1/v);
+	assert.deepEqual(system.servers[0]!.receivedRequests.map(({headers}) => headers['carawayhoist-attempt-id']), ['pipelined-1']);
+});
+
 test('a request that has not ended when the grace period does is answered and logged', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: () => true}], {graceMs: 1000});
 	const caller = await connectCaller(system.callers);
