A host that no longer accepts connections refuses requests that it cannot finish in time

What callers saw (LOST): a request that arrived late at a stopping host, such as one whose body was half read at SIGTERM, was sent to a server and cut at the end of the grace period. Cause: once the head of a request had been read, it was served whatever time was left. Evidence: test 'a request whose body arrives during a shutdown is refused, not run, ...'; before, it was sent to a server with less time than its route allows. The counterpart, which is served because its timeout ends in time, was green before. Change: after the listener has closed, a request whose deadline or route timeout ends later than the host is refused at once with 503, not-run (code 3005). Load it answers: callers on kept connections and slow uploads during a rolling restart; requests that arrive before, while the balancer still sends callers, are served as before.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -219,7 +219,7 @@
 		this.#relayService.startDraining();
 		this.#subscription.announceRelaying();
 		await sleep(Math.min(LOAD_BALANCER_DELAY_MS, graceMs / 2));
-		this.#gateway.stopAccepting();
+		this.#gateway.stopAccepting(abortMs);
 		await this.#waitUntilIdle(abortMs);
 		this.#gateway.abort();
 		await this.#waitUntilIdle(abortMs + FLUSH_MS);
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -47,6 +47,8 @@
 	readonly #requests = new Map<Caller, {call?: Call}>();
 	/** Monotonic time at which this host began to shut down, milliseconds. */
 	#stoppedMs: number | undefined;
+	/** Monotonic time at which the requests in progress are aborted, milliseconds; undefined unless this host shuts down. */
+	#abortMs: number | undefined;
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
@@ -92,8 +94,13 @@
 		this.#connections.startDraining();
 	}
 
-	/** Stops accepting connections and closes idle ones. */
-	stopAccepting(): void {
+	/**
+	 * Stops accepting connections and closes idle ones. Requests that still arrive are refused unless they end in time.
+	 *
+	 * @param abortMs - Monotonic time at which the requests in progress are aborted, milliseconds.
+	 */
+	stopAccepting(abortMs: number): void {
+		this.#abortMs = abortMs;
 		this.#server.close();
 	}
 
@@ -194,7 +201,11 @@
 			return Either.left(createProblem('notFound', `No route for ${request.headers.host ?? ''}${request.url ?? ''}.`));
 		}
 
-		const waitMs = Math.min(route.timeoutMs, received.head.timeoutMs ?? NO_DEADLINE_MS);
+		const deadlineMs = received.arrivedMs + Math.min(route.timeoutMs, received.head.timeoutMs ?? NO_DEADLINE_MS);
+		if (this.#abortMs !== undefined && deadlineMs > this.#abortMs) {
+			return Either.left(createProblem('shuttingDown', undefined, 0));
+		}
+
 		let fingerprint: string | undefined;
 		return Either.right({
 			...received,
@@ -202,7 +213,7 @@
 			route,
 			routeTable,
 			service: chooseService(route, this.#options.context.random),
-			deadlineMs: received.arrivedMs + waitMs,
+			deadlineMs,
 			suspect: {
 				id: received.head.id,
 				getFingerprint() {
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -77,6 +77,25 @@
 	assert.deepEqual(system.servers[0]!.receivedRequests.map(({headers}) => headers['carawayhoist-attempt-id']), ['pipelined-1']);
 });
 
+for (const {title, graceMs, expected} of [
+	{title: 'is refused, not run, if its timeout ends after the grace period', graceMs: 2000, expected: /^HTTP\/1\.1 503 [\s\S]*carawayhoist-code: 3005\r\ncarawayhoist-outcome: not-run\r\n/v},
+	{title: 'is served if its timeout ends within the grace period', graceMs: 3000, expected: /^HTTP\/1\.1 200 OK\r\n[\s\S]*data: half 4\n/v},
+]) {
+	test(`a request whose body arrives during a shutdown ${title}`, async t => {
+		const system = await startSystem(t, [{id: 'e1', service: 'llm', stage: 'decode'}], {graceMs});
+		const caller = await connectCaller(system.callers);
+		caller.write('POST /tell/1 HTTP/1.1\r\nhost: a.example\r\ncarawayhoist-attempt-id: half\r\ncontent-length: 8\r\n\r\nhalf');
+		await waitUntil(async () => (await system.metrics.active.get()).values[0]?.value === 1, 'the head has been read');
+		const stopped = system.entry.stop();
+		await waitUntil(async () => !await accepts(system.callers), 'the host accepts no further connection');
+		caller.write('rest');
+		await waitUntil(async () => caller.isClosed, 'the connection is closed');
+		await stopped;
+		assert.match(caller.text, expected);
+		assert.equal(system.servers[0]!.receivedRequests.length, graceMs === 3000 ? 1 : 0);
+	});
+}
+
 test('a request that has not ended when the grace period does is answered and logged', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: () => true}], {graceMs: 1000});
 	const caller = await connectCaller(system.callers);
