Own door: a shutdown closes connections on which a stream began before it

The same cause as at the published routes: a response that began before SIGTERM does not say 'connection: close', and Node's server takes a response that has ended for one that is delivered. Evidence: test 'the declared services and models: a connection on which a stream began ...'; before, the second request on the connection was served while the host waited for another stream. Change: the server uses CallerConnections.

--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -13,6 +13,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import {formatValidationErrors, validate} from '../base/validate.js';
 import type {Announcement, Endpoint} from '../generated/types.js';
+import {CallerConnections} from '../wire/callers.js';
 import {
 	createErrorBody, parseJson, readBody, readHeader, sendJson, sendProblem, type BodyLimits, type Exchange,
 } from './exchange.js';
@@ -46,18 +47,21 @@
 export class EntryServer {
 	readonly #options: EntryServerOptions;
 	readonly #server: http.Server;
+	readonly #connections: CallerConnections;
 	#nextRequestNumber = 1;
-	#activeCount = 0;
 	#isStopping = false;
 
 	constructor(options: EntryServerOptions) {
 		this.#options = options;
 		const listener: http.RequestListener = (request, response) => {
-			void this.#serve(request, response);
+			if (this.#connections.accept(request, response)) {
+				void this.#serve(request, response);
+			}
 		};
 
 		const serverOptions = {maxHeaderSize: options.limits.headerBytes, keepAliveTimeout: KEEP_ALIVE_MS};
 		this.#server = options.tls ? https.createServer({...serverOptions, ...options.tls}, listener) : http.createServer(serverOptions, listener);
+		this.#connections = new CallerConnections(this.#server);
 		this.#server.requestTimeout = 0;
 		this.#server.headersTimeout = options.limits.bodyTimeoutMs;
 		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
@@ -65,9 +69,9 @@
 		});
 	}
 
-	/** Number of requests in progress. */
+	/** Number of requests in progress, including those whose response has not been handed to the operating system completely. */
 	get activeCount(): number {
-		return this.#activeCount;
+		return this.#connections.openCount;
 	}
 
 	/** Starts listening and returns the port. */
@@ -82,15 +86,15 @@
 		});
 	}
 
-	/** Reports not ready from now on. Requests are still served. */
+	/** Reports not ready from now on. Requests are still served, the last one on each connection. */
 	beginStop(): void {
 		this.#isStopping = true;
+		this.#connections.startDraining();
 	}
 
 	/** Stops accepting connections and closes idle ones. */
 	stopAccepting(): void {
 		this.#server.close();
-		this.#server.closeIdleConnections();
 	}
 
 	/** Stops listening and closes all connections. */
@@ -109,14 +113,6 @@
 			path: url?.pathname ?? '/',
 			query: url?.searchParams ?? new URLSearchParams(),
 		};
-		if (this.#isStopping) {
-			response.setHeader('connection', 'close');
-		}
-
-		this.#activeCount++;
-		response.once('close', () => {
-			this.#activeCount--;
-		});
 		try {
 			await this.#dispatch(exchange);
 		} catch (error) {
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -4,7 +4,9 @@
 import net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {FakeEngine} from '../fakes/engine.js';
 import type {Address} from '../src/wire/connection.js';
+import {startFixture} from './fixture.js';
 import {createResponseHeaders} from './stub.js';
 import {startSystem} from './system.js';
 
@@ -109,6 +111,38 @@
 	assert.ok(Number(line?.fields.arrivedAfterStopMs) <= 0);
 });
 
+test('the declared services and models: a connection on which a stream began before the shutdown takes no request after it', async t => {
+	const fixture = await startFixture();
+	t.after(async () => fixture.stop());
+	const engine = await fixture.add(entries => new FakeEngine({
+		name: 'slow-1', entries, announceIntervalMs: 50, models: ['chat-1'], stepMs: 20,
+	}));
+	const {port} = new URL(fixture.url);
+	const callerAddress = {address: '127.0.0.1', port: Number(port)};
+	const formatRequest = (tokens: number) => {
+		const body = JSON.stringify({
+			model: 'chat-1', stream: true, messages: [{role: 'user', content: 'hello'}], max_tokens: tokens,
+		});
+		return `POST /v1/chat/completions HTTP/1.1\r\nhost: a.example\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+	};
+
+	const [caller, other] = [await connectCaller(callerAddress), await connectCaller(callerAddress)];
+	caller.write(formatRequest(100));
+	other.write(formatRequest(200));
+	await waitUntil(async () => engine.runningCount === 2, 'the streams have begun');
+	const stopped = fixture.host.stop();
+	await waitUntil(async () => caller.text.includes('[DONE]'), 'the first stream has ended');
+	caller.write(formatRequest(100));
+	await waitUntil(async () => caller.isClosed && other.isClosed, 'the connections are closed');
+	await stopped;
+	assert.deepEqual([caller, other].map(({text}) => text.match(/\[DONE\]/gv)?.length), [1, 1]);
+	assert.equal(countHeads(caller.text), 1);
+});
+
+function countHeads(text: string): number {
+	return text.match(/^HTTP\/1\.1 /gmv)?.length ?? 0;
+}
+
 /** Whether a host accepts connections. */
 async function accepts({address, port}: Address): Promise<boolean> {
 	return new Promise(resolve => {
