A response without a request ID on a connection that has carried other requests is not believed

Callers saw: 503 with Retry-After ("not run") for a booking that its server was running, after the server had written an earlier refusal once more on the kept connection; on a route with two attempts the booking ran at a second server as well. The same for 421, which is tried elsewhere whatever the route says, and 429 and 500 of other requests were passed on.

Cause: findResponseMismatch asked a response for its request ID only if it was a success. A failure without an ID was taken for the response to whichever request was waiting.

Change: each head comes with whether its connection has carried an earlier request. Without an ID, only a failure on a connection's first exchange is believed: there is nothing earlier that could be repeated. Otherwise the outcome is unknown: 502 for what may run once, another attempt for what may be repeated.

--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -180,10 +180,10 @@
 	let status = 0;
 	let isClosedByConnection = false;
 	return {
-		onHead(receivedStatus, headers) {
+		onHead(receivedStatus, headers, isFirst) {
 			status = receivedStatus;
 			isClosedByConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-			handler.onHead(receivedStatus, headers);
+			handler.onHead(receivedStatus, headers, isFirst);
 		},
 		onData(chunk) {
 			handler.onData(chunk);
@@ -233,21 +233,23 @@
 }
 
 /**
- * Finds the reason why a response cannot belong to a request; undefined if it can.
+ * Finds the reason why a response may not belong to a request; undefined if it does. Without an ID, only a failure on a connection
+ * that has carried no earlier request is certain to answer this one.
  *
+ * @param isFirst - Whether the connection has carried no earlier request.
  * @example
  * ```ts
- * findResponseMismatch(call, head); // 'it belongs to request 9c41'
+ * findResponseMismatch(call, head, false); // 'it belongs to request 9c41'
  * ```
  */
-export function findResponseMismatch(call: Call, head: ResponseHead): string | undefined {
+export function findResponseMismatch(call: Call, head: ResponseHead, isFirst: boolean): string | undefined {
 	if (head.echoedId !== undefined && head.echoedId !== call.head.id) {
 		return `it belongs to request ${head.echoedId}`;
 	}
 
 	const isSuccess = head.status >= 200 && head.status < 300;
-	if (isSuccess && head.echoedId === undefined) {
-		return 'it has no request ID';
+	if (head.echoedId === undefined && (isSuccess || !isFirst)) {
+		return isFirst ? 'it has no request ID' : 'it has no request ID, and its connection may have carried other requests';
 	}
 
 	return head.headers['content-encoding'] === undefined ? undefined : 'it has a content encoding';
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -277,10 +277,10 @@
 		return sendAttempt(context, this.#call, {
 			server, phase: 'full', deadlineMs, ...(lastEventId !== undefined && {lastEventId}),
 		}, {
-			onHead: (status, headers) => {
+			onHead: (status, headers, isFirst) => {
 				head = context.protocol.parseResponse(status, headers);
 				this.#recordLoad(server, head);
-				const mismatch = findResponseMismatch(this.#call, head);
+				const mismatch = findResponseMismatch(this.#call, head, isFirst);
 				if (mismatch !== undefined) {
 					context.logger.warn(`Discarded a response from server ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
 					this.#exchange?.cancel();
--- a/src/serving/prefill.ts
+++ b/src/serving/prefill.ts
@@ -62,9 +62,9 @@
 		clearTimeout(timer);
 	});
 	const exchange = sendAttempt(context, call, {server, phase: 'prefill', ...attempt}, {
-		onHead(status, headers) {
+		onHead(status, headers, isFirst) {
 			head = context.protocol.parseResponse(status, headers);
-			const mismatch = findResponseMismatch(call, head);
+			const mismatch = findResponseMismatch(call, head, isFirst);
 			if (mismatch !== undefined) {
 				abandon(`Discarded a response from server ${server.server}: ${mismatch}.`);
 			}
--- a/src/serving/relayclient.ts
+++ b/src/serving/relayclient.ts
@@ -231,7 +231,8 @@
 
 	receiveHead(status: number, headers: readonly string[]): void {
 		if (!this.#isEnded) {
-			this.#handler.onHead(status, parseHeaders(headers));
+			// The relay does not tell what its connection to the server has carried before.
+			this.#handler.onHead(status, parseHeaders(headers), false);
 		}
 	}
 
--- a/src/serving/statements.ts
+++ b/src/serving/statements.ts
@@ -20,7 +20,7 @@
 export function observeResponse(context: ServingContext, {server, request}: {server: Announcement; request: string}, handler: ResponseHandler): ResponseHandler {
 	const sentMs = context.clock.monotonicMs();
 	return {
-		onHead(status, headers) {
+		onHead(status, headers, isFirst) {
 			const head = context.protocol.parseResponse(status, headers);
 			recordAvailability(context, server, head);
 			// A late response to an earlier request tells nothing about now.
@@ -28,7 +28,7 @@
 				recordRateLimit(context, server, head, sentMs);
 			}
 
-			handler.onHead(status, headers);
+			handler.onHead(status, headers, isFirst);
 		},
 		onData(chunk) {
 			handler.onData(chunk);
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -329,9 +329,9 @@
 				priority: this.#priority(),
 				kvFetchSource: kvCache ? undefined : this.#kvFetchSource,
 			}, {
-				onHead: (status, headers) => {
+				onHead: (status, headers, isFirst) => {
 					head = context.protocol.parseResponse(status, headers);
-					const mismatch = findResponseMismatch(this.#call, head);
+					const mismatch = findResponseMismatch(this.#call, head, isFirst);
 					if (mismatch !== undefined) {
 						context.logger.warn(`Discarded a response from server ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
 						this.#exchange?.cancel();
--- a/src/serving/transport.ts
+++ b/src/serving/transport.ts
@@ -97,9 +97,9 @@
 		};
 
 		const exchange = this.#upstream.send(request, {
-			onHead(status, headers) {
+			onHead(status, headers, isFirst) {
 				recordContact();
-				handler.onHead(status, headers);
+				handler.onHead(status, headers, isFirst);
 			},
 			onData(chunk) {
 				recordContact();
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -49,7 +49,8 @@
  * cancelled.
  */
 export interface ResponseHandler {
-	onHead(status: number, headers: IncomingHttpHeaders): void;
+	/** @param isFirst - Whether its connection is known to have carried no earlier request, whose response could be repeated. */
+	onHead(status: number, headers: IncomingHttpHeaders, isFirst: boolean): void;
 	onData(chunk: Buffer): void;
 	onEnd(): void;
 	onFailure(failure: AttemptFailure, error: Error): void;
@@ -184,6 +185,7 @@
 	exchange: UpstreamExchange | undefined;
 	#socket: net.Socket | undefined;
 	#isReset = false;
+	#requestCount = 0;
 
 	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector, observer: ConnectionObserver | undefined) {
 		super(origin, {
@@ -213,6 +215,11 @@
 		return this.#socket?.bytesRead ?? 0;
 	}
 
+	/** Records that a request is about to be written; returns whether it is the first one since the connection was established. */
+	recordRequest(): boolean {
+		return this.#requestCount++ === 0;
+	}
+
 	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
 		(options as TrackedDispatchOptions).onConnection(this);
 		return super.dispatch(options, handler);
@@ -237,6 +244,7 @@
 				this.#isReset = true;
 			});
 			this.#socket = socket;
+			this.#requestCount = 0;
 			socket.on('readable', () => {
 				this.exchange?.checkFraming();
 			});
@@ -253,6 +261,7 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isEnded = false;
+	#isFirst = false;
 	#interimHeads = 0;
 	/** Bytes that the connection had received before this exchange. */
 	#previousBytes = 0;
@@ -272,7 +281,7 @@
 				}
 
 				if (status >= 200) {
-					responseHandler.onHead(status, headers);
+					responseHandler.onHead(status, headers, this.#isFirst);
 				} else if (++this.#interimHeads > MAX_INTERIM_HEADS) {
 					const error = new Error(`The server sent more than ${MAX_INTERIM_HEADS} interim responses.`);
 					this.#fail(error);
@@ -352,6 +361,7 @@
 		this.#controller = controller;
 		if (this.connection) {
 			this.connection.exchange = this;
+			this.#isFirst = this.connection.recordRequest();
 			this.#previousBytes = this.connection.receivedBytes;
 		}
 	}
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -148,3 +148,21 @@
 
 	assert.equal(countReceived('/read/refused'), 2);
 });
+
+test('a refusal without a request ID that comes through a relay is not taken for the response to a booking', async t => {
+	const ran: string[] = [];
+	const {system} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
+		...server,
+		intercept(request, response) {
+			if (request.url === '/book/1') {
+				ran.push(String(request.headers['carawayhoist-attempt-id']));
+				response.socket!.write('HTTP/1.1 503 Repeated\r\ncarawayhoist-not-executed: 1\r\ncontent-length: 0\r\n\r\n');
+			}
+
+			return false;
+		},
+	})));
+	const answer = await system.call('/book/1', {}, 'seat');
+	assert.deepEqual(ran, [answer.id]);
+	assert.equal(answer.status, 502);
+});
--- a/test/release.test.ts
+++ b/test/release.test.ts
@@ -33,11 +33,11 @@
 test('the retry time and the leaving sign in the response to a release are recorded', () => {
 	const {context, sent, leaving, passTime} = createContext();
 	releaseKvCache(context, OPTIONS);
-	sent[0]!.handler.onHead(503, {'retry-after': '1.5'});
+	sent[0]!.handler.onHead(503, {'retry-after': '1.5'}, true);
 	assert.equal(context.availability.isAvailable(ENGINE, context.clock.monotonicMs()), false);
 	passTime(1500);
 	assert.equal(context.availability.isAvailable(ENGINE, context.clock.monotonicMs()), true);
-	sent[0]!.handler.onHead(200, {'server-leaving': '1'});
+	sent[0]!.handler.onHead(200, {'server-leaving': '1'}, true);
 	assert.equal(context.availability.isAvailable(ENGINE, context.clock.monotonicMs()), false);
 	assert.deepEqual(leaving, ['e1']);
 });
