A connection carries each request ID once, so that an earlier refusal of the same request cannot be taken for a new one

Callers saw: 503 for a booking that they had sent again under the same ID and that the server was running; a resumable stream that returned to an engine which had refused it got 502 although the engine was streaming it. The same through a relay.

Cause: a response is recognized by its request ID alone. A second send of the same ID on the same kept connection makes the server's repeated refusal of the first send look like the answer to the second.

Change: a connection remembers a hash of the IDs that it has carried (ServerConnection). A request whose ID it has carried already is sent on a new connection; the pool selects idle connections only, so nothing else is cut. A connection is closed after 1000 requests, which bounds what it remembers. Releases of KV caches carry no ID and reuse connections as before. TrackedConnection has moved from upstream.ts to serverconnection.ts. Ruled out: closing a connection after each refusal, since refusals come in waves and new connections are priced.

Evidence: without the line that closes the socket four tests fail: the booking (503 !== 200), the stream (502 !== 200), through a relay (connections 4 !== 8) and upstream.test.ts (connections per request); the first two were red on the code before as well.

--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -141,6 +141,7 @@
 		server: server.server,
 		service: call.service,
 		request: call.head.id,
+		echoId: call.head.id,
 		isRepeatable: isRepeatable(call, attempt.phase),
 		address: {address: server.address, port: server.port},
 		method: request.method ?? 'GET',
--- a/src/serving/relayservice.ts
+++ b/src/serving/relayservice.ts
@@ -115,6 +115,7 @@
 			server: server.server,
 			service,
 			request,
+			echoId: request,
 			address: {address: server.address, port: server.port},
 			method,
 			path,
--- a/src/serving/release.ts
+++ b/src/serving/release.ts
@@ -42,6 +42,7 @@
 		server: kvCache.server,
 		service,
 		request,
+		echoId: undefined,
 		isRepeatable: true,
 		address: kvCache.address,
 		...protocol.buildReleaseRequest(kvCache),
--- /dev/null
+++ b/src/serving/serverconnection.ts
@@ -0,0 +1,124 @@
+/**
+ * A connection to a backend server.
+ *
+ * @module
+ */
+import {createHash} from 'node:crypto';
+import type net from 'node:net';
+import {Client, type Dispatcher} from 'undici';
+import type {Address} from '../wire/connection.js';
+import type {ServerConnector} from '../wire/connector.js';
+
+/** Receives whether connections to servers could be established. */
+export interface ConnectionObserver {
+	onConnected(address: Address): void;
+	onConnectFailed(address: Address): void;
+}
+
+/** A server that does not accept a connection within this time counts as unreachable. */
+export const CONNECT_TIMEOUT_MS = 600;
+/** Bytes of a request ID's hash that are remembered; two IDs with the same hash cost a connection. */
+const ID_HASH_BYTES = 6;
+
+export type ServerDispatchOptions = Dispatcher.DispatchOptions & {
+	/** ID that the request carries and its response repeats; undefined if it carries none. */
+	readonly echoId: string | undefined;
+	/** Called with the connection on which the request is sent. */
+	readonly onConnection: (connection: ServerConnection) => void;
+};
+
+type ConnectCallback = (...result: [null, net.Socket] | [Error, null]) => void;
+
+/**
+ * A connection to a server that records whether it was reset, and which requests it has carried. The library does not report a
+ * reset, and a response without a content length that is cut off by one would look complete. An earlier response that a server
+ * repeats is recognized by its request ID, so a request whose ID the connection has carried already goes to a new connection.
+ */
+export class ServerConnection extends Client {
+	/** The exchange that the received bytes belong to. */
+	exchange: {checkFraming(): void} | undefined;
+	#socket: net.Socket | undefined;
+	#isReset = false;
+	#requestCount = 0;
+	readonly #idHashes = new Set<number>();
+
+	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector, observer: ConnectionObserver | undefined) {
+		super(origin, {
+			...options,
+			connect: ({hostname, port}: {hostname: string; port: string}, callback: ConnectCallback) => {
+				const address = {address: hostname, port: Number(port)};
+				this.#handshake(connect(address), (error, socket) => {
+					if (error) {
+						observer?.onConnectFailed(address);
+						callback(error, null);
+						return;
+					}
+
+					observer?.onConnected(address);
+					callback(null, socket);
+				});
+			},
+		});
+	}
+
+	get isReset(): boolean {
+		return this.#isReset;
+	}
+
+	/** Bytes received since the connection was established. */
+	get receivedBytes(): number {
+		return this.#socket?.bytesRead ?? 0;
+	}
+
+	/** Records that a request is about to be written; returns whether it is the first one since the connection was established. */
+	recordRequest(echoId: string | undefined): boolean {
+		if (echoId !== undefined) {
+			this.#idHashes.add(hashId(echoId));
+		}
+
+		return this.#requestCount++ === 0;
+	}
+
+	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		const {echoId, onConnection} = options as ServerDispatchOptions;
+		if (echoId !== undefined && this.#idHashes.has(hashId(echoId))) {
+			// The pool selects idle connections only. The client connects anew before it sends the request.
+			this.#socket?.destroy();
+		}
+
+		onConnection(this);
+		return super.dispatch(options, handler);
+	}
+
+	/** Waits until a connection is established. */
+	#handshake(socket: net.Socket, callback: ConnectCallback): void {
+		this.#isReset = false;
+		const timer = setTimeout(() => {
+			socket.destroy(new Error('Connecting to the server timed out.'));
+		}, CONNECT_TIMEOUT_MS);
+		const fail = (error: Error) => {
+			clearTimeout(timer);
+			callback(error, null);
+		};
+
+		socket.once('error', fail);
+		socket.once('connect', () => {
+			clearTimeout(timer);
+			socket.removeListener('error', fail);
+			socket.on('error', () => {
+				this.#isReset = true;
+			});
+			this.#socket = socket;
+			this.#requestCount = 0;
+			this.#idHashes.clear();
+			socket.on('readable', () => {
+				this.exchange?.checkFraming();
+			});
+			callback(null, socket);
+		});
+	}
+}
+
+function hashId(id: string): number {
+	return createHash('sha256').update(id).digest().readUIntLE(0, ID_HASH_BYTES);
+}
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -5,10 +5,12 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
-import type net from 'node:net';
-import {Client, Pool, type Dispatcher} from 'undici';
+import {Pool, type Dispatcher} from 'undici';
 import type {Address} from '../wire/connection.js';
 import {connectServer, type ServerConnector} from '../wire/connector.js';
+import {
+	CONNECT_TIMEOUT_MS, ServerConnection, type ConnectionObserver, type ServerDispatchOptions,
+} from './serverconnection.js';
 
 export type UpstreamRequest = {
 	/** The server to send the request to, and the service that it offers. */
@@ -17,6 +19,8 @@
 	readonly address: Address;
 	/** ID of the caller's request. */
 	readonly request: string;
+	/** ID that the request carries and its response repeats; undefined if it carries none. A connection carries each ID once. */
+	readonly echoId: string | undefined;
 	/** Whether the request may be sent again if its response is lost. */
 	readonly isRepeatable: boolean;
 	readonly method: string;
@@ -76,14 +80,6 @@
 	hasIdleConnection(address: Address): boolean;
 }
 
-/** Receives whether connections to servers could be established. */
-export interface ConnectionObserver {
-	onConnected(address: Address): void;
-	onConnectFailed(address: Address): void;
-}
-
-/** A server that does not accept a connection within this time counts as unreachable. */
-export const CONNECT_TIMEOUT_MS = 600;
 /** Idle connections are closed after this time, which is shorter than the idle timeout of either user's servers. */
 const IDLE_MS = 4000;
 /** Upper bound of the idle timeout that a server may announce. */
@@ -98,6 +94,8 @@
 const MAX_FRAMING_BYTES = 1_048_576;
 /** What each piece of a body may add to that: the size of a chunk, its extensions and line ends. */
 const MAX_FRAMING_BYTES_PER_PIECE = 256;
+/** A connection is closed after this number of requests, which bounds the IDs that it remembers. */
+const MAX_REQUESTS_PER_CONNECTION = 1000;
 
 /** The connection pools of one host to all backend servers. Must be closed by its creator. */
 export class Upstream implements Transport {
@@ -111,12 +109,13 @@
 	}
 
 	send(request: UpstreamRequest, responseHandler: ResponseHandler): Exchange {
-		const exchange = new UpstreamExchange(responseHandler, request.maySend);
-		const options: TrackedDispatchOptions = {
+		const exchange = new UpstreamExchange(responseHandler, request);
+		const options: ServerDispatchOptions = {
 			method: request.method,
 			path: request.path,
 			headers: request.headers,
 			body: request.body,
+			echoId: request.echoId,
 			onConnection(connection) {
 				exchange.connection = connection;
 			},
@@ -151,7 +150,7 @@
 		let pool = this.#pools.get(key);
 		if (!pool) {
 			pool = new Pool(`http://${key}`, {
-				factory: (origin, options) => new TrackedConnection(origin, options, this.#connect, this.#observer),
+				factory: (origin, options) => new ServerConnection(origin, options, this.#connect, this.#observer),
 				connections: maxConnections,
 				pipelining: 1,
 				headersTimeout: 0,
@@ -160,6 +159,7 @@
 				keepAliveMaxTimeout: MAX_IDLE_MS,
 				keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
 				maxHeaderSize: MAX_HEAD_BYTES,
+				maxRequestsPerClient: MAX_REQUESTS_PER_CONNECTION,
 				strictContentLength: true,
 			});
 			this.#pools.set(key, pool);
@@ -169,95 +169,11 @@
 	}
 }
 
-type TrackedDispatchOptions = Dispatcher.DispatchOptions & {
-	/** Called with the connection on which the request is sent. */
-	readonly onConnection: (connection: TrackedConnection) => void;
-};
-
-type ConnectCallback = (...result: [null, net.Socket] | [Error, null]) => void;
-
-/**
- * A connection to a server that records whether it was reset. The library does not report this, and a response without
- * a content length that is cut off by a reset would look complete.
- */
-class TrackedConnection extends Client {
-	/** The exchange that the received bytes belong to. */
-	exchange: UpstreamExchange | undefined;
-	#socket: net.Socket | undefined;
-	#isReset = false;
-	#requestCount = 0;
-
-	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector, observer: ConnectionObserver | undefined) {
-		super(origin, {
-			...options,
-			connect: ({hostname, port}: {hostname: string; port: string}, callback: ConnectCallback) => {
-				const address = {address: hostname, port: Number(port)};
-				this.#handshake(connect(address), (error, socket) => {
-					if (error) {
-						observer?.onConnectFailed(address);
-						callback(error, null);
-						return;
-					}
-
-					observer?.onConnected(address);
-					callback(null, socket);
-				});
-			},
-		});
-	}
-
-	get isReset(): boolean {
-		return this.#isReset;
-	}
-
-	/** Bytes received since the connection was established. */
-	get receivedBytes(): number {
-		return this.#socket?.bytesRead ?? 0;
-	}
-
-	/** Records that a request is about to be written; returns whether it is the first one since the connection was established. */
-	recordRequest(): boolean {
-		return this.#requestCount++ === 0;
-	}
-
-	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		(options as TrackedDispatchOptions).onConnection(this);
-		return super.dispatch(options, handler);
-	}
-
-	/** Waits until a connection is established. */
-	#handshake(socket: net.Socket, callback: ConnectCallback): void {
-		this.#isReset = false;
-		const timer = setTimeout(() => {
-			socket.destroy(new Error('Connecting to the server timed out.'));
-		}, CONNECT_TIMEOUT_MS);
-		const fail = (error: Error) => {
-			clearTimeout(timer);
-			callback(error, null);
-		};
-
-		socket.once('error', fail);
-		socket.once('connect', () => {
-			clearTimeout(timer);
-			socket.removeListener('error', fail);
-			socket.on('error', () => {
-				this.#isReset = true;
-			});
-			this.#socket = socket;
-			this.#requestCount = 0;
-			socket.on('readable', () => {
-				this.exchange?.checkFraming();
-			});
-			callback(null, socket);
-		});
-	}
-}
-
 class UpstreamExchange implements Exchange {
-	connection: TrackedConnection | undefined;
+	connection: ServerConnection | undefined;
 	readonly handler: Dispatcher.DispatchHandler;
 	readonly #responseHandler: ResponseHandler;
-	readonly #maySend: (() => boolean) | undefined;
+	readonly #request: UpstreamRequest;
 	#controller: Dispatcher.DispatchController | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isEnded = false;
@@ -268,9 +184,9 @@
 	#bodyBytes = 0;
 	#bodyPieces = 0;
 
-	constructor(responseHandler: ResponseHandler, maySend: (() => boolean) | undefined) {
+	constructor(responseHandler: ResponseHandler, request: UpstreamRequest) {
 		this.#responseHandler = responseHandler;
-		this.#maySend = maySend;
+		this.#request = request;
 		this.handler = {
 			onRequestStart: controller => {
 				this.#start(controller);
@@ -351,7 +267,7 @@
 			return;
 		}
 
-		if (this.#maySend?.() === false) {
+		if (this.#request.maySend?.() === false) {
 			const error = new Error('The server takes no requests now.');
 			this.#fail(error);
 			controller.abort(error);
@@ -361,7 +277,7 @@
 		this.#controller = controller;
 		if (this.connection) {
 			this.connection.exchange = this;
-			this.#isFirst = this.connection.recordRequest();
+			this.#isFirst = this.connection.recordRequest(this.#request.echoId);
 			this.#previousBytes = this.connection.receivedBytes;
 		}
 	}
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -8,6 +8,7 @@
 import {createResponseHeaders, type StubBackendOptions} from './stub.js';
 import {ROUTES, SERVICES, startSystem} from './system.js';
 
+const SHORT_PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 const REFUSAL = {status: 503, headers: {'carawayhoist-not-executed': '1'}};
 const WRONG_SERVER = {status: 421, headers: {'carawayhoist-not-executed': '1'}};
 
@@ -95,6 +96,65 @@
 	assert.equal(answer.status, 502);
 });
 
+test('a booking that its caller sends again under the same ID is not answered with the refusal of the first time', async t => {
+	const sockets: Socket[] = [];
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept(request, response) {
+			const isKept = sockets.includes(request.socket);
+			sockets.push(request.socket);
+			if (sockets.length === 1) {
+				refuse(request, response);
+				return true;
+			}
+
+			if (isKept) {
+				repeat(response, REFUSAL, readId(request));
+			}
+
+			return false;
+		},
+	}]);
+	const book = async () => system.call('/book/1', {'carawayhoist-attempt-id': 'same'}, 'seat');
+	assert.equal((await book()).status, 503);
+	assert.equal((await book()).status, 200);
+	assert.equal(sockets.length, 2);
+});
+
+test('a stream that returns to an engine that has refused it is not answered with that refusal', async t => {
+	const carried = new Map<Socket, string[]>();
+	let runs = 0;
+	const system = await startSystem(t, ['e1', 'e2'].map(id => ({
+		id, service: 'llm', stage: 'decode' as const, intercept(request, response) {
+			const ids = carried.get(request.socket) ?? [];
+			const isRepeated = ids.includes(readId(request));
+			carried.set(request.socket, [...ids, readId(request)]);
+			switch (runs++) {
+				case 0: {
+					refuse(request, response);
+					return true;
+				}
+
+				case 1: {
+					response.writeHead(500, {...createResponseHeaders(request), 'content-length': 0}).end();
+					return true;
+				}
+
+				default: {
+					if (isRepeated) {
+						repeat(response, REFUSAL, readId(request));
+					}
+
+					return false;
+				}
+			}
+		},
+	})));
+	await publishAttempts(system, 3);
+	const answer = await system.call('/ask/1', SHORT_PROMPT, 'body');
+	assert.equal(answer.status, 200);
+	assert.equal(runs, 3);
+});
+
 test('a response that no request waits for closes its connection', async t => {
 	let kept: Socket | undefined;
 	const system = await startSystem(t, [{
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
+import type net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {HostNetwork} from './network.js';
@@ -166,3 +167,31 @@
 	assert.deepEqual(ran, [answer.id]);
 	assert.equal(answer.status, 502);
 });
+
+test('a booking that its caller sends again under the same ID through a relay is not answered with the refusal of the first time', async t => {
+	const carried = new Map<net.Socket, number>();
+	const {system} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
+		...server,
+		intercept(request, response) {
+			if (request.url !== '/book/same') {
+				return false;
+			}
+
+			const headers = {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id']), 'carawayhoist-not-executed': '1'};
+			const count = carried.get(request.socket) ?? 0;
+			carried.set(request.socket, count + 1);
+			if (count === 0) {
+				response.writeHead(503, headers).end();
+				return true;
+			}
+
+			response.socket!.write(`HTTP/1.1 503 Repeated\r\ncarawayhoist-attempt-id: ${headers['carawayhoist-attempt-id']}\r\ncarawayhoist-not-executed: 1\r\ncontent-length: 0\r\n\r\n`);
+			return false;
+		},
+	})));
+	for (let index = 0; index < 8; index++) {
+		assert.equal((await system.call('/book/same', {'carawayhoist-attempt-id': 'same'}, 'seat')).status, 503);
+	}
+
+	assert.equal(carried.size, 8);
+});
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -3,7 +3,8 @@
 import {EventEmitter, once} from 'node:events';
 import net, {type AddressInfo, type Socket} from 'node:net';
 import {test} from 'node:test';
-import {Upstream, type Exchange} from '../src/serving/upstream.js';
+import {waitUntil} from '../dev/fleet.js';
+import {Upstream, type Exchange, type UpstreamRequest} from '../src/serving/upstream.js';
 
 /** Limit on what is read of a response besides its body, with the socket buffers of both sides and one write. */
 const MAX_SENT_BYTES = 16 * 1024 * 1024;
@@ -53,6 +54,33 @@
 	assert.equal(countConnections(), 2);
 });
 
+test('a request whose ID its connection has carried before is sent on a new connection; others are not', async t => {
+	const {ask, port, upstream, countConnections} = await startServer(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+	});
+	const connections: number[] = [];
+	for (const echoId of ['first', 'second', undefined, undefined, 'second', 'first', 'second']) {
+		await waitUntil(async () => countConnections() === 0 || upstream.hasIdleConnection({address: '127.0.0.1', port}), 'the connection is idle');
+		assert.deepEqual(await ask({...createRequest(port), echoId}), {outcome: 'complete', body: 'ok'});
+		connections.push(countConnections());
+	}
+
+	assert.deepEqual(connections, [1, 1, 1, 1, 2, 2, 3]);
+});
+
+test('a connection carries about a thousand requests at most, so that it does not remember IDs without limit', async t => {
+	const carried = new Map<Socket, number>();
+	const {ask, port} = await startServer(t, socket => {
+		carried.set(socket, (carried.get(socket) ?? 0) + 1);
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+	});
+	for (let index = 0; index < 1500; index++) {
+		assert.equal((await ask({...createRequest(port), maxConnections: 1})).outcome, 'complete');
+	}
+
+	assert.ok(Math.max(...carried.values()) <= 1001, [...carried.values()].join(' '));
+});
+
 test('a server that sends interim responses without end breaks the exchange', async t => {
 	const {ask} = await startServer(t, socket => {
 		sendWithoutEnd(socket, 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n');
@@ -154,9 +182,9 @@
 		port,
 		stop,
 		countConnections: () => connections,
-		ask: async () => new Promise<Result>(resolve => {
+		ask: async (request = createRequest(port)) => new Promise<Result>(resolve => {
 			let body = '';
-			upstream.send(createRequest(port), {
+			upstream.send(request, {
 				onHead: () => undefined,
 				onData(chunk) {
 					body += chunk.toString();
@@ -172,8 +200,10 @@
 	};
 }
 
-function createRequest(port: number) {
+let lastId = 0;
+
+function createRequest(port: number): UpstreamRequest {
 	return {
-		server: 's1', service: 'plain', request: 'id-1', isRepeatable: false, address: {address: '127.0.0.1', port}, method: 'POST', path: '/', headers: [], body: Buffer.from('x'), maxConnections: 2,
+		server: 's1', service: 'plain', request: 'id-1', echoId: `id-${++lastId}`, isRepeatable: false, address: {address: '127.0.0.1', port}, method: 'POST', path: '/', headers: [], body: Buffer.from('x'), maxConnections: 2,
 	};
 }
