The retry time in a response to an earlier request is ignored

Callers saw: 503 at once for as long as an earlier refusal of a server asked, from the moment at which the server wrote that refusal again, though it took requests.

Cause: what a response says about its server's availability was recorded before the response was known to answer the waiting request; only the rate limit was left out for a response with another request's ID.

Change: the retry time is recorded under the same condition as the rate limit. A response to a release of a KV cache, which carries no ID, is not current if it names a request. That a server is leaving is recorded from any response, since it cannot become untrue for that server. Retry times without an ID hold as before: ignoring a true one would send requests to a server that refuses them.

Evidence: refusals.test.ts "a repeated refusal does not take its server out of use again" (503 !== 200 before) and release.test.ts "is not recorded if the response names a request" (false !== true before).

--- a/src/serving/release.ts
+++ b/src/serving/release.ts
@@ -52,7 +52,9 @@
 		maySend,
 	}, {
 		onHead(status, headers) {
-			recordAvailability(context, server, protocol.parseResponse(status, headers));
+			const head = protocol.parseResponse(status, headers);
+			// A release carries no request ID, so a response with one is not to it.
+			recordAvailability(context, server, head, head.echoedId === undefined);
 		},
 		onData: ignore,
 		onEnd: ignore,
--- a/src/serving/statements.ts
+++ b/src/serving/statements.ts
@@ -22,9 +22,10 @@
 	return {
 		onHead(status, headers, isFirst) {
 			const head = context.protocol.parseResponse(status, headers);
-			recordAvailability(context, server, head);
-			// A late response to an earlier request tells nothing about now.
-			if (head.echoedId === undefined || head.echoedId === request) {
+			// A response to an earlier request, late or repeated, tells nothing about now, except that its server is leaving.
+			const isCurrent = head.echoedId === undefined || head.echoedId === request;
+			recordAvailability(context, server, head, isCurrent);
+			if (isCurrent) {
 				recordRateLimit(context, server, head, sentMs);
 			}
 
@@ -47,21 +48,19 @@
 /**
  * Records what a response says about whether its server takes further requests.
  *
+ * @param isCurrent - Whether it may be the response to the request that was sent last, so that its retry time holds from now on.
  * @example
  * ```ts
- * recordAvailability(context, server, context.protocol.parseResponse(status, headers));
+ * recordAvailability(context, server, context.protocol.parseResponse(status, headers), true);
  * ```
  */
-export function recordAvailability(context: AvailabilityContext, server: Announcement, {isWrongServer, isLeaving, retryAfter}: ResponseHead): void {
+export function recordAvailability(context: AvailabilityContext, server: Announcement, {isWrongServer, isLeaving, retryAfter}: ResponseHead, isCurrent: boolean): void {
 	if (isWrongServer) {
 		return;
 	}
 
-	if (retryAfter?.type === 'delay') {
-		context.availability.recordRefusal(server, retryAfter.ms, context.clock.monotonicMs());
-		context.logger.info(`Server ${server.server} refuses requests for ${retryAfter.ms} ms.`, {server: server.server, durationMs: retryAfter.ms});
-	} else if (retryAfter && context.availability.recordUnreadable(server)) {
-		context.logger.warn(`Ignored the retry time of server ${server.server}: ${retryAfter.text}`, {server: server.server});
+	if (isCurrent) {
+		recordRetryTime(context, server, retryAfter);
 	}
 
 	if (isLeaving && context.availability.recordLeaving(server)) {
@@ -70,6 +69,15 @@
 	}
 }
 
+function recordRetryTime({availability, clock, logger}: AvailabilityContext, server: Announcement, retryAfter: ResponseHead['retryAfter']): void {
+	if (retryAfter?.type === 'delay') {
+		availability.recordRefusal(server, retryAfter.ms, clock.monotonicMs());
+		logger.info(`Server ${server.server} refuses requests for ${retryAfter.ms} ms.`, {server: server.server, durationMs: retryAfter.ms});
+	} else if (retryAfter && availability.recordUnreadable(server)) {
+		logger.warn(`Ignored the retry time of server ${server.server}: ${retryAfter.text}`, {server: server.server});
+	}
+}
+
 /** Records the rate limit in a response, or that there is none. */
 function recordRateLimit({announceRateLimit, availability, clock, logger, rateLimits}: ServingContext, {server, incarnation}: Announcement, {isWrongServer, rateLimit}: ResponseHead, sentMs: number): void {
 	if (isWrongServer) {
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -174,6 +174,29 @@
 	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
 });
 
+test('a repeated refusal does not take its server out of use again', async t => {
+	let refusedId: string | undefined;
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept(request, response) {
+			if (refusedId === undefined) {
+				refusedId = readId(request);
+				refuse(request, response, {'retry-after': '0.1'});
+				return true;
+			}
+
+			if (request.url === '/book/repeated') {
+				repeat(response, {...REFUSAL, headers: {...REFUSAL.headers, 'retry-after': '100'}}, refusedId);
+			}
+
+			return false;
+		},
+	}]);
+	await system.call('/book/1', {}, 'seat');
+	await waitUntil(async () => (await system.call('/book/1', {}, 'seat')).status === 200, 'the server takes requests again');
+	assert.equal((await system.call('/book/repeated', {}, 'seat')).status, 502);
+	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
+});
+
 test('refusals that name their requests are believed on kept connections: callers are told when to return, and no connection is opened for them', async t => {
 	const sockets = new Set<Socket>();
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: refuseAll(sockets)}]);
@@ -220,9 +243,9 @@
 	};
 }
 
-function refuse(request: IncomingMessage, response: ServerResponse): void {
+function refuse(request: IncomingMessage, response: ServerResponse, headers: Record<string, string> = {}): void {
 	response.writeHead(REFUSAL.status, {
-		...createResponseHeaders(request), ...REFUSAL.headers, 'content-length': 0,
+		...createResponseHeaders(request), ...REFUSAL.headers, 'content-length': 0, ...headers,
 	}).end();
 }
 
--- a/test/release.test.ts
+++ b/test/release.test.ts
@@ -42,6 +42,13 @@
 	assert.deepEqual(leaving, ['e1']);
 });
 
+test('the retry time in a response to a release is not recorded if the response names a request', () => {
+	const {context, sent} = createContext();
+	releaseKvCache(context, OPTIONS);
+	sent[0]!.handler.onHead(503, {'retry-after': '1.5', 'carawayhoist-attempt-id': 'id-0'}, false);
+	assert.equal(context.availability.isAvailable(ENGINE, context.clock.monotonicMs()), true);
+});
+
 test('a KV cache at an engine that is not known any more is left to expire', () => {
 	const {context, sent} = createContext();
 	releaseKvCache({...context, findServer: () => undefined}, OPTIONS);
