Own door: an engine's refusal that does not name its request is believed on a new connection only

Callers would see: code 3001 or 3002 ("not run") for a completion that its engine was running, or the text of another request's error as their own, after the engine had repeated an earlier response on a pooled connection.

Cause: EngineClient checked the request ID of events only; any other status on any connection was the answer to the waiting attempt.

Change: a response other than 200 must repeat x-request-id, unless its attempt opened the connection. Otherwise it is a mismatch: the connection is closed, and the request goes to the same engine on a new connection, as after any mismatch. Each attempt has an ID of its own, so an earlier response cannot bear it. The fake engine repeats the ID when it refuses. Cost: one more attempt for each refusal of an engine that does not repeat the ID, on a connection that is used again.

--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -162,7 +162,7 @@
 	#complete(request: IncomingMessage, response: ServerResponse, body: CompletionBody): void {
 		if (this.#isUnavailable || !this.#models.includes(body.model)) {
 			this.#refusedRequests++;
-			sendJson(response, 503, {error: 'not serving'}, {'carawayhoist-outcome': 'not-run'});
+			sendJson(response, 503, {error: 'not serving'}, {'carawayhoist-outcome': 'not-run', 'x-request-id': String(request.headers['x-request-id'])});
 			return;
 		}
 
--- a/src/entry/engine.ts
+++ b/src/entry/engine.ts
@@ -193,6 +193,13 @@
 		if (typeof load === 'string') {
 			this.#attempt.onLoad(load);
 		}
+
+		// Events name their request. Another response may be one to an earlier request that the engine repeats on this connection.
+		const echoedId = headers['x-request-id'];
+		const isOwn = echoedId === undefined ? this.#attempt.usesNewConnection : echoedId === this.#attempt.id;
+		if (status !== 200 && !isOwn) {
+			this.finish({type: 'mismatch', text: `The response with status ${status} does not name the request.`});
+		}
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
