--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -5,8 +5,9 @@
 import type {Socket} from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {publishAttempts} from './attempts.js';
 import {createResponseHeaders, type StubBackendOptions} from './stub.js';
-import {ROUTES, SERVICES, startSystem} from './system.js';
+import {startSystem} from './system.js';
 
 const SHORT_PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 const REFUSAL = {status: 503, headers: {'carawayhoist-not-executed': '1'}};
@@ -74,6 +75,32 @@
 	assert.equal(ran.length, new Set(ran).size);
 });
 
+test('a stream that may run once does not run at a second engine after a repeated refusal', async t => {
+	const ran: string[] = [];
+	const refused = new Set<Socket>();
+	const system = await startSystem(t, ['e1', 'e2'].map(id => ({
+		id, service: 'llm', stage: 'decode' as const, intercept(request, response) {
+			if (!refused.has(request.socket)) {
+				refused.add(request.socket);
+				refuse(request, response);
+				return true;
+			}
+
+			ran.push(readId(request));
+			repeat(response, REFUSAL);
+			return false;
+		},
+	})));
+	let answer = await system.call('/tell/1', SHORT_PROMPT, 'body');
+	await waitUntil(async () => {
+		await system.announceServers();
+		answer = await system.call('/tell/1', SHORT_PROMPT, 'body');
+		return ran.length > 0;
+	}, 'a kept connection is used');
+	assert.deepEqual(ran, [answer.id]);
+	assert.equal(answer.status, 502);
+});
+
 test('a refusal of another request is not taken for the response to a booking', async t => {
 	const ran: string[] = [];
 	let refusedId: string | undefined;
@@ -223,18 +250,6 @@
 	assert.ok(sockets.size <= 2);
 });
 
-/** Publishes the routes with another number of attempts, and waits until the entry host uses them. */
-async function publishAttempts({control, call}: Awaited<ReturnType<typeof startSystem>>, attempts: number): Promise<void> {
-	const routes = ROUTES.map(route => ({...route, 'max-attempts': attempts}));
-	const added = {
-		...ROUTES[0]!, name: 'added', 'path-prefix': '/added/', service: 'empty',
-	};
-	const services = [...SERVICES, {name: 'empty', 'health-path': '/health', 'max-conns': 1}];
-	const response = await fetch(`http://${control}/-/config`, {method: 'PUT', body: JSON.stringify({version: 2, routes: [...routes, added], services})});
-	assert.equal(response.status, 200);
-	await waitUntil(async () => (await call('/added/1')).status === 503, 'the routes are in force');
-}
-
 function refuseAll(sockets: Set<Socket>): StubBackendOptions['intercept'] {
 	return (request, response) => {
 		sockets.add(request.socket);
