--- a/src/serving/release.ts
+++ b/src/serving/release.ts
@@ -42,6 +42,7 @@
 		server: kvCache.server,
 		service,
 		request,
+		echoId: undefined,
 		isRepeatable: true,
 		address: kvCache.address,
 		...protocol.buildReleaseRequest(kvCache),
@@ -51,7 +52,9 @@
 		maySend,
 	}, {
 		onHead(status, headers) {
-			recordAvailability(context, server, protocol.parseResponse(status, headers));
+			const head = protocol.parseResponse(status, headers);
+			// A release carries no request ID, so a response with one is not to it.
+			recordAvailability(context, server, head, head.echoedId === undefined);
 		},
 		onData: ignore,
 		onEnd: ignore,
