Infer the origin of a stream only on hosts that have seen all servers for a minute

Callers saw: a next try of a stream was answered 200 at a version that had not begun it, after all entry hosts, or all hosts, had started anew: the old version had left, nobody remembered the stream, and the version that serves passed for the only one that can have begun it.

Cause: `SoftwareVersions` counted the versions that it had seen and did not know since when it had seen all of them. A scheduler that had just started, and the local one of an entry host, which sees no servers while it is cut off, inferred from what they happened to know.

Fix: a scheduler infers only with `versionsKnownSinceMs`, a minute after it. A control host sets it to its start, or to the beginning of time if the whole system starts for the first time on an empty folder; entry hosts never infer. Versions come from all announced servers, including those that are leaving, silent or gone, not from the list of usable engines: one that came and left between two updates counts, and a version is former from the end of its last server, not from its leaving. The test of former versions passes the time with the update, where `recordTime` had to be called; its bounds are exact now.

--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -11,7 +11,7 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {
-	type FileHandle, mkdir, open, readdir, readFile, rename, unlink,
+	access, type FileHandle, mkdir, open, readdir, readFile, rename, unlink,
 } from 'node:fs/promises';
 import path from 'node:path';
 import {crc32} from 'node:zlib';
@@ -86,6 +86,23 @@
 	}
 }
 
+/**
+ * Whether a data folder holds the identity of a replica, that is, a replica was started on it before.
+ *
+ * @example
+ * ```ts
+ * await hasIdentity('/var/lib/carawayhoist'); // false before `loadOrCreateIdentity`
+ * ```
+ */
+export async function hasIdentity(folder: string): Promise<boolean> {
+	try {
+		await access(path.join(folder, IDENTITY_FILE));
+		return true;
+	} catch (error) {
+		return (error as NodeJS.ErrnoException).code !== 'ENOENT';
+	}
+}
+
 /** The open files of a replica. The caller must close it. */
 export class Storage {
 	readonly #folder: string;
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -11,6 +11,7 @@
 import type {Logger, LoggerFactory} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
+import {hasIdentity} from '../consensus/storage.js';
 import {ControlClient} from '../control/client.js';
 import {
 	ALL_ORDER_SAFEGUARDS, createRoleChange, DEFAULT_CONTROLLER_TIMING,
@@ -31,7 +32,7 @@
 import {RouteTable, type RoutingConfig} from '../routing/routes.js';
 import {Scheduler} from '../routing/scheduler.js';
 import {RolePlanner} from '../routing/planner.js';
-import {listEngines} from '../serving/engines.js';
+import {listEngines, listServerVersions} from '../serving/engines.js';
 import type {ProtocolAdapter} from '../serving/protocol.js';
 import {Listener, type Address, type Connection} from '../wire/connection.js';
 
@@ -72,6 +73,15 @@
 /** Duration of the startup phase of a system that starts for the first time, in milliseconds. Callers arrive later. */
 const STARTUP_MS = 10_000;
 
+/** What `ControlHost.start` has started before. */
+type ControlHostParts = {
+	readonly service: ControlService;
+	readonly registry: ServerRegistry;
+	readonly listener: Listener;
+	/** Whether the whole system starts for the first time. */
+	readonly isNewSystem: boolean;
+};
+
 /** A running control host. Whoever starts it must stop it. */
 export class ControlHost {
 	readonly registry: ServerRegistry;
@@ -84,7 +94,7 @@
 	readonly #listener: Listener;
 	readonly #rateLimits = new RateLimitTable();
 	readonly #limiter = createGrantingLimiter(server => this.#rateLimits.findLimit(server));
-	readonly #scheduler = new Scheduler({limiter: this.#limiter});
+	readonly #scheduler: Scheduler;
 	readonly #crashes = new CrashTable();
 	readonly #rolePlanner = new RolePlanner();
 	readonly #timer: NodeJS.Timeout;
@@ -92,13 +102,15 @@
 	#routeTable: RouteTable | undefined;
 	#lastRoleChangeMs = Number.NEGATIVE_INFINITY;
 
-	private constructor(options: ControlHostOptions, service: ControlService, registry: ServerRegistry, listener: Listener) {
+	private constructor(options: ControlHostOptions, {service, registry, listener, isNewSystem}: ControlHostParts) {
 		this.#options = options;
 		this.#logger = options.loggers('control');
 		this.#controlService = service;
 		this.registry = registry;
 		this.#listener = listener;
 		this.#startedMs = options.clock.monotonicMs();
+		// Servers that left before this host started may have begun streams, unless there was no system yet.
+		this.#scheduler = new Scheduler({limiter: this.#limiter, versionsKnownSinceMs: isNewSystem ? Number.NEGATIVE_INFINITY : this.#startedMs});
 		const {clock, host, dataCentre, seeds} = options;
 		this.#controlClient = new ControlClient({seeds: [options.peerAddress, ...seeds.filter(seed => !isSameAddress(seed, options.peerAddress))], clock, onViewPushed: () => undefined});
 		this.#publisher = new FeedPublisher({
@@ -145,6 +157,7 @@
 			holder.host?.receive(message, connection);
 		});
 		const {peerAddress} = options;
+		const isNewSystem = options.firstStart && !await hasIdentity(options.dataFolder);
 		const service = await ControlService.start({
 			host: peerAddress.address,
 			folder: options.dataFolder,
@@ -174,7 +187,9 @@
 			return listening;
 		}
 
-		holder.host = new ControlHost(options, service.right, registry, listener);
+		holder.host = new ControlHost(options, {
+			service: service.right, registry, listener, isNewSystem,
+		});
 		return Either.right(holder.host);
 	}
 
@@ -417,6 +432,11 @@
 		const changes = this.#controlService.state.listOpenChanges();
 		const usable = this.registry.listUsable().filter(({server}) => !changes.some(change => excludesServer(change, server)));
 		this.#scheduler.updateEngines(listEngines(usable, this.#routeTable));
+		this.#updateVersions();
+	}
+
+	#updateVersions(): void {
+		this.#scheduler.updateVersions(listServerVersions(this.registry.listStatuses()), this.#options.clock.monotonicMs());
 	}
 
 	#tick(): void {
@@ -427,6 +447,8 @@
 			this.#updateEngines();
 		}
 
+		// Servers that are forgotten are not reported by `expire`.
+		this.#updateVersions();
 		this.#controlClient.updateMembers(this.#controlService.listMembers());
 		this.#updateGauges();
 		void this.#planRoles();
--- a/src/routing/origins.ts
+++ b/src/routing/origins.ts
@@ -52,61 +52,64 @@
 	}
 }
 
-/** The software versions of a service that serve, or served a moment ago. */
+/** The software version of a server. */
+export type ServerVersion = {
+	readonly service: string;
+	readonly software: string;
+	/** Whether the server has left for good. One that is leaving or silent may still serve. */
+	readonly isGone: boolean;
+};
+
+/** The software versions of each service that serve, or served a moment ago. */
 export class SoftwareVersions {
-	readonly #current = new Map<string, Set<string>>();
-	/** When each former version was found to be gone; undefined until the next call of `recordTime`. */
-	readonly #former = new Map<string, Map<string, number | undefined>>();
-	#isChanged = false;
-
-	/** Replaces the versions that serve. */
-	update(servers: ReadonlyArray<{readonly service: string; readonly software: string}>): void {
-		for (const [service, versions] of this.#current) {
-			const former = this.#former.get(service) ?? new Map<string, number | undefined>();
-			this.#former.set(service, former);
-			for (const version of versions) {
-				former.set(version, undefined);
-			}
-		}
+	/** When each version was last seen, by service; infinite while it serves. */
+	readonly #services = new Map<string, Map<string, number>>();
+	readonly #knownSinceMs: number;
 
-		this.#isChanged = true;
-		this.#current.clear();
-		for (const {service, software} of servers) {
-			const versions = this.#current.get(service) ?? new Set();
-			versions.add(software);
-			this.#current.set(service, versions);
-			this.#former.get(service)?.delete(software);
-		}
+	/** @param knownSinceMs - Time since which the owner has seen all servers; infinite if it may always miss some. */
+	constructor(knownSinceMs: number) {
+		this.#knownSinceMs = knownSinceMs;
 	}
 
-	/** Notes the time at which the versions that were replaced by `update` are gone. */
-	recordTime(nowMs: number): void {
-		if (!this.#isChanged) {
-			return;
+	/** Replaces the known servers. The version of one that has left may be new: it may have come and left between two updates. */
+	update(servers: readonly ServerVersion[], nowMs: number): void {
+		const listed = new Set<string>();
+		const serving = new Set<string>();
+		for (const {service, software, isGone} of servers) {
+			const versions = this.#services.get(service) ?? new Map<string, number>();
+			this.#services.set(service, versions);
+			versions.set(software, versions.get(software) ?? nowMs);
+			listed.add(formatKey(service, software));
+			if (!isGone) {
+				serving.add(formatKey(service, software));
+			}
 		}
 
-		this.#isChanged = false;
-		for (const former of this.#former.values()) {
-			for (const [version, goneMs = nowMs] of former) {
-				former.set(version, goneMs);
+		for (const [service, versions] of this.#services) {
+			for (const [software, lastMs] of versions) {
+				const key = formatKey(service, software);
+				if (serving.has(key)) {
+					versions.set(software, Number.POSITIVE_INFINITY);
+				} else if (lastMs === Number.POSITIVE_INFINITY) {
+					versions.set(software, nowMs);
+				} else if (nowMs - lastMs > RETENTION_MS && !listed.has(key)) {
+					versions.delete(software);
+				}
 			}
 		}
 	}
 
-	/** Finds the only version that can have started a stream; undefined if there were several, or none. */
+	/** Finds the only version that can have started a stream; undefined if there were several or none, or others may have been missed. */
 	findOnly(service: string, nowMs: number): string | undefined {
-		this.recordTime(nowMs);
-		const versions = new Set(this.#current.get(service));
-		const former = this.#former.get(service) ?? new Map<string, number | undefined>();
-		for (const [version, goneMs = nowMs] of former) {
-			if (nowMs - goneMs > RETENTION_MS) {
-				former.delete(version);
-			} else {
-				versions.add(version);
-			}
+		if (!(nowMs - this.#knownSinceMs > RETENTION_MS)) {
+			return undefined;
 		}
 
-		const [only] = versions;
-		return versions.size === 1 ? only : undefined;
+		const versions = [...this.#services.get(service) ?? []].filter(([, lastMs]) => nowMs - lastMs <= RETENTION_MS);
+		return versions.length === 1 ? versions[0]![0] : undefined;
 	}
 }
+
+function formatKey(service: string, software: string): string {
+	return JSON.stringify([service, software]);
+}
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -12,7 +12,7 @@
 import {DEFAULT_RESOURCE_WEIGHTS, type ResourceWeights} from './cost.js';
 import {EngineState, type EngineInfo, type RequestSize} from './engine.js';
 import type {RateLimiter} from './limiter.js';
-import {SoftwareVersions, StreamOrigins} from './origins.js';
+import {SoftwareVersions, StreamOrigins, type ServerVersion} from './origins.js';
 import {
 	LATE_PRIORITY, MILESTONES, type MilestoneDetails, type MilestoneName, type ObservedRequest, type PlacementDecision, type PlacementRequest,
 } from './request.js';
@@ -52,6 +52,8 @@
 	readonly weights?: ResourceWeights;
 	/** Keeps the requests within the rates that engines accept; absent if there are no such rates. */
 	readonly limiter?: RateLimiter;
+	/** Time since which all servers are reported to `updateVersions`; absent if some may be missed. */
+	readonly versionsKnownSinceMs?: number;
 };
 
 /** Schedules the requests of one or more pools. */
@@ -60,18 +62,18 @@
 	readonly #openRequests = new Map<string, OpenRequest>();
 	readonly #speeds = new Map<string, PoolSpeed>();
 	readonly #origins = new StreamOrigins();
-	readonly #softwareVersions = new SoftwareVersions();
+	readonly #softwareVersions: SoftwareVersions;
 	readonly #selector: EngineSelector;
 	readonly #limiter: RateLimiter | undefined;
 
-	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter}: SchedulerOptions = {}) {
+	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter, versionsKnownSinceMs = Number.POSITIVE_INFINITY}: SchedulerOptions = {}) {
 		this.#limiter = limiter;
+		this.#softwareVersions = new SoftwareVersions(versionsKnownSinceMs);
 		this.#selector = new EngineSelector(this.#engines, weights);
 	}
 
 	/** Replaces the set of engines; keeps the state of those whose incarnation is unchanged. */
 	updateEngines(engines: readonly EngineInfo[]): void {
-		this.#softwareVersions.update(engines);
 		const names = new Set(engines.map(({server}) => server));
 		for (const server of this.#engines.keys()) {
 			if (!names.has(server)) {
@@ -89,6 +91,11 @@
 		}
 	}
 
+	/** Replaces the servers by whose software versions the origin of a stream is inferred if no host remembers it. */
+	updateVersions(servers: readonly ServerVersion[], nowMs: number): void {
+		this.#softwareVersions.update(servers, nowMs);
+	}
+
 	/** Number of requests that were placed and have not ended. */
 	get openCount(): number {
 		return this.#openRequests.size;
@@ -96,7 +103,6 @@
 
 	/** Places a new request, or again one whose engine failed. */
 	place(received: PlacementRequest, nowMs: number): PlacementDecision {
-		this.#softwareVersions.recordTime(nowMs);
 		this.#expireRequests(nowMs);
 		this.#closeRequest(received.id, nowMs);
 		const resolved = this.#resolveOrigin(received, nowMs);
--- a/src/serving/engines.ts
+++ b/src/serving/engines.ts
@@ -1,9 +1,11 @@
 /**
- * Combines the servers' announcements with the published routing configuration into the scheduler's list of engines.
+ * Combines the servers' announcements with the published routing configuration into the scheduler's list of engines, and
+ * lists the software versions of all servers.
  *
  * @module
  */
-import type {Announcement} from '../generated/types.js';
+import type {Announcement, ServerStatus} from '../generated/types.js';
+import type {ServerVersion} from '../routing/origins.js';
 import type {RouteTable} from '../routing/routes.js';
 import type {EngineInfo} from '../routing/engine.js';
 
@@ -29,3 +31,15 @@
 
 	return engines;
 }
+
+/**
+ * Lists the software versions of the servers of all services, for each service that a server serves.
+ *
+ * @example
+ * ```ts
+ * scheduler.updateVersions(listServerVersions(registry.listStatuses()), nowMs);
+ * ```
+ */
+export function listServerVersions(statuses: readonly ServerStatus[]): ServerVersion[] {
+	return statuses.flatMap(({announcement: {services = [], software = ''}, gone}) => services.map(service => ({service, software, isGone: gone})));
+}
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {Message} from '../src/generated/types.js';
+import type {EngineInfo} from '../src/routing/engine.js';
 import {createFallbackLimiter} from '../src/routing/limiter.js';
 import {SoftwareVersions, StreamOrigins} from '../src/routing/origins.js';
 import type {PlacementDecision} from '../src/routing/request.js';
@@ -53,20 +54,33 @@
 });
 
 test('a version that served a moment ago may have begun a stream of unknown origin; one that is gone for a minute cannot', () => {
-	const versions = new SoftwareVersions();
-	const serve = (...software: string[]) => {
-		versions.update(software.map(version => ({service: 'llm', software: version})));
+	const versions = new SoftwareVersions(Number.NEGATIVE_INFINITY);
+	const serve = (nowMs: number, ...software: string[]) => {
+		versions.update(software.map(version => ({service: 'llm', software: version, isGone: false})), nowMs);
 	};
 
 	assert.equal(versions.findOnly('llm', 0), undefined);
-	serve('v1');
+	serve(0, 'v1');
 	assert.equal(versions.findOnly('llm', 0), 'v1');
-	serve('v1', 'v2');
+	serve(1000, 'v1', 'v2');
 	assert.equal(versions.findOnly('llm', 1000), undefined);
-	serve('v2');
+	serve(2000, 'v2');
 	assert.equal(versions.findOnly('llm', 2000), undefined);
-	assert.equal(versions.findOnly('llm', 63_000), 'v2');
+	assert.equal(versions.findOnly('llm', 62_000), undefined);
+	assert.equal(versions.findOnly('llm', 62_001), 'v2');
 	assert.equal(versions.findOnly('other', 63_000), undefined);
+	serve(63_000, 'v2', 'v1');
+	assert.equal(versions.findOnly('llm', 63_000), undefined);
+});
+
+test('a version whose servers have all left before the first report of them may have begun a stream', () => {
+	const versions = new SoftwareVersions(Number.NEGATIVE_INFINITY);
+	const report = [{service: 'llm', software: 'v1', isGone: true}, {service: 'llm', software: 'v2', isGone: false}];
+	versions.update(report, 1000);
+	assert.equal(versions.findOnly('llm', 61_000), undefined);
+	assert.equal(versions.findOnly('llm', 61_001), 'v2');
+	versions.update(report, 61_001);
+	assert.equal(versions.findOnly('llm', 61_001), 'v2');
 });
 
 test('origins are kept for a minute and bounded', () => {
@@ -84,9 +98,11 @@
 
 test('an entry host asks the other control hosts if the first one does not know the origin of a stream', async () => {
 	let holder: string | undefined;
-	const {client, asked} = createClient({c1: createScheduler(), c2: createScheduler(), c3: createScheduler()}, (schedulers, others) => {
-		holder = others.at(-1)!;
-		schedulers[holder]!.recordOrigin('a', 'v2', 0);
+	const {client, asked} = createClient({c1: createScheduler(), c2: createScheduler(), c3: createScheduler()}, {
+		prepare(schedulers, others) {
+			holder = others.at(-1)!;
+			schedulers[holder]!.recordOrigin('a', 'v2', 0);
+		},
 	});
 	const {decision, by} = await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}));
 	assert.deepEqual(listServers(decision), ['d2']);
@@ -97,7 +113,7 @@
 });
 
 test('a host that is cut off from the control hosts resumes only streams whose origin it knows itself', async () => {
-	const {client} = createClient({}, () => undefined);
+	const {client} = createClient({});
 	client.recordOrigin('a', 'v2');
 	assert.deepEqual(listServers((await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}))).decision), ['d2']);
 	for (const resumption of [{attempt: 'other'}, {}]) {
@@ -106,9 +122,33 @@
 	}
 });
 
+test('a host that places by itself does not take the only version that it has seen for the one that began a stream', async () => {
+	const {client} = createClient({}, {localScheduler: createScheduler(ENGINES.filter(({software}) => software === 'v2'))});
+	for (const resumption of [{attempt: 'other'}, {}]) {
+		const {decision} = await client.place(createRequest('c', 100, {resumption}));
+		assert.ok(decision.type === 'rejection' && decision.isOriginUnknown === true, JSON.stringify(decision));
+	}
+});
+
+test('a scheduler takes the only version for the one that began a stream once it has seen all servers for a minute', () => {
+	const serving = ENGINES.filter(({software}) => software === 'v2');
+	for (const {versionsKnownSinceMs, onlySinceMs} of [{versionsKnownSinceMs: Number.NEGATIVE_INFINITY, onlySinceMs: 0}, {versionsKnownSinceMs: 500, onlySinceMs: 60_501}, {onlySinceMs: Number.POSITIVE_INFINITY}]) {
+		const scheduler = new Scheduler(versionsKnownSinceMs === undefined ? {} : {versionsKnownSinceMs});
+		scheduler.updateEngines(serving);
+		scheduler.updateVersions(serving.map(engine => ({...engine, isGone: false})), 500);
+		for (const [index, nowMs] of [500, 60_500, 60_501, 1e9].entries()) {
+			for (const resumption of [{attempt: 'unknown'}, {}]) {
+				const decision = scheduler.place(createRequest(`b${index}`, 100, {resumption}), nowMs);
+				assert.equal(decision.type, nowMs >= onlySinceMs ? 'assignment' : 'rejection', `${versionsKnownSinceMs} ${nowMs} ${JSON.stringify(decision)}`);
+				assert.ok(decision.type === 'assignment' || decision.isOriginUnknown === true);
+			}
+		}
+	}
+});
+
 test('a control host that responds too late drops the placement, and its runner is not the origin of the stream', async () => {
 	const scheduler = createScheduler();
-	const {client} = createClient({c1: scheduler}, () => undefined, true);
+	const {client} = createClient({c1: scheduler}, {late: ['c1']});
 	const {by} = await client.place(createRequest('a', 100));
 	assert.equal(by, 'self');
 	assert.equal(scheduler.findOrigin('a', 0), undefined);
@@ -117,7 +157,7 @@
 
 test('a control host that responds too late to the end of a prefill is not asked for the origin of the stream', async () => {
 	const scheduler = createScheduler();
-	const {client, setLate} = createClient({c1: scheduler}, () => undefined);
+	const {client, setLate} = createClient({c1: scheduler});
 	const {decision} = await client.place(createRequest('a', 9000));
 	assert.ok(decision.type === 'assignment' && decision.reader !== undefined);
 	setLate();
@@ -127,9 +167,18 @@
 	assert.equal(scheduler.openCount, 0);
 });
 
-/** A client of schedulers by control host; `prepare` is called at the first offer, with the hosts that did not get it. */
-function createClient(schedulers: Record<string, Scheduler>, prepare: (schedulers: Record<string, Scheduler>, others: string[]) => void, isLate = false) {
+type ClientOptions = {
+	/** Called at the first offer, with the hosts that did not get it. */
+	readonly prepare?: (schedulers: Record<string, Scheduler>, others: string[]) => void;
+	/** Control hosts whose responses come too late. */
+	readonly late?: readonly string[];
+	readonly localScheduler?: Scheduler;
+};
+
+/** A client of schedulers by control host. */
+function createClient(schedulers: Record<string, Scheduler>, {prepare, late = [], localScheduler = createScheduler()}: ClientOptions = {}) {
 	const asked: string[] = [];
+	const lateHosts = new Set(late);
 	const client: PlacementClient = new PlacementClient({
 		hosts: {
 			listLive: () => Object.keys(schedulers),
@@ -137,7 +186,7 @@
 				const scheduler = schedulers[host]!;
 				if (message.type === 'milestone') {
 					const decision = scheduler.recordMilestone(message.id, message.stage, {server: message.server}, 0);
-					if (decision && !isLate) {
+					if (decision && !lateHosts.has(host)) {
 						client.receive(decision, host);
 					}
 				}
@@ -145,19 +194,24 @@
 				if (message.type === 'offer') {
 					asked.push(host);
 					if (asked.length === 1) {
-						prepare(schedulers, Object.keys(schedulers).filter(other => other !== host));
+						prepare?.(schedulers, Object.keys(schedulers).filter(other => other !== host));
 					}
 
 					const decision = scheduler.place({bodyBytes: 0, connected: [], ...message}, 0);
-					if (!isLate) {
+					if (!lateHosts.has(host)) {
 						client.receive(decision, host);
 					}
 				}
 
+				if (message.type === 'shadow') {
+					const {type: _type, reader, runner, ...request} = message;
+					scheduler.recordPlacement(request, reader, runner, 0);
+				}
+
 				return true;
 			},
 		},
-		localScheduler: createScheduler(),
+		localScheduler,
 		localLimiter: createFallbackLimiter(() => undefined, {countHosts: () => 3, random: () => 0.5}),
 		clock: {monotonicMs: () => 0, wallMs: () => 0},
 	});
@@ -166,14 +220,16 @@
 		asked,
 		/** From now on no control host responds in time. */
 		setLate() {
-			isLate = true;
+			for (const host of Object.keys(schedulers)) {
+				lateHosts.add(host);
+			}
 		},
 	};
 }
 
-function createScheduler(): Scheduler {
+function createScheduler(engines: readonly EngineInfo[] = ENGINES): Scheduler {
 	const scheduler = new Scheduler();
-	scheduler.updateEngines(ENGINES);
+	scheduler.updateEngines(engines);
 	return scheduler;
 }
 
