Ask the other control hosts for the origin of a stream if one responds too late

Callers saw: with the first control host slow, a next try was placed by the entry host itself, which now refuses streams that it does not know, though another control host knew them. The same for next tries that name no earlier attempt: only one host was asked.

Red before: "an entry host asks the other control hosts for the origin of a stream if the first one responds too late".

Fix: while the origin is unknown, all control hosts are asked in turn, whether a host refuses for that reason or does not respond.

--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -100,17 +100,22 @@
 		return permit;
 	}
 
-	/** Requests a placement. */
+	/**
+	 * Requests a placement from the host that is first in rank, and from the others while none knows the origin of a resumed stream. The
+	 * local scheduler does not infer an unknown origin: this host may have missed servers.
+	 */
 	async place(received: PlacementRequest): Promise<PlacementResult> {
 		const request = this.#addLocalOrigin(received);
+		const {resumption} = request;
+		const needsOrigin = resumption !== undefined && resumption.software === undefined;
 		let rejection: PlacementResult | undefined;
-		for (const host of this.#listHostsToAsk(request)) {
+		for (const host of this.#rankHosts(request.service).slice(0, needsOrigin ? undefined : 1)) {
 			const decision = await this.#queryDecision(host, request.id, {
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
 			if (!decision) {
 				this.#dropPlacement(host, request.id);
-				break;
+				continue;
 			}
 
 			if (decision.type === 'assignment' || decision.isOriginUnknown !== true) {
@@ -240,12 +245,6 @@
 		return software === undefined ? request : {...request, resumption: {...resumption, software}};
 	}
 
-	/** Lists the hosts to ask for a placement: the first in rank, and the others while the origin of a stream is not known. */
-	#listHostsToAsk({service, resumption}: PlacementRequest): string[] {
-		const hosts = this.#rankHosts(service);
-		return resumption?.attempt !== undefined && resumption.software === undefined ? hosts : hosts.slice(0, 1);
-	}
-
 	/**
 	 * Ranks the scheduler hosts by rendezvous hashing: all entry hosts that see the same scheduler hosts rank them
 	 * alike.
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -130,6 +130,23 @@
 	}
 });
 
+test('an entry host asks the other control hosts for the origin of a stream if the first one responds too late', async () => {
+	const schedulers = {c1: createScheduler(), c2: createScheduler()};
+	const {client: probe, asked} = createClient(schedulers);
+	await probe.place(createRequest('a', 100));
+	probe.reportMilestone('a', 'done', undefined);
+	const [first] = asked as [keyof typeof schedulers];
+	for (const scheduler of Object.values(schedulers)) {
+		scheduler.recordOrigin('begun', 'v2', 0);
+	}
+
+	const {client} = createClient(schedulers, {late: [first]});
+	const {decision, by} = await client.place(createRequest('b', 100, {resumption: {attempt: 'begun'}}));
+	assert.deepEqual(listServers(decision), ['d2']);
+	assert.equal(by, first === 'c1' ? 'c2' : 'c1');
+	assert.equal(schedulers[first].openCount, 0);
+});
+
 test('a scheduler takes the only version for the one that began a stream once it has seen all servers for a minute', () => {
 	const serving = ENGINES.filter(({software}) => software === 'v2');
 	for (const {versionsKnownSinceMs, onlySinceMs} of [{versionsKnownSinceMs: Number.NEGATIVE_INFINITY, onlySinceMs: 0}, {versionsKnownSinceMs: 500, onlySinceMs: 60_501}, {onlySinceMs: Number.POSITIVE_INFINITY}]) {
