Take up a stream without a prompt only at the software version that can have begun it

Callers saw: a next try without a prompt in its headers, or to a service without engines, was answered 200 at version v2 a moment after the servers of v1 had left, at a host that had just started and at an old one.

Cause: `PlainCall` counted the versions of the servers that are present now.

Fix: the version is asked of the control hosts, which know what served within a minute, with an offer whose placement is dropped at once. No message changes, so hosts of the version before understand it; an old control host has no versions of services without engines and refuses. All attempts of the request go to servers of the version that was found.

A system in the tests can restart its control host and remove servers.

--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {Buffer} from 'node:buffer';
+import * as Either from 'fp-ts/lib/Either.js';
 import {createProblem} from '../base/problem.js';
 import type {Announcement} from '../generated/types.js';
 import {ROUTE_KINDS} from '../routing/routes.js';
@@ -14,6 +15,7 @@
 import type {ResponseBuffer} from './buffer.js';
 import {endsInsideEvent, isUnframedStream} from './events.js';
 import type {ResponseHead} from './protocol.js';
+import {findResumedSoftware} from './resumption.js';
 import type {Exchange} from './upstream.js';
 
 type Outcome
@@ -48,6 +50,8 @@
 	#unsentCount = 0;
 	#mayHaveRun = false;
 	#exchange: Exchange | undefined;
+	/** Software version that started the stream that the request resumes; undefined if it resumes none. */
+	#software: string | undefined;
 	/** The server of the next attempt, if it was chosen before the current attempt was given up. */
 	#nextServer: Announcement | undefined;
 
@@ -61,9 +65,14 @@
 
 	async run(): Promise<void> {
 		const {caller} = this.#call;
-		if (this.#call.head.lastEventId !== undefined && this.#countSoftwareVersions() > 1) {
-			caller.fail(createProblem('notStarted', 'The software version that started the stream is unknown.', REFUSED_RETRY_SECONDS));
-			return;
+		if (this.#call.head.lastEventId !== undefined) {
+			const software = await findResumedSoftware(this.#context, this.#call);
+			if (Either.isLeft(software)) {
+				caller.fail(software.left);
+				return;
+			}
+
+			this.#software = software.right;
 		}
 
 		let last: Outcome | undefined;
@@ -91,12 +100,6 @@
 		}
 	}
 
-	/** Counts the software versions of the service's servers. Which of them started a stream is not recorded for plain requests. */
-	#countSoftwareVersions(): number {
-		const servers = this.#context.listServers().filter(server => server.services?.includes(this.#call.service));
-		return new Set(servers.map(({software}) => software)).size;
-	}
-
 	/** Whether a request may be sent to a server now. One that is at its rate limit is not selected again. */
 	async #mayUse(server: Announcement): Promise<boolean> {
 		const {placement, rateLimits} = this.#context;
@@ -190,7 +193,8 @@
 	#selectServer(): Announcement | undefined {
 		const {availability, clock, health, listServers, loadTracker, random, dataCentre, transport} = this.#context;
 		const nowMs = clock.monotonicMs();
-		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server) && !this.#atLimit.has(server.server));
+		const all = listServers().filter(server => server.services?.includes(this.#call.service) && !this.#triedServers.has(server.server) && !this.#atLimit.has(server.server)
+			&& (this.#software === undefined || (server.software ?? '') === this.#software));
 		const healthy = all.filter(server => !health.isSuspected(server.server, nowMs));
 		const heldBack = availability.drawHeldBack(nowMs, random);
 		const preferred = healthy.filter(({server, incarnation}) => !heldBack.some(other => other.server === server && other.incarnation === incarnation));
--- a/test/system.ts
+++ b/test/system.ts
@@ -78,7 +78,7 @@
 	const controlRegistry = new Registry();
 	const peer = {address: '127.0.0.1', port: await findPort()};
 	const operators = {address: '127.0.0.1', port: await findPort()};
-	const control = unwrap(await ControlHost.start({
+	const startControl = async (registry: Registry) => unwrap(await ControlHost.start({
 		host: 'c1',
 		dataCentre: 'a',
 		peerAddress: peer,
@@ -88,14 +88,15 @@
 		clock,
 		random: createRandom(1),
 		loggers,
-		metrics: createControlMetrics(controlRegistry),
+		metrics: createControlMetrics(registry),
 		protocol: dialect,
 		createOrderTransport: findServer => new PlatformOrderTransport('c1', clock, findServer),
 		leaseMs: 500,
 		announceIntervalMs: 400,
 	}));
+	let control = await startControl(controlRegistry);
 	cleanups.push(async () => control.close());
-	const api = unwrap(await startHttpServer(operators, createControlHandler(control)));
+	let api = unwrap(await startHttpServer(operators, createControlHandler(control)));
 	cleanups.push(() => {
 		closeServer(api);
 	});
@@ -166,6 +167,20 @@
 			await waitUntil(async () => added.host.isReady && added.host.listServers().length === entry.listServers().length, 'the added entry host knows all servers');
 			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
 		},
+		/** Stops a server that deregisters, and waits until no entry host lists it. */
+		async removeServer(id: string) {
+			await fetch(`http://${address}/-/instances/${id}`, {method: 'DELETE'});
+			await waitUntil(async () => entries.every(({host}) => !host.listServers().includes(id)), `no entry host lists ${id}`);
+			servers.find(server => server.id === id)?.stop();
+		},
+		/** Ends the control host and starts it again on its data folder; waits until it takes announcements. */
+		async restartControl() {
+			closeServer(api);
+			await control.close();
+			control = await startControl(new Registry());
+			api = unwrap(await startHttpServer(operators, createControlHandler(control)));
+			await waitUntil(async () => (await fetch(`http://${address}/-/config`)).status === 200, 'the control host has its configuration');
+		},
 		/** Announces all running servers again, before they count as silent. */
 		async announceServers() {
 			await Promise.all(servers.filter(server => server.isRunning).map(async server => server.announce(address)));
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -9,6 +9,7 @@
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
+const NO_PROMPT = {'carawayhoist-model': '', 'carawayhoist-token-counts': ''};
 const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 /** Time for the events before it to arrive: a reset discards what the receiver has not read. */
 const BREAK_DELAY_MS = 20;
@@ -70,10 +71,47 @@
 
 test('a stream without a prompt is taken up only while one software version serves', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1')]);
-	const noPrompt = {'carawayhoist-model': '', 'carawayhoist-token-counts': '', 'last-event-id': '2'};
-	assert.deepEqual((await stream(system.callers, 'a', noPrompt)).events, ['3', '4']);
+	assert.deepEqual((await stream(system.callers, 'a', {...NO_PROMPT, 'last-event-id': '2'})).events, ['3', '4']);
 	await system.addServer(createEngine('e2', 'v2'));
-	assert.equal((await stream(system.callers, 'b', noPrompt)).status, 503);
+	assert.equal((await stream(system.callers, 'b', {...NO_PROMPT, 'last-event-id': '2'})).status, 503);
+});
+
+test('a stream is not taken up at the only software version left a moment after the servers of another one have left', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
+	for (const server of [createEngine('e2', 'v2'), createPlainServer('p2', 'v2')]) {
+		await system.addServer(server);
+	}
+
+	for (const server of ['e1', 'p1']) {
+		await system.removeServer(server);
+	}
+
+	await system.addEntry();
+	await assertNoneTakenUp(system);
+});
+
+test('a stream is not taken up at the only software version that the hosts have seen since all of them started', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
+	for (const server of ['e1', 'p1']) {
+		await system.removeServer(server);
+	}
+
+	await system.restartControl();
+	for (const server of [createEngine('e2', 'v2'), createPlainServer('p2', 'v2')]) {
+		await system.addServer(server);
+	}
+
+	await system.addEntry();
+	await assertNoneTakenUp(system);
+});
+
+test('a host that has just started takes up streams of unknown origin while the control host has known one software version only', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
+	await system.addEntry();
+	for (const [index, request] of RESUMPTIONS.entries()) {
+		const {status, events} = await stream(system.callerAddresses.at(-1)!, `a${index}`, request);
+		assert.deepEqual({status, events}, {status: 200, events: ['3', '4']}, JSON.stringify(request));
+	}
 });
 
 test('a stream of unknown origin goes on when one software version serves', async t => {
@@ -97,7 +135,33 @@
 	assert.equal(read(7), undefined);
 });
 
-/** An engine; one that breaks ends every stream that begins there in its third event. */
+/** Next tries of a stream that no host remembers: at engines with and without a prompt, and at a service without engines. */
+const RESUMPTIONS = [
+	{'last-event-id': '2'},
+	{'last-event-id': '2', resumes: 'unknown'},
+	{...NO_PROMPT, 'last-event-id': '2'},
+	{...NO_PROMPT, 'last-event-id': '2', resumes: 'unknown'},
+	{path: '/read/1', 'last-event-id': '2'},
+];
+
+/** Asserts that all entry hosts refuse next tries of streams that they do not know, and that no server gets one. */
+async function assertNoneTakenUp({callerAddresses, servers}: Awaited<ReturnType<typeof startSystem>>): Promise<void> {
+	for (const address of callerAddresses) {
+		for (const request of RESUMPTIONS) {
+			const {status, retryAfter, servers: servedBy} = await stream(address, 'a', request);
+			assert.deepEqual({status, servedBy}, {status: 503, servedBy: []}, JSON.stringify(request));
+			assert.ok(Number(retryAfter) > 0);
+		}
+	}
+
+	assert.ok(servers.every(({receivedRequests}) => receivedRequests.length === 0));
+}
+
+function createPlainServer(id: string, software: string): StubBackendOptions {
+	const {stage, ...options} = createEngine(id, software);
+	return {...options, service: 'plain'};
+}
+
 /** Options of an engine; streams that begin at it break off after two events once `breakOff` is settled. */
 function createEngine(id: string, software: string, breakOff?: Promise<unknown>): StubBackendOptions {
 	return {
@@ -123,10 +187,10 @@
 }
 
 /** Reads a stream until it ends or its connection is closed. */
-async function stream({address, port}: Address, id: string, headers: http.OutgoingHttpHeaders = {}) {
+async function stream({address, port}: Address, id: string, {path = '/ask/1', ...headers}: http.OutgoingHttpHeaders & {readonly path?: string} = {}) {
 	return new Promise<{status: number | undefined; retryAfter: string | undefined; events: string[]; servers: string[]; isComplete: boolean}>((resolve, reject) => {
 		const request = http.request({
-			host: address, port, path: '/ask/1', method: 'POST', headers: {
+			host: address, port, path, method: 'POST', headers: {
 				host: 'a.example', 'carawayhoist-attempt-id': id, ...PROMPT, ...headers,
 			},
 		}, response => {
