Drop placements that brought no event at every host that recorded them

What callers would see: a next try goes on at the version of a placement that was never used, if that record is found before the true one.

Cause: a host takes the runner of a placement for the origin of the stream until it is told that it brought no event. Three were not told: the backup, which got `done` for a failed run; the host that placed before, when another one is asked for the second placement; and any host for a resumption whose origin it had found itself, because only placements of new streams were dropped.

Fix: the backup gets `refused` unless an event was forwarded or the origin was sent with the placement; a second placement begins with `refused` to the hosts of the first; a record is kept without an event only if the entry host gave the origin. Hosts of the version before keep the backup's record, as they did.

--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -38,6 +38,8 @@
 	/** Undefined if another scheduler placed it. */
 	readonly request: PlacementRequest | undefined;
 	readonly expiresMs: number;
+	/** Whether the entry host knew which software version started the stream. */
+	readonly isOriginGiven: boolean;
 	reader: string | undefined;
 	runner: string | undefined;
 	/** Engine whose rate limit was charged for the runner before the runner was chosen. */
@@ -48,6 +50,10 @@
 	firstAtMs?: number;
 };
 
+type AssignmentFlags = Pick<OpenRequest, 'isOriginGiven'> & {
+	readonly isLate: boolean;
+};
+
 export type SchedulerOptions = {
 	readonly weights?: ResourceWeights;
 	/** Keeps the requests within the rates that engines accept; absent if there are no such rates. */
@@ -130,14 +136,14 @@
 			return reject(request, reason, Math.max(MIN_RETRY_AFTER_MS, selection.firstEventMs - request.objectiveMs));
 		}
 
-		return this.#assign(resolved, selection, isLate, nowMs);
+		return this.#assign(resolved, selection, {isLate, isOriginGiven: hasOrigin(received)}, nowMs);
 	}
 
 	/** Records another scheduler's placement, so that this one can take over if the other fails. */
 	recordPlacement(request: ObservedRequest, reader: string | undefined, runner: string, nowMs: number): void {
 		this.#closeRequest(request.id, nowMs);
 		const openRequest: OpenRequest = {
-			request: undefined, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader, runner,
+			request: undefined, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, isOriginGiven: false, reader, runner,
 		};
 		this.#openRequests.set(request.id, openRequest);
 		const readerEngine = this.#engines.get(reader ?? '');
@@ -170,7 +176,7 @@
 		}
 
 		const openRequest: OpenRequest = {
-			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader, runner: undefined,
+			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, isOriginGiven: hasOrigin(received), reader, runner: undefined,
 		};
 		this.#openRequests.set(request.id, openRequest);
 		return this.#assignRunner(openRequest, request, nowMs);
@@ -207,7 +213,7 @@
 
 			case MILESTONES.refused:
 			case MILESTONES.failed: {
-				if (openRequest.request && !openRequest.request.resumption && openRequest.firstAtMs === undefined) {
+				if (!openRequest.isOriginGiven && openRequest.firstAtMs === undefined) {
 					this.#origins.delete(id);
 				}
 
@@ -249,10 +255,10 @@
 		}
 	}
 
-	#assign(request: PlacementRequest, {reader, runner, expectedRunner, plan, firstEventMs}: EngineSelection, isLate: boolean, nowMs: number): PlacementDecision {
+	#assign(request: PlacementRequest, {reader, runner, expectedRunner, plan, firstEventMs}: EngineSelection, {isLate, isOriginGiven}: AssignmentFlags, nowMs: number): PlacementDecision {
 		const engine = reader ?? runner!;
 		this.#openRequests.set(request.id, {
-			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader: reader?.info.server, runner: runner?.info.server, ...(!runner && {reserved: expectedRunner}),
+			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, isOriginGiven, reader: reader?.info.server, runner: runner?.info.server, ...(!runner && {reserved: expectedRunner}),
 		});
 		for (const charged of [reader, expectedRunner]) {
 			this.#consume(charged, nowMs);
@@ -365,6 +371,10 @@
 	}
 }
 
+function hasOrigin({resumption}: PlacementRequest): boolean {
+	return resumption?.software !== undefined;
+}
+
 function rejectUnknownOrigin(request: PlacementRequest): PlacementDecision {
 	return {
 		type: 'rejection', id: request.id, reason: 'the software version that started the stream is unknown', retryAfterMs: NO_ENGINE_RETRY_MS, isOriginUnknown: true,
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -54,6 +54,13 @@
 	readonly settle: (reply: QueryReply | undefined) => void;
 };
 
+/** Where a placement was copied to. */
+type Backup = {
+	readonly host: string;
+	/** Whether the origin that it records holds: events of the stream have been forwarded. */
+	isOriginSure: boolean;
+};
+
 export type PlacementClientOptions = {
 	readonly hosts: SchedulerHosts;
 	readonly localScheduler: Scheduler;
@@ -70,7 +77,7 @@
 	readonly #clock: Clock;
 	readonly #pendingQueries = new Map<string, PendingQuery>();
 	readonly #schedulerHosts = new Map<string, string>();
-	readonly #backupHosts = new Map<string, string>();
+	readonly #backups = new Map<string, Backup>();
 	readonly #avoidedUntilMs = new Map<string, number>();
 
 	constructor({hosts, localScheduler, localLimiter, clock}: PlacementClientOptions) {
@@ -105,6 +112,11 @@
 	 * local scheduler does not infer an unknown origin: this host may have missed servers.
 	 */
 	async place(received: PlacementRequest): Promise<PlacementResult> {
+		if (this.#schedulerHosts.has(received.id)) {
+			// The earlier placement is not used. Another host may be asked now.
+			this.reportMilestone(received.id, MILESTONES.refused, undefined);
+		}
+
 		const request = this.#addLocalOrigin(received);
 		const {resumption} = request;
 		const needsOrigin = resumption !== undefined && resumption.software === undefined;
@@ -158,13 +170,13 @@
 	 * Sends a placement to the host that is next in rank, so that it knows the engines' caches and load if it takes
 	 * over.
 	 */
-	notifyBackup({id, service, parts, promptTokens, outputTokens, patienceMs}: PlacementRequest, reader: string | undefined, runner: string): void {
+	notifyBackup({id, service, parts, promptTokens, outputTokens, patienceMs, resumption}: PlacementRequest, reader: string | undefined, runner: string): void {
 		const backup = this.#rankHosts(service).find(host => host !== this.#schedulerHosts.get(id));
 		if (backup === undefined) {
 			return;
 		}
 
-		this.#backupHosts.set(id, backup);
+		this.#backups.set(id, {host: backup, isOriginSure: resumption?.software !== undefined});
 		this.#hosts.send(backup, {
 			type: 'shadow', id, service, parts: [...parts], promptTokens, outputTokens, patienceMs, runner, ...(reader === undefined ? {} : {reader}),
 		});
@@ -178,12 +190,17 @@
 	/** Reports the progress of a request to the host that placed it, and its end also to the backup host. */
 	reportMilestone(id: string, milestone: Exclude<MilestoneName, 'read'>, server: string | undefined): void {
 		const host = this.#schedulerHosts.get(id);
-		const backup = this.#backupHosts.get(id);
-		if (milestone !== MILESTONES.first) {
+		const backup = this.#backups.get(id);
+		if (milestone === MILESTONES.first) {
+			if (backup) {
+				backup.isOriginSure = true;
+			}
+		} else {
 			this.#schedulerHosts.delete(id);
-			this.#backupHosts.delete(id);
-			if (backup !== undefined) {
-				this.#hosts.send(backup, {type: 'milestone', id, stage: MILESTONES.done});
+			this.#backups.delete(id);
+			if (backup) {
+				const stage = backup.isOriginSure || milestone === MILESTONES.done ? MILESTONES.done : MILESTONES.refused;
+				this.#hosts.send(backup.host, {type: 'milestone', id, stage});
 			}
 		}
 
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -4,7 +4,7 @@
 import type {EngineInfo} from '../src/routing/engine.js';
 import {createFallbackLimiter} from '../src/routing/limiter.js';
 import {SoftwareVersions, StreamOrigins} from '../src/routing/origins.js';
-import type {PlacementDecision} from '../src/routing/request.js';
+import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient} from '../src/serving/placement.js';
 import {createEngine, createRequest} from './pool.js';
@@ -47,6 +47,46 @@
 	assert.ok(resumed.type === 'rejection' && resumed.isOriginUnknown === true);
 });
 
+test('a resumption that brought no event is not taken for the origin of a stream, unless events of it were forwarded before', () => {
+	const scheduler = createScheduler();
+	scheduler.recordOrigin('begun', 'v1', 0);
+	scheduler.place(createRequest('next', 100, {resumption: {attempt: 'begun'}}), 0);
+	scheduler.recordMilestone('next', 'refused', {}, 10);
+	assert.equal(scheduler.findOrigin('next', 20), undefined);
+	scheduler.place(createRequest('begun', 100, {resumption: {software: 'v1'}}), 30);
+	scheduler.recordMilestone('begun', 'refused', {}, 40);
+	assert.equal(scheduler.findOrigin('begun', 50), 'v1');
+});
+
+test('no control host takes a placement that brought no event for the origin of a stream, neither the first in rank nor the backup', async () => {
+	const schedulers = {c1: createScheduler(), c2: createScheduler()};
+	const {client} = createClient(schedulers);
+	for (const hasEvent of [false, true]) {
+		const request = createRequest(`a-${hasEvent}`, 100);
+		const runner = await placeRunner(client, request);
+		client.notifyBackup(request, undefined, runner);
+		if (hasEvent) {
+			client.reportMilestone(request.id, 'first', undefined);
+		}
+
+		client.reportMilestone(request.id, 'failed', runner);
+		const software = hasEvent ? `v${runner.slice(1)}` : undefined;
+		assert.deepEqual(Object.values(schedulers).map(scheduler => scheduler.findOrigin(request.id, 0)), [software, software]);
+	}
+});
+
+test('a control host that placed a request which another host places again is told to drop its placement', async () => {
+	const schedulers: Record<string, Scheduler> = {c1: createScheduler(), c2: createScheduler()};
+	const {client, asked, setDown} = createClient(schedulers);
+	const request = createRequest('a', 100);
+	const runner = await placeRunner(client, request);
+	client.notifyBackup(request, undefined, runner);
+	setDown(asked[0]!);
+	const {by} = await client.place({...request, excluded: [runner]});
+	assert.notEqual(by, asked[0]);
+	assert.equal(schedulers[asked[0]!]!.findOrigin('a', 0), undefined);
+});
+
 test('a resumed stream is rejected when its software version does not serve any more', () => {
 	const scheduler = createScheduler();
 	const resumed = scheduler.place(createRequest('b', 100, {resumption: {software: 'v0'}}), 0);
@@ -196,9 +236,10 @@
 function createClient(schedulers: Record<string, Scheduler>, {prepare, late = [], localScheduler = createScheduler()}: ClientOptions = {}) {
 	const asked: string[] = [];
 	const lateHosts = new Set(late);
+	const downHosts = new Set<string>();
 	const client: PlacementClient = new PlacementClient({
 		hosts: {
-			listLive: () => Object.keys(schedulers),
+			listLive: () => Object.keys(schedulers).filter(host => !downHosts.has(host)),
 			send(host, message: Message) {
 				const scheduler = schedulers[host]!;
 				if (message.type === 'milestone') {
@@ -235,6 +276,10 @@
 	return {
 		client,
 		asked,
+		/** From now on a control host is not asked, though messages reach it: it has lost its majority. */
+		setDown(host: string) {
+			downHosts.add(host);
+		},
 		/** From now on no control host responds in time. */
 		setLate() {
 			for (const host of Object.keys(schedulers)) {
@@ -250,6 +295,12 @@
 	return scheduler;
 }
 
+async function placeRunner(client: PlacementClient, request: PlacementRequest): Promise<string> {
+	const {decision} = await client.place(request);
+	assert.ok(decision.type === 'assignment' && decision.runner !== undefined);
+	return decision.runner;
+}
+
 function listServers(...decisions: Array<PlacementDecision | undefined>): string[] {
 	return decisions.flatMap(decision => decision?.type === 'assignment' ? [decision.reader, decision.runner] : []).filter(server => server !== undefined);
 }
