--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {Message} from '../src/generated/types.js';
+import type {Announcement, Message} from '../src/generated/types.js';
+import {ServerRegistry} from '../src/membership/registry.js';
 import type {EngineInfo} from '../src/routing/engine.js';
 import {createFallbackLimiter} from '../src/routing/limiter.js';
 import {SoftwareVersions, StreamOrigins} from '../src/routing/origins.js';
 import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
+import {listServerVersions} from '../src/serving/engines.js';
 import {PlacementClient} from '../src/serving/placement.js';
 import {createEngine, createRequest} from './pool.js';
 
@@ -123,6 +125,31 @@
 	assert.equal(versions.findOnly('llm', 61_001), 'v2');
 });
 
+test('the version of a server that leaves may begin streams until it is gone; so may the former version of one that started again', () => {
+	const registry = new ServerRegistry();
+	const versions = new SoftwareVersions(Number.NEGATIVE_INFINITY);
+	const announce = (server: string, software: string, nowMs: number, fields: Partial<Announcement> = {}) => {
+		registry.merge({
+			server, software, kind: 'engine', services: ['llm'], address: '10.0.0.1', port: Number(server.slice(1)), incarnation: 1, sequence: nowMs, ...fields,
+		}, nowMs);
+		versions.update(listServerVersions(registry.listStatuses()), nowMs);
+	};
+
+	announce('e1', 'v1', 0);
+	for (let nowMs = 1000; nowMs <= 100_000; nowMs += 1000) {
+		announce('e1', 'v1', nowMs, {leaving: true});
+		announce('e2', 'v2', nowMs);
+		registry.expire(nowMs);
+	}
+
+	assert.deepEqual(registry.listUsable().map(({server}) => server), ['e2']);
+	assert.equal(versions.findOnly('llm', 100_000), undefined);
+	registry.deregister('e1');
+	announce('e2', 'v3', 101_000, {incarnation: 2});
+	assert.equal(versions.findOnly('llm', 161_000), undefined);
+	assert.equal(versions.findOnly('llm', 161_001), 'v3');
+});
+
 test('origins are kept for a minute and bounded', () => {
 	const origins = new StreamOrigins();
 	origins.record('a', 'v1', 0);
