Do not resume a stream at an engine that has started again with another version

What callers would see: a stream goes on at v2 because the control host, which has not heard yet that engine d1 has started again, still takes it for v1. The entry host knew.

Red before: "a stream is not resumed at an engine that has started again with another version, though the control host does not know yet" (assignment to d1).

Fix: the entry host compares the assigned engine's version with the stream's, if it knows both, drops the placement and decides itself.

--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -167,6 +167,11 @@
 		return this.#origins.findSoftware(attempt, nowMs);
 	}
 
+	/** Finds the software version of an engine; undefined if the engine is not known here. */
+	findSoftware(server: string): string | undefined {
+		return this.#engines.get(server)?.info.software;
+	}
+
 	/** Chooses the runner of a request whose prefill was placed by another scheduler. */
 	chooseRunner(received: PlacementRequest, reader: string, nowMs: number): PlacementDecision {
 		this.#closeRequest(received.id, nowMs);
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -125,7 +125,7 @@
 			const decision = await this.#queryDecision(host, request.id, {
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
-			if (!decision) {
+			if (!decision || this.#hasOtherSoftware(decision, request)) {
 				this.#dropPlacement(host, request.id);
 				continue;
 			}
@@ -154,11 +154,11 @@
 				type: 'milestone', id: request.id, stage: MILESTONES.read, server: reader, connected: [...request.connected],
 			});
 			const isExcluded = decision?.type === 'assignment' && request.excluded.includes(decision.runner ?? '');
-			if (decision && !isExcluded) {
+			if (decision && !isExcluded && !this.#hasOtherSoftware(decision, request)) {
 				return {decision, by: host};
 			}
 
-			// It responded too late, or does not know yet that the engine has become unavailable since the request was placed.
+			// It responded too late, or does not know yet that the engine has become unavailable or has started again with another version.
 			this.#dropPlacement(host, request.id);
 			this.#schedulerHosts.set(request.id, SELF);
 		}
@@ -255,6 +255,13 @@
 		this.#hosts.send(host, {type: 'milestone', id, stage: MILESTONES.refused});
 	}
 
+	/** Whether an engine has started again with another software version than the one of the stream, which the scheduler host does not know yet. */
+	#hasOtherSoftware(decision: PlacementDecision, {resumption}: PlacementRequest): boolean {
+		const server = decision.type === 'assignment' ? decision.reader ?? decision.runner : undefined;
+		const software = server === undefined ? undefined : this.#localScheduler.findSoftware(server);
+		return resumption?.software !== undefined && software !== undefined && software !== resumption.software;
+	}
+
 	/** Adds the software version that started a resumed stream, if this host knows it. */
 	#addLocalOrigin(request: PlacementRequest): PlacementRequest {
 		const {resumption} = request;
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -230,6 +230,21 @@
 	}
 });
 
+test('a stream is not resumed at an engine that has started again with another version, though the control host does not know yet', async () => {
+	const isKnown = ({server, software}: EngineInfo) => server === 'p1' || software === 'v2';
+	const restarted = ENGINES.filter(engine => isKnown(engine)).map(engine => engine.server === 'd2' ? {...engine, server: 'd1', incarnation: 2} : engine);
+	const control = createScheduler(ENGINES.filter(({software}) => software === 'v1'));
+	const {client} = createClient({c1: control}, {localScheduler: createScheduler(restarted)});
+	const {decision} = await client.place(createRequest('a', 100, {resumption: {software: 'v1'}}));
+	assert.equal(decision.type, 'rejection');
+	assert.equal(control.openCount, 0);
+	const {decision: prefilled} = await client.place(createRequest('b', 9000, {resumption: {software: 'v1'}}));
+	assert.ok(prefilled.type === 'assignment' && prefilled.reader === 'p1', JSON.stringify(prefilled));
+	const {decision: chosen} = await client.chooseRunner(createRequest('b', 9000, {resumption: {software: 'v1'}}), 'p1');
+	assert.equal(chosen.type, 'rejection');
+	assert.equal(control.openCount, 0);
+});
+
 test('a control host that responds too late drops the placement, and its runner is not the origin of the stream', async () => {
 	const scheduler = createScheduler();
 	const {client} = createClient({c1: scheduler}, {late: ['c1']});
