Test: streams of an entry host that is killed are taken up at the version that began them

Held: the control host that placed them keeps the version from the placement on, so nothing is lost with the entry host. A next try that names no attempt is refused while two versions serve.

--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -57,6 +57,33 @@
 	}
 });
 
+test('streams that broke off when their entry host was killed are taken up at another one, each at the version that began it', async t => {
+	const breakOff = new EventEmitter();
+	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
+	const system = await startSystem(t, engines);
+	const texts: string[] = [];
+	const streaming = Array.from({length: 12}, async (_, index) => stream(system.callers, `begun-${index}`, {}, text => {
+		texts[index] = text;
+	}));
+	await waitUntil(async () => streaming.every((_, index) => texts[index]?.includes('id: 2\ndata: e') && texts[index].endsWith('\n\n')), 'all callers have two events');
+	system.entry.close();
+	const begun = await Promise.all(streaming);
+	assert.deepEqual(new Set(begun.flatMap(({servers}) => servers.map(server => findVersion(server)))), new Set(['v1', 'v2']));
+	await system.addEntry();
+	for (const [index, {servers: [server]}] of begun.entries()) {
+		await system.announceServers();
+		const {servers} = await stream(system.callerAddresses.at(-1)!, `next-${index}`, {resumes: `begun-${index}`, 'last-event-id': '2'});
+		assert.deepEqual(servers.map(other => findVersion(other)), [findVersion(server), findVersion(server)]);
+		assert.equal((await stream(system.callerAddresses.at(-1)!, `unnamed-${index}`, {'last-event-id': '2'})).status, 503);
+	}
+
+	breakOff.emit('now');
+
+	function findVersion(server: string | undefined) {
+		return engines.find(({id}) => id === server)?.software;
+	}
+});
+
 test('a stream of unknown origin is refused while several software versions serve', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1'), createEngine('e2', 'v2')]);
 	for (const headers of [{resumes: 'unknown', 'last-event-id': '2'}, {'last-event-id': '2'}]) {
@@ -187,7 +214,7 @@
 }
 
 /** Reads a stream until it ends or its connection is closed. */
-async function stream({address, port}: Address, id: string, {path = '/ask/1', ...headers}: http.OutgoingHttpHeaders & {readonly path?: string} = {}) {
+async function stream({address, port}: Address, id: string, {path = '/ask/1', ...headers}: http.OutgoingHttpHeaders & {readonly path?: string} = {}, onText: (text: string) => void = () => undefined) {
 	return new Promise<{status: number | undefined; retryAfter: string | undefined; events: string[]; servers: string[]; isComplete: boolean}>((resolve, reject) => {
 		const request = http.request({
 			host: address, port, path, method: 'POST', headers: {
@@ -197,6 +224,7 @@
 			let text = '';
 			response.on('data', chunk => {
 				text += String(chunk);
+				onText(text);
 			});
 			response.on('error', () => undefined);
 			response.once('close', () => {
