Software versions: one pass over the reported servers; test of a take-up without a prompt whose origin is known

The keys of versions are no longer joined into one text, and services without versions are forgotten.

--- a/src/routing/origins.ts
+++ b/src/routing/origins.ts
@@ -73,29 +73,28 @@
 
 	/** Replaces the known servers. The version of one that has left may be new: it may have come and left between two updates. */
 	update(servers: readonly ServerVersion[], nowMs: number): void {
-		const listed = new Set<string>();
-		const serving = new Set<string>();
-		for (const {service, software, isGone} of servers) {
+		const reported = groupByService(servers);
+		for (const [service, serving] of reported) {
 			const versions = this.#services.get(service) ?? new Map<string, number>();
 			this.#services.set(service, versions);
-			versions.set(software, versions.get(software) ?? nowMs);
-			listed.add(formatKey(service, software));
-			if (!isGone) {
-				serving.add(formatKey(service, software));
+			for (const [software, isServing] of serving) {
+				versions.set(software, isServing ? Number.POSITIVE_INFINITY : Math.min(nowMs, versions.get(software) ?? nowMs));
 			}
 		}
 
 		for (const [service, versions] of this.#services) {
 			for (const [software, lastMs] of versions) {
-				const key = formatKey(service, software);
-				if (serving.has(key)) {
-					versions.set(software, Number.POSITIVE_INFINITY);
-				} else if (lastMs === Number.POSITIVE_INFINITY) {
+				const isReported = reported.get(service)?.has(software) === true;
+				if (!isReported && lastMs === Number.POSITIVE_INFINITY) {
 					versions.set(software, nowMs);
-				} else if (nowMs - lastMs > RETENTION_MS && !listed.has(key)) {
+				} else if (!isReported && nowMs - lastMs > RETENTION_MS) {
 					versions.delete(software);
 				}
 			}
+
+			if (versions.size === 0) {
+				this.#services.delete(service);
+			}
 		}
 	}
 
@@ -110,6 +109,14 @@
 	}
 }
 
-function formatKey(service: string, software: string): string {
-	return JSON.stringify([service, software]);
+/** Groups the versions by service, with whether any of their servers may still serve. */
+function groupByService(servers: readonly ServerVersion[]): Map<string, Map<string, boolean>> {
+	const services = new Map<string, Map<string, boolean>>();
+	for (const {service, software, isGone} of servers) {
+		const versions = services.get(service) ?? new Map<string, boolean>();
+		services.set(service, versions);
+		versions.set(software, !isGone || versions.get(software) === true);
+	}
+
+	return services;
 }
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -72,7 +72,8 @@
 	await system.addEntry();
 	for (const [index, {servers: [server]}] of begun.entries()) {
 		await system.announceServers();
-		const {servers} = await stream(system.callerAddresses.at(-1)!, `next-${index}`, {resumes: `begun-${index}`, 'last-event-id': '2'});
+		const prompt = index % 2 === 0 ? PROMPT : NO_PROMPT;
+		const {servers} = await stream(system.callerAddresses.at(-1)!, `next-${index}`, {...prompt, resumes: `begun-${index}`, 'last-event-id': '2'});
 		assert.deepEqual(servers.map(other => findVersion(other)), [findVersion(server), findVersion(server)]);
 		assert.equal((await stream(system.callerAddresses.at(-1)!, `unnamed-${index}`, {'last-event-id': '2'})).status, 503);
 	}
