A control host that joins a running system does not take it for a new one

Callers would see: a control host that is added, or has lost its disk, while its settings still say `firstStart`, infers the version of a stream from the servers that it has seen since it joined.

Cause: an empty data folder and `firstStart` were taken for the first start of the whole system.

Red before: "a control host that joins a running system does not infer the version that began a stream, though its data folder is empty" (its first decision was a refusal, the next ones took v1 for the origin).

Fix: a control host that is warm in its first feed ran before this one; the time since which all servers are known is then this host's start.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -138,6 +138,11 @@
 				this.#mergeRateLimits(message);
 			},
 			onFeed: feed => {
+				// A host that is warm when it is first heard ran before this one: the system is not new, though the data folder was empty.
+				if (feed.whole && feed.isWarm && feed.host !== host) {
+					this.#scheduler.limitVersionKnowledge(this.#startedMs);
+				}
+
 				for (const status of feed.sightings) {
 					this.#handleMergeResult(this.registry.mergeStatus(status, clock.monotonicMs()), status.announcement);
 				}
--- a/src/routing/origins.ts
+++ b/src/routing/origins.ts
@@ -64,13 +64,18 @@
 export class SoftwareVersions {
 	/** When each version was last seen, by service; infinite while it serves. */
 	readonly #services = new Map<string, Map<string, number>>();
-	readonly #knownSinceMs: number;
+	#knownSinceMs: number;
 
 	/** @param knownSinceMs - Time since which the owner has seen all servers; infinite if it may always miss some. */
 	constructor(knownSinceMs: number) {
 		this.#knownSinceMs = knownSinceMs;
 	}
 
+	/** Notes that servers may have been missed before a time. */
+	limitKnowledge(knownSinceMs: number): void {
+		this.#knownSinceMs = Math.max(this.#knownSinceMs, knownSinceMs);
+	}
+
 	/** Replaces the known servers. The version of one that has left may be new: it may have come and left between two updates. */
 	update(servers: readonly ServerVersion[], nowMs: number): void {
 		const reported = groupByService(servers);
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -97,6 +97,11 @@
 		}
 	}
 
+	/** Notes that servers may have been missed before a time. */
+	limitVersionKnowledge(knownSinceMs: number): void {
+		this.#softwareVersions.limitKnowledge(knownSinceMs);
+	}
+
 	/** Replaces the servers by whose software versions the origin of a stream is inferred if no host remembers it. */
 	updateVersions(servers: readonly ServerVersion[], nowMs: number): void {
 		this.#softwareVersions.update(servers, nowMs);
--- a/test/system.ts
+++ b/test/system.ts
@@ -78,11 +78,11 @@
 	const controlRegistry = new Registry();
 	const peer = {address: '127.0.0.1', port: await findPort()};
 	const operators = {address: '127.0.0.1', port: await findPort()};
-	const startControl = async (registry: Registry) => unwrap(await ControlHost.start({
-		host: 'c1',
+	const startControl = async (registry: Registry, host = 'c1', peerAddress = peer) => unwrap(await ControlHost.start({
+		host,
 		dataCentre: 'a',
-		peerAddress: peer,
-		dataFolder: folder,
+		peerAddress,
+		dataFolder: path.join(folder, host),
 		seeds: [peer],
 		firstStart: true,
 		clock,
@@ -90,7 +90,7 @@
 		loggers,
 		metrics: createControlMetrics(registry),
 		protocol: dialect,
-		createOrderTransport: findServer => new PlatformOrderTransport('c1', clock, findServer),
+		createOrderTransport: findServer => new PlatformOrderTransport(host, clock, findServer),
 		leaseMs: 500,
 		announceIntervalMs: 400,
 	}));
@@ -146,6 +146,8 @@
 
 	return {
 		control: address,
+		/** Where other hosts reach the control host. */
+		controlPeer: peer,
 		callers: first.callers,
 		/** Where each entry host listens for callers. */
 		get callerAddresses() {
@@ -173,6 +175,13 @@
 			await waitUntil(async () => entries.every(({host}) => !host.listServers().includes(id)), `no entry host lists ${id}`);
 			servers.find(server => server.id === id)?.stop();
 		},
+		/** Starts one more control host, on an empty data folder and with the settings of the first one; returns where hosts reach it. */
+		async addControl() {
+			const added = {address: '127.0.0.1', port: await findPort()};
+			const host = await startControl(new Registry(), 'c2', added);
+			cleanups.push(async () => host.close());
+			return added;
+		},
 		/** Ends the control host and starts it again on its data folder; waits until it takes announcements. */
 		async restartControl() {
 			closeServer(api);
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -5,7 +5,9 @@
 import {waitUntil} from '../dev/fleet.js';
 import {decodeAnnouncement} from '../platform/announcement.js';
 import {sleep} from '../src/base/clock.js';
-import type {Address} from '../src/wire/connection.js';
+import type {Message} from '../src/generated/types.js';
+import {connect, type Address} from '../src/wire/connection.js';
+import {createRequest} from './pool.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
@@ -13,6 +15,8 @@
 const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 /** Time for the events before it to arrive: a reset discards what the receiver has not read. */
 const BREAK_DELAY_MS = 20;
+/** Time after which a control host of the system counts as warm, with a margin. */
+const WARM_MS = 1200;
 const TWO_EVENTS = ['1', '2'];
 const ALL_EVENTS = ['1', '2', '3', '4'];
 
@@ -133,6 +137,31 @@
 	await assertNoneTakenUp(system);
 });
 
+test('a control host that joins a running system does not infer the version that began a stream, though its data folder is empty', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1')]);
+	const decide = async (address: Address) => new Promise<Message>(resolve => {
+		const connection = connect(address, message => {
+			connection.close();
+			resolve(message);
+		});
+		connection.send({...createRequest('a', 100, {resumption: {}}), type: 'offer'} as Message);
+	});
+	await waitUntil(async () => {
+		await system.announceServers();
+		return (await decide(system.controlPeer)).type === 'assignment';
+	}, 'the first control host knows all servers');
+	await sleep(WARM_MS);
+	await system.announceServers();
+	const joined = await system.addControl();
+	const decisions: Message[] = [];
+	await waitUntil(async () => {
+		const decision = await decide(joined);
+		decisions.push(decision);
+		return decisions.length > 30;
+	}, 'the joined control host has decided often');
+	assert.ok(decisions.every(decision => decision.type === 'rejection' && decision.isOriginUnknown === true), JSON.stringify(decisions));
+});
+
 test('a host that has just started takes up streams of unknown origin while the control host has known one software version only', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
 	await system.addEntry();
