--- a/test/system.ts
+++ b/test/system.ts
@@ -95,11 +95,21 @@
 		announceIntervalMs: 400,
 	}));
 	let control = await startControl(controlRegistry);
-	cleanups.push(async () => control.close());
-	let api = unwrap(await startHttpServer(operators, createControlHandler(control)));
-	cleanups.push(() => {
-		closeServer(api);
-	});
+	let isControlRunning = true;
+	let api: http.Server | undefined;
+	const stopControl = async () => {
+		if (isControlRunning) {
+			isControlRunning = false;
+			if (api) {
+				closeServer(api);
+			}
+
+			await control.close();
+		}
+	};
+
+	cleanups.push(stopControl);
+	api = unwrap(await startHttpServer(operators, createControlHandler(control)));
 	let entryCount = 0;
 	const startEntry = async () => {
 		const callers = {address: '127.0.0.1', port: await findPort()};
@@ -182,11 +192,12 @@
 			cleanups.push(async () => host.close());
 			return added;
 		},
+		stopControl,
 		/** Ends the control host and starts it again on its data folder; waits until it takes announcements. */
 		async restartControl() {
-			closeServer(api);
-			await control.close();
+			await stopControl();
 			control = await startControl(new Registry());
+			isControlRunning = true;
 			api = unwrap(await startHttpServer(operators, createControlHandler(control)));
 			await waitUntil(async () => (await fetch(`http://${address}/-/config`)).status === 200, 'the control host has its configuration');
 		},
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -89,6 +89,25 @@
 	}
 });
 
+test('a stream that breaks off while its entry host reaches no control host goes on at the version that began it, in one response', async t => {
+	const breakOff = new EventEmitter();
+	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
+	const system = await startSystem(t, engines);
+	const texts: string[] = [];
+	const streaming = Array.from({length: 8}, async (_, index) => stream(system.callers, `a${index}`, {}, text => {
+		texts[index] = text;
+	}));
+	await waitUntil(async () => streaming.every((_, index) => texts[index]?.includes('id: 2')), 'all callers have two events');
+	await system.stopControl();
+	breakOff.emit('now');
+	for (const {events, servers} of await Promise.all(streaming)) {
+		const versions = servers.map(server => engines.find(({id}) => id === server)?.software);
+		assert.deepEqual({events, versions}, {events: ALL_EVENTS, versions: Array.from({length: 4}, () => versions[0])});
+	}
+
+	assert.ok(system.entryLines.some(({fields}) => fields.placedBy === 'self'));
+});
+
 test('a stream of unknown origin is refused while several software versions serve', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1'), createEngine('e2', 'v2')]);
 	for (const headers of [{resumes: 'unknown', 'last-event-id': '2'}, {'last-event-id': '2'}]) {
