--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -12,7 +12,7 @@
 import {DEFAULT_RESOURCE_WEIGHTS, type ResourceWeights} from './cost.js';
 import {EngineState, type EngineInfo, type RequestSize} from './engine.js';
 import type {RateLimiter} from './limiter.js';
-import {SoftwareVersions, StreamOrigins} from './origins.js';
+import {SoftwareVersions, StreamOrigins, type ServerVersion} from './origins.js';
 import {
 	LATE_PRIORITY, MILESTONES, type MilestoneDetails, type MilestoneName, type ObservedRequest, type PlacementDecision, type PlacementRequest,
 } from './request.js';
@@ -38,6 +38,8 @@
 	/** Undefined if another scheduler placed it. */
 	readonly request: PlacementRequest | undefined;
 	readonly expiresMs: number;
+	/** Whether the entry host knew which software version started the stream. */
+	readonly isOriginGiven: boolean;
 	reader: string | undefined;
 	runner: string | undefined;
 	/** Engine whose rate limit was charged for the runner before the runner was chosen. */
@@ -48,10 +50,16 @@
 	firstAtMs?: number;
 };
 
+type AssignmentFlags = Pick<OpenRequest, 'isOriginGiven'> & {
+	readonly isLate: boolean;
+};
+
 export type SchedulerOptions = {
 	readonly weights?: ResourceWeights;
 	/** Keeps the requests within the rates that engines accept; absent if there are no such rates. */
 	readonly limiter?: RateLimiter;
+	/** Time since which all servers are reported to `updateVersions`; absent if some may be missed. */
+	readonly versionsKnownSinceMs?: number;
 };
 
 /** Schedules the requests of one or more pools. */
@@ -60,18 +68,18 @@
 	readonly #openRequests = new Map<string, OpenRequest>();
 	readonly #speeds = new Map<string, PoolSpeed>();
 	readonly #origins = new StreamOrigins();
-	readonly #softwareVersions = new SoftwareVersions();
+	readonly #softwareVersions: SoftwareVersions;
 	readonly #selector: EngineSelector;
 	readonly #limiter: RateLimiter | undefined;
 
-	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter}: SchedulerOptions = {}) {
+	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter, versionsKnownSinceMs = Number.POSITIVE_INFINITY}: SchedulerOptions = {}) {
 		this.#limiter = limiter;
+		this.#softwareVersions = new SoftwareVersions(versionsKnownSinceMs);
 		this.#selector = new EngineSelector(this.#engines, weights);
 	}
 
 	/** Replaces the set of engines; keeps the state of those whose incarnation is unchanged. */
 	updateEngines(engines: readonly EngineInfo[]): void {
-		this.#softwareVersions.update(engines);
 		const names = new Set(engines.map(({server}) => server));
 		for (const server of this.#engines.keys()) {
 			if (!names.has(server)) {
@@ -89,6 +97,16 @@
 		}
 	}
 
+	/** Notes that servers may have been missed before a time. */
+	limitVersionKnowledge(knownSinceMs: number): void {
+		this.#softwareVersions.limitKnowledge(knownSinceMs);
+	}
+
+	/** Replaces the servers by whose software versions the origin of a stream is inferred if no host remembers it. */
+	updateVersions(servers: readonly ServerVersion[], nowMs: number): void {
+		this.#softwareVersions.update(servers, nowMs);
+	}
+
 	/** Number of requests that were placed and have not ended. */
 	get openCount(): number {
 		return this.#openRequests.size;
@@ -96,7 +114,6 @@
 
 	/** Places a new request, or again one whose engine failed. */
 	place(received: PlacementRequest, nowMs: number): PlacementDecision {
-		this.#softwareVersions.recordTime(nowMs);
 		this.#expireRequests(nowMs);
 		this.#closeRequest(received.id, nowMs);
 		const resolved = this.#resolveOrigin(received, nowMs);
@@ -124,14 +141,14 @@
 			return reject(request, reason, Math.max(MIN_RETRY_AFTER_MS, selection.firstEventMs - request.objectiveMs));
 		}
 
-		return this.#assign(resolved, selection, isLate, nowMs);
+		return this.#assign(resolved, selection, {isLate, isOriginGiven: hasOrigin(received)}, nowMs);
 	}
 
 	/** Records another scheduler's placement, so that this one can take over if the other fails. */
 	recordPlacement(request: ObservedRequest, reader: string | undefined, runner: string, nowMs: number): void {
 		this.#closeRequest(request.id, nowMs);
 		const openRequest: OpenRequest = {
-			request: undefined, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader, runner,
+			request: undefined, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, isOriginGiven: false, reader, runner,
 		};
 		this.#openRequests.set(request.id, openRequest);
 		const readerEngine = this.#engines.get(reader ?? '');
@@ -155,6 +172,11 @@
 		return this.#origins.findSoftware(attempt, nowMs);
 	}
 
+	/** Finds the software version of an engine; undefined if the engine is not known here. */
+	findSoftware(server: string): string | undefined {
+		return this.#engines.get(server)?.info.software;
+	}
+
 	/** Chooses the runner of a request whose prefill was placed by another scheduler. */
 	chooseRunner(received: PlacementRequest, reader: string, nowMs: number): PlacementDecision {
 		this.#closeRequest(received.id, nowMs);
@@ -164,7 +186,7 @@
 		}
 
 		const openRequest: OpenRequest = {
-			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader, runner: undefined,
+			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, isOriginGiven: hasOrigin(received), reader, runner: undefined,
 		};
 		this.#openRequests.set(request.id, openRequest);
 		return this.#assignRunner(openRequest, request, nowMs);
@@ -201,7 +223,7 @@
 
 			case MILESTONES.refused:
 			case MILESTONES.failed: {
-				if (openRequest.request && !openRequest.request.resumption && openRequest.firstAtMs === undefined) {
+				if (!openRequest.isOriginGiven && openRequest.firstAtMs === undefined) {
 					this.#origins.delete(id);
 				}
 
@@ -243,10 +265,10 @@
 		}
 	}
 
-	#assign(request: PlacementRequest, {reader, runner, expectedRunner, plan, firstEventMs}: EngineSelection, isLate: boolean, nowMs: number): PlacementDecision {
+	#assign(request: PlacementRequest, {reader, runner, expectedRunner, plan, firstEventMs}: EngineSelection, {isLate, isOriginGiven}: AssignmentFlags, nowMs: number): PlacementDecision {
 		const engine = reader ?? runner!;
 		this.#openRequests.set(request.id, {
-			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, reader: reader?.info.server, runner: runner?.info.server, ...(!runner && {reserved: expectedRunner}),
+			request, expiresMs: nowMs + request.patienceMs + EXPIRY_GRACE_MS, isOriginGiven, reader: reader?.info.server, runner: runner?.info.server, ...(!runner && {reserved: expectedRunner}),
 		});
 		for (const charged of [reader, expectedRunner]) {
 			this.#consume(charged, nowMs);
@@ -359,6 +381,10 @@
 	}
 }
 
+function hasOrigin({resumption}: PlacementRequest): boolean {
+	return resumption?.software !== undefined;
+}
+
 function rejectUnknownOrigin(request: PlacementRequest): PlacementDecision {
 	return {
 		type: 'rejection', id: request.id, reason: 'the software version that started the stream is unknown', retryAfterMs: NO_ENGINE_RETRY_MS, isOriginUnknown: true,
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -54,6 +54,13 @@
 	readonly settle: (reply: QueryReply | undefined) => void;
 };
 
+/** Where a placement was copied to. */
+type Backup = {
+	readonly host: string;
+	/** Whether the origin that it records holds: events of the stream have been forwarded. */
+	isOriginSure: boolean;
+};
+
 export type PlacementClientOptions = {
 	readonly hosts: SchedulerHosts;
 	readonly localScheduler: Scheduler;
@@ -70,7 +77,7 @@
 	readonly #clock: Clock;
 	readonly #pendingQueries = new Map<string, PendingQuery>();
 	readonly #schedulerHosts = new Map<string, string>();
-	readonly #backupHosts = new Map<string, string>();
+	readonly #backups = new Map<string, Backup>();
 	readonly #avoidedUntilMs = new Map<string, number>();
 
 	constructor({hosts, localScheduler, localLimiter, clock}: PlacementClientOptions) {
@@ -100,17 +107,27 @@
 		return permit;
 	}
 
-	/** Requests a placement. */
+	/**
+	 * Requests a placement from the host that is first in rank, and from the others while none knows the origin of a resumed stream. The
+	 * local scheduler does not infer an unknown origin: this host may have missed servers.
+	 */
 	async place(received: PlacementRequest): Promise<PlacementResult> {
+		if (this.#schedulerHosts.has(received.id)) {
+			// The earlier placement is not used. Another host may be asked now.
+			this.reportMilestone(received.id, MILESTONES.refused, undefined);
+		}
+
 		const request = this.#addLocalOrigin(received);
+		const {resumption} = request;
+		const needsOrigin = resumption !== undefined && resumption.software === undefined;
 		let rejection: PlacementResult | undefined;
-		for (const host of this.#listHostsToAsk(request)) {
+		for (const host of this.#rankHosts(request.service).slice(0, needsOrigin ? undefined : 1)) {
 			const decision = await this.#queryDecision(host, request.id, {
 				...request, type: 'offer', parts: [...request.parts], excluded: [...request.excluded], connected: [...request.connected],
 			});
-			if (!decision) {
+			if (!decision || this.#hasOtherSoftware(decision, request)) {
 				this.#dropPlacement(host, request.id);
-				break;
+				continue;
 			}
 
 			if (decision.type === 'assignment' || decision.isOriginUnknown !== true) {
@@ -137,11 +154,11 @@
 				type: 'milestone', id: request.id, stage: MILESTONES.read, server: reader, connected: [...request.connected],
 			});
 			const isExcluded = decision?.type === 'assignment' && request.excluded.includes(decision.runner ?? '');
-			if (decision && !isExcluded) {
+			if (decision && !isExcluded && !this.#hasOtherSoftware(decision, request)) {
 				return {decision, by: host};
 			}
 
-			// It responded too late, or does not know yet that the engine has become unavailable since the request was placed.
+			// It responded too late, or does not know yet that the engine has become unavailable or has started again with another version.
 			this.#dropPlacement(host, request.id);
 			this.#schedulerHosts.set(request.id, SELF);
 		}
@@ -153,13 +170,13 @@
 	 * Sends a placement to the host that is next in rank, so that it knows the engines' caches and load if it takes
 	 * over.
 	 */
-	notifyBackup({id, service, parts, promptTokens, outputTokens, patienceMs}: PlacementRequest, reader: string | undefined, runner: string): void {
+	notifyBackup({id, service, parts, promptTokens, outputTokens, patienceMs, resumption}: PlacementRequest, reader: string | undefined, runner: string): void {
 		const backup = this.#rankHosts(service).find(host => host !== this.#schedulerHosts.get(id));
 		if (backup === undefined) {
 			return;
 		}
 
-		this.#backupHosts.set(id, backup);
+		this.#backups.set(id, {host: backup, isOriginSure: resumption?.software !== undefined});
 		this.#hosts.send(backup, {
 			type: 'shadow', id, service, parts: [...parts], promptTokens, outputTokens, patienceMs, runner, ...(reader === undefined ? {} : {reader}),
 		});
@@ -173,12 +190,17 @@
 	/** Reports the progress of a request to the host that placed it, and its end also to the backup host. */
 	reportMilestone(id: string, milestone: Exclude<MilestoneName, 'read'>, server: string | undefined): void {
 		const host = this.#schedulerHosts.get(id);
-		const backup = this.#backupHosts.get(id);
-		if (milestone !== MILESTONES.first) {
+		const backup = this.#backups.get(id);
+		if (milestone === MILESTONES.first) {
+			if (backup) {
+				backup.isOriginSure = true;
+			}
+		} else {
 			this.#schedulerHosts.delete(id);
-			this.#backupHosts.delete(id);
-			if (backup !== undefined) {
-				this.#hosts.send(backup, {type: 'milestone', id, stage: MILESTONES.done});
+			this.#backups.delete(id);
+			if (backup) {
+				const stage = backup.isOriginSure || milestone === MILESTONES.done ? MILESTONES.done : MILESTONES.refused;
+				this.#hosts.send(backup.host, {type: 'milestone', id, stage});
 			}
 		}
 
@@ -233,6 +255,13 @@
 		this.#hosts.send(host, {type: 'milestone', id, stage: MILESTONES.refused});
 	}
 
+	/** Whether an engine has started again with another software version than the one of the stream, which the scheduler host does not know yet. */
+	#hasOtherSoftware(decision: PlacementDecision, {resumption}: PlacementRequest): boolean {
+		const server = decision.type === 'assignment' ? decision.reader ?? decision.runner : undefined;
+		const software = server === undefined ? undefined : this.#localScheduler.findSoftware(server);
+		return resumption?.software !== undefined && software !== undefined && software !== resumption.software;
+	}
+
 	/** Adds the software version that started a resumed stream, if this host knows it. */
 	#addLocalOrigin(request: PlacementRequest): PlacementRequest {
 		const {resumption} = request;
@@ -240,12 +269,6 @@
 		return software === undefined ? request : {...request, resumption: {...resumption, software}};
 	}
 
-	/** Lists the hosts to ask for a placement: the first in rank, and the others while the origin of a stream is not known. */
-	#listHostsToAsk({service, resumption}: PlacementRequest): string[] {
-		const hosts = this.#rankHosts(service);
-		return resumption?.attempt !== undefined && resumption.software === undefined ? hosts : hosts.slice(0, 1);
-	}
-
 	/**
 	 * Ranks the scheduler hosts by rendezvous hashing: all entry hosts that see the same scheduler hosts rank them
 	 * alike.
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {Message} from '../src/generated/types.js';
+import type {Announcement, Message} from '../src/generated/types.js';
+import {ServerRegistry} from '../src/membership/registry.js';
+import type {EngineInfo} from '../src/routing/engine.js';
 import {createFallbackLimiter} from '../src/routing/limiter.js';
 import {SoftwareVersions, StreamOrigins} from '../src/routing/origins.js';
-import type {PlacementDecision} from '../src/routing/request.js';
+import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
+import {listServerVersions} from '../src/serving/engines.js';
 import {PlacementClient} from '../src/serving/placement.js';
 import {createEngine, createRequest} from './pool.js';
 
@@ -46,6 +49,46 @@
 	assert.ok(resumed.type === 'rejection' && resumed.isOriginUnknown === true);
 });
 
+test('a resumption that brought no event is not taken for the origin of a stream, unless events of it were forwarded before', () => {
+	const scheduler = createScheduler();
+	scheduler.recordOrigin('begun', 'v1', 0);
+	scheduler.place(createRequest('next', 100, {resumption: {attempt: 'begun'}}), 0);
+	scheduler.recordMilestone('next', 'refused', {}, 10);
+	assert.equal(scheduler.findOrigin('next', 20), undefined);
+	scheduler.place(createRequest('begun', 100, {resumption: {software: 'v1'}}), 30);
+	scheduler.recordMilestone('begun', 'refused', {}, 40);
+	assert.equal(scheduler.findOrigin('begun', 50), 'v1');
+});
+
+test('no control host takes a placement that brought no event for the origin of a stream, neither the first in rank nor the backup', async () => {
+	const schedulers = {c1: createScheduler(), c2: createScheduler()};
+	const {client} = createClient(schedulers);
+	for (const hasEvent of [false, true]) {
+		const request = createRequest(`a-${hasEvent}`, 100);
+		const runner = await placeRunner(client, request);
+		client.notifyBackup(request, undefined, runner);
+		if (hasEvent) {
+			client.reportMilestone(request.id, 'first', undefined);
+		}
+
+		client.reportMilestone(request.id, 'failed', runner);
+		const software = hasEvent ? `v${runner.slice(1)}` : undefined;
+		assert.deepEqual(Object.values(schedulers).map(scheduler => scheduler.findOrigin(request.id, 0)), [software, software]);
+	}
+});
+
+test('a control host that placed a request which another host places again is told to drop its placement', async () => {
+	const schedulers: Record<string, Scheduler> = {c1: createScheduler(), c2: createScheduler()};
+	const {client, asked, setDown} = createClient(schedulers);
+	const request = createRequest('a', 100);
+	const runner = await placeRunner(client, request);
+	client.notifyBackup(request, undefined, runner);
+	setDown(asked[0]!);
+	const {by} = await client.place({...request, excluded: [runner]});
+	assert.notEqual(by, asked[0]);
+	assert.equal(schedulers[asked[0]!]!.findOrigin('a', 0), undefined);
+});
+
 test('a resumed stream is rejected when its software version does not serve any more', () => {
 	const scheduler = createScheduler();
 	const resumed = scheduler.place(createRequest('b', 100, {resumption: {software: 'v0'}}), 0);
@@ -53,20 +96,58 @@
 });
 
 test('a version that served a moment ago may have begun a stream of unknown origin; one that is gone for a minute cannot', () => {
-	const versions = new SoftwareVersions();
-	const serve = (...software: string[]) => {
-		versions.update(software.map(version => ({service: 'llm', software: version})));
+	const versions = new SoftwareVersions(Number.NEGATIVE_INFINITY);
+	const serve = (nowMs: number, ...software: string[]) => {
+		versions.update(software.map(version => ({service: 'llm', software: version, isGone: false})), nowMs);
 	};
 
 	assert.equal(versions.findOnly('llm', 0), undefined);
-	serve('v1');
+	serve(0, 'v1');
 	assert.equal(versions.findOnly('llm', 0), 'v1');
-	serve('v1', 'v2');
+	serve(1000, 'v1', 'v2');
 	assert.equal(versions.findOnly('llm', 1000), undefined);
-	serve('v2');
+	serve(2000, 'v2');
 	assert.equal(versions.findOnly('llm', 2000), undefined);
-	assert.equal(versions.findOnly('llm', 63_000), 'v2');
+	assert.equal(versions.findOnly('llm', 62_000), undefined);
+	assert.equal(versions.findOnly('llm', 62_001), 'v2');
 	assert.equal(versions.findOnly('other', 63_000), undefined);
+	serve(63_000, 'v2', 'v1');
+	assert.equal(versions.findOnly('llm', 63_000), undefined);
+});
+
+test('a version whose servers have all left before the first report of them may have begun a stream', () => {
+	const versions = new SoftwareVersions(Number.NEGATIVE_INFINITY);
+	const report = [{service: 'llm', software: 'v1', isGone: true}, {service: 'llm', software: 'v2', isGone: false}];
+	versions.update(report, 1000);
+	assert.equal(versions.findOnly('llm', 61_000), undefined);
+	assert.equal(versions.findOnly('llm', 61_001), 'v2');
+	versions.update(report, 61_001);
+	assert.equal(versions.findOnly('llm', 61_001), 'v2');
+});
+
+test('the version of a server that leaves may begin streams until it is gone; so may the former version of one that started again', () => {
+	const registry = new ServerRegistry();
+	const versions = new SoftwareVersions(Number.NEGATIVE_INFINITY);
+	const announce = (server: string, software: string, nowMs: number, fields: Partial<Announcement> = {}) => {
+		registry.merge({
+			server, software, kind: 'engine', services: ['llm'], address: '10.0.0.1', port: Number(server.slice(1)), incarnation: 1, sequence: nowMs, ...fields,
+		}, nowMs);
+		versions.update(listServerVersions(registry.listStatuses()), nowMs);
+	};
+
+	announce('e1', 'v1', 0);
+	for (let nowMs = 1000; nowMs <= 100_000; nowMs += 1000) {
+		announce('e1', 'v1', nowMs, {leaving: true});
+		announce('e2', 'v2', nowMs);
+		registry.expire(nowMs);
+	}
+
+	assert.deepEqual(registry.listUsable().map(({server}) => server), ['e2']);
+	assert.equal(versions.findOnly('llm', 100_000), undefined);
+	registry.deregister('e1');
+	announce('e2', 'v3', 101_000, {incarnation: 2});
+	assert.equal(versions.findOnly('llm', 161_000), undefined);
+	assert.equal(versions.findOnly('llm', 161_001), 'v3');
 });
 
 test('origins are kept for a minute and bounded', () => {
@@ -84,9 +165,11 @@
 
 test('an entry host asks the other control hosts if the first one does not know the origin of a stream', async () => {
 	let holder: string | undefined;
-	const {client, asked} = createClient({c1: createScheduler(), c2: createScheduler(), c3: createScheduler()}, (schedulers, others) => {
-		holder = others.at(-1)!;
-		schedulers[holder]!.recordOrigin('a', 'v2', 0);
+	const {client, asked} = createClient({c1: createScheduler(), c2: createScheduler(), c3: createScheduler()}, {
+		prepare(schedulers, others) {
+			holder = others.at(-1)!;
+			schedulers[holder]!.recordOrigin('a', 'v2', 0);
+		},
 	});
 	const {decision, by} = await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}));
 	assert.deepEqual(listServers(decision), ['d2']);
@@ -97,7 +180,7 @@
 });
 
 test('a host that is cut off from the control hosts resumes only streams whose origin it knows itself', async () => {
-	const {client} = createClient({}, () => undefined);
+	const {client} = createClient({});
 	client.recordOrigin('a', 'v2');
 	assert.deepEqual(listServers((await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}))).decision), ['d2']);
 	for (const resumption of [{attempt: 'other'}, {}]) {
@@ -106,9 +189,65 @@
 	}
 });
 
+test('a host that places by itself does not take the only version that it has seen for the one that began a stream', async () => {
+	const {client} = createClient({}, {localScheduler: createScheduler(ENGINES.filter(({software}) => software === 'v2'))});
+	for (const resumption of [{attempt: 'other'}, {}]) {
+		const {decision} = await client.place(createRequest('c', 100, {resumption}));
+		assert.ok(decision.type === 'rejection' && decision.isOriginUnknown === true, JSON.stringify(decision));
+	}
+});
+
+test('an entry host asks the other control hosts for the origin of a stream if the first one responds too late', async () => {
+	const schedulers = {c1: createScheduler(), c2: createScheduler()};
+	const {client: probe, asked} = createClient(schedulers);
+	await probe.place(createRequest('a', 100));
+	probe.reportMilestone('a', 'done', undefined);
+	const [first] = asked as [keyof typeof schedulers];
+	for (const scheduler of Object.values(schedulers)) {
+		scheduler.recordOrigin('begun', 'v2', 0);
+	}
+
+	const {client} = createClient(schedulers, {late: [first]});
+	const {decision, by} = await client.place(createRequest('b', 100, {resumption: {attempt: 'begun'}}));
+	assert.deepEqual(listServers(decision), ['d2']);
+	assert.equal(by, first === 'c1' ? 'c2' : 'c1');
+	assert.equal(schedulers[first].openCount, 0);
+});
+
+test('a scheduler takes the only version for the one that began a stream once it has seen all servers for a minute', () => {
+	const serving = ENGINES.filter(({software}) => software === 'v2');
+	for (const {versionsKnownSinceMs, onlySinceMs} of [{versionsKnownSinceMs: Number.NEGATIVE_INFINITY, onlySinceMs: 0}, {versionsKnownSinceMs: 500, onlySinceMs: 60_501}, {onlySinceMs: Number.POSITIVE_INFINITY}]) {
+		const scheduler = new Scheduler(versionsKnownSinceMs === undefined ? {} : {versionsKnownSinceMs});
+		scheduler.updateEngines(serving);
+		scheduler.updateVersions(serving.map(engine => ({...engine, isGone: false})), 500);
+		for (const [index, nowMs] of [500, 60_500, 60_501, 1e9].entries()) {
+			for (const resumption of [{attempt: 'unknown'}, {}]) {
+				const decision = scheduler.place(createRequest(`b${index}`, 100, {resumption}), nowMs);
+				assert.equal(decision.type, nowMs >= onlySinceMs ? 'assignment' : 'rejection', `${versionsKnownSinceMs} ${nowMs} ${JSON.stringify(decision)}`);
+				assert.ok(decision.type === 'assignment' || decision.isOriginUnknown === true);
+			}
+		}
+	}
+});
+
+test('a stream is not resumed at an engine that has started again with another version, though the control host does not know yet', async () => {
+	const isKnown = ({server, software}: EngineInfo) => server === 'p1' || software === 'v2';
+	const restarted = ENGINES.filter(engine => isKnown(engine)).map(engine => engine.server === 'd2' ? {...engine, server: 'd1', incarnation: 2} : engine);
+	const control = createScheduler(ENGINES.filter(({software}) => software === 'v1'));
+	const {client} = createClient({c1: control}, {localScheduler: createScheduler(restarted)});
+	const {decision} = await client.place(createRequest('a', 100, {resumption: {software: 'v1'}}));
+	assert.equal(decision.type, 'rejection');
+	assert.equal(control.openCount, 0);
+	const {decision: prefilled} = await client.place(createRequest('b', 9000, {resumption: {software: 'v1'}}));
+	assert.ok(prefilled.type === 'assignment' && prefilled.reader === 'p1', JSON.stringify(prefilled));
+	const {decision: chosen} = await client.chooseRunner(createRequest('b', 9000, {resumption: {software: 'v1'}}), 'p1');
+	assert.equal(chosen.type, 'rejection');
+	assert.equal(control.openCount, 0);
+});
+
 test('a control host that responds too late drops the placement, and its runner is not the origin of the stream', async () => {
 	const scheduler = createScheduler();
-	const {client} = createClient({c1: scheduler}, () => undefined, true);
+	const {client} = createClient({c1: scheduler}, {late: ['c1']});
 	const {by} = await client.place(createRequest('a', 100));
 	assert.equal(by, 'self');
 	assert.equal(scheduler.findOrigin('a', 0), undefined);
@@ -117,7 +256,7 @@
 
 test('a control host that responds too late to the end of a prefill is not asked for the origin of the stream', async () => {
 	const scheduler = createScheduler();
-	const {client, setLate} = createClient({c1: scheduler}, () => undefined);
+	const {client, setLate} = createClient({c1: scheduler});
 	const {decision} = await client.place(createRequest('a', 9000));
 	assert.ok(decision.type === 'assignment' && decision.reader !== undefined);
 	setLate();
@@ -127,17 +266,27 @@
 	assert.equal(scheduler.openCount, 0);
 });
 
-/** A client of schedulers by control host; `prepare` is called at the first offer, with the hosts that did not get it. */
-function createClient(schedulers: Record<string, Scheduler>, prepare: (schedulers: Record<string, Scheduler>, others: string[]) => void, isLate = false) {
+type ClientOptions = {
+	/** Called at the first offer, with the hosts that did not get it. */
+	readonly prepare?: (schedulers: Record<string, Scheduler>, others: string[]) => void;
+	/** Control hosts whose responses come too late. */
+	readonly late?: readonly string[];
+	readonly localScheduler?: Scheduler;
+};
+
+/** A client of schedulers by control host. */
+function createClient(schedulers: Record<string, Scheduler>, {prepare, late = [], localScheduler = createScheduler()}: ClientOptions = {}) {
 	const asked: string[] = [];
+	const lateHosts = new Set(late);
+	const downHosts = new Set<string>();
 	const client: PlacementClient = new PlacementClient({
 		hosts: {
-			listLive: () => Object.keys(schedulers),
+			listLive: () => Object.keys(schedulers).filter(host => !downHosts.has(host)),
 			send(host, message: Message) {
 				const scheduler = schedulers[host]!;
 				if (message.type === 'milestone') {
 					const decision = scheduler.recordMilestone(message.id, message.stage, {server: message.server}, 0);
-					if (decision && !isLate) {
+					if (decision && !lateHosts.has(host)) {
 						client.receive(decision, host);
 					}
 				}
@@ -145,38 +294,55 @@
 				if (message.type === 'offer') {
 					asked.push(host);
 					if (asked.length === 1) {
-						prepare(schedulers, Object.keys(schedulers).filter(other => other !== host));
+						prepare?.(schedulers, Object.keys(schedulers).filter(other => other !== host));
 					}
 
 					const decision = scheduler.place({bodyBytes: 0, connected: [], ...message}, 0);
-					if (!isLate) {
+					if (!lateHosts.has(host)) {
 						client.receive(decision, host);
 					}
 				}
 
+				if (message.type === 'shadow') {
+					const {type: _type, reader, runner, ...request} = message;
+					scheduler.recordPlacement(request, reader, runner, 0);
+				}
+
 				return true;
 			},
 		},
-		localScheduler: createScheduler(),
+		localScheduler,
 		localLimiter: createFallbackLimiter(() => undefined, {countHosts: () => 3, random: () => 0.5}),
 		clock: {monotonicMs: () => 0, wallMs: () => 0},
 	});
 	return {
 		client,
 		asked,
+		/** From now on a control host is not asked, though messages reach it: it has lost its majority. */
+		setDown(host: string) {
+			downHosts.add(host);
+		},
 		/** From now on no control host responds in time. */
 		setLate() {
-			isLate = true;
+			for (const host of Object.keys(schedulers)) {
+				lateHosts.add(host);
+			}
 		},
 	};
 }
 
-function createScheduler(): Scheduler {
+function createScheduler(engines: readonly EngineInfo[] = ENGINES): Scheduler {
 	const scheduler = new Scheduler();
-	scheduler.updateEngines(ENGINES);
+	scheduler.updateEngines(engines);
 	return scheduler;
 }
 
+async function placeRunner(client: PlacementClient, request: PlacementRequest): Promise<string> {
+	const {decision} = await client.place(request);
+	assert.ok(decision.type === 'assignment' && decision.runner !== undefined);
+	return decision.runner;
+}
+
 function listServers(...decisions: Array<PlacementDecision | undefined>): string[] {
 	return decisions.flatMap(decision => decision?.type === 'assignment' ? [decision.reader, decision.runner] : []).filter(server => server !== undefined);
 }
--- a/test/system.ts
+++ b/test/system.ts
@@ -80,27 +80,38 @@
 	const controlRegistry = new Registry();
 	const peer = {address: '127.0.0.1', port: await findPort()};
 	const operators = {address: '127.0.0.1', port: await findPort()};
-	const control = unwrap(await ControlHost.start({
-		host: 'c1',
+	const startControl = async (registry: Registry, host = 'c1', peerAddress = peer) => unwrap(await ControlHost.start({
+		host,
 		dataCentre: 'a',
-		peerAddress: peer,
-		dataFolder: folder,
+		peerAddress,
+		dataFolder: path.join(folder, host),
 		seeds: [peer],
 		firstStart: true,
 		clock,
 		random: createRandom(1),
 		loggers,
-		metrics: createControlMetrics(controlRegistry),
+		metrics: createControlMetrics(registry),
 		protocol: dialect,
-		createOrderTransport: findServer => new PlatformOrderTransport('c1', clock, findServer),
+		createOrderTransport: findServer => new PlatformOrderTransport(host, clock, findServer),
 		leaseMs: 500,
 		announceIntervalMs: 400,
 	}));
-	cleanups.push(async () => control.close());
-	const api = unwrap(await startHttpServer(operators, createControlHandler(control)));
-	cleanups.push(() => {
-		closeServer(api);
-	});
+	let control = await startControl(controlRegistry);
+	let isControlRunning = true;
+	let api: http.Server | undefined;
+	const stopControl = async () => {
+		if (isControlRunning) {
+			isControlRunning = false;
+			if (api) {
+				closeServer(api);
+			}
+
+			await control.close();
+		}
+	};
+
+	cleanups.push(stopControl);
+	api = unwrap(await startHttpServer(operators, createControlHandler(control)));
 	let entryCount = 0;
 	const startEntry = async () => {
 		const callers = {address: '127.0.0.1', port: await findPort()};
@@ -147,6 +158,8 @@
 
 	return {
 		control: address,
+		/** Where other hosts reach the control host. */
+		controlPeer: peer,
 		callers: first.callers,
 		/** Where each entry host listens for callers. */
 		get callerAddresses() {
@@ -168,6 +181,28 @@
 			await waitUntil(async () => added.host.isReady && added.host.listServers().length === entry.listServers().length, 'the added entry host knows all servers');
 			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
 		},
+		/** Stops a server that deregisters, and waits until no entry host lists it. */
+		async removeServer(id: string) {
+			await fetch(`http://${address}/-/instances/${id}`, {method: 'DELETE'});
+			await waitUntil(async () => entries.every(({host}) => !host.listServers().includes(id)), `no entry host lists ${id}`);
+			servers.find(server => server.id === id)?.stop();
+		},
+		/** Starts one more control host, on an empty data folder and with the settings of the first one; returns where hosts reach it. */
+		async addControl() {
+			const added = {address: '127.0.0.1', port: await findPort()};
+			const host = await startControl(new Registry(), 'c2', added);
+			cleanups.push(async () => host.close());
+			return added;
+		},
+		stopControl,
+		/** Ends the control host and starts it again on its data folder; waits until it takes announcements. */
+		async restartControl() {
+			await stopControl();
+			control = await startControl(new Registry());
+			isControlRunning = true;
+			api = unwrap(await startHttpServer(operators, createControlHandler(control)));
+			await waitUntil(async () => (await fetch(`http://${address}/-/config`)).status === 200, 'the control host has its configuration');
+		},
 		/** Announces all running servers again, before they count as silent. */
 		async announceServers() {
 			await Promise.all(servers.filter(server => server.isRunning).map(async server => server.announce(address)));
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -5,13 +5,18 @@
 import {waitUntil} from '../dev/fleet.js';
 import {decodeAnnouncement} from '../platform/announcement.js';
 import {sleep} from '../src/base/clock.js';
-import type {Address} from '../src/wire/connection.js';
+import type {Message} from '../src/generated/types.js';
+import {connect, type Address} from '../src/wire/connection.js';
+import {createRequest} from './pool.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
+const NO_PROMPT = {'carawayhoist-model': '', 'carawayhoist-token-counts': ''};
 const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 /** Time for the events before it to arrive: a reset discards what the receiver has not read. */
 const BREAK_DELAY_MS = 20;
+/** Time after which a control host of the system counts as warm, with a margin. */
+const WARM_MS = 1200;
 const TWO_EVENTS = ['1', '2'];
 const ALL_EVENTS = ['1', '2', '3', '4'];
 
@@ -56,6 +61,53 @@
 	}
 });
 
+test('streams that broke off when their entry host was killed are taken up at another one, each at the version that began it', async t => {
+	const breakOff = new EventEmitter();
+	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
+	const system = await startSystem(t, engines);
+	const texts: string[] = [];
+	const streaming = Array.from({length: 12}, async (_, index) => stream(system.callers, `begun-${index}`, {}, text => {
+		texts[index] = text;
+	}));
+	await waitUntil(async () => streaming.every((_, index) => texts[index]?.includes('id: 2\ndata: e') && texts[index].endsWith('\n\n')), 'all callers have two events');
+	system.entry.close();
+	const begun = await Promise.all(streaming);
+	assert.deepEqual(new Set(begun.flatMap(({servers}) => servers.map(server => findVersion(server)))), new Set(['v1', 'v2']));
+	await system.addEntry();
+	for (const [index, {servers: [server]}] of begun.entries()) {
+		await system.announceServers();
+		const prompt = index % 2 === 0 ? PROMPT : NO_PROMPT;
+		const {servers} = await stream(system.callerAddresses.at(-1)!, `next-${index}`, {...prompt, resumes: `begun-${index}`, 'last-event-id': '2'});
+		assert.deepEqual(servers.map(other => findVersion(other)), [findVersion(server), findVersion(server)]);
+		assert.equal((await stream(system.callerAddresses.at(-1)!, `unnamed-${index}`, {'last-event-id': '2'})).status, 503);
+	}
+
+	breakOff.emit('now');
+
+	function findVersion(server: string | undefined) {
+		return engines.find(({id}) => id === server)?.software;
+	}
+});
+
+test('a stream that breaks off while its entry host reaches no control host goes on at the version that began it, in one response', async t => {
+	const breakOff = new EventEmitter();
+	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
+	const system = await startSystem(t, engines);
+	const texts: string[] = [];
+	const streaming = Array.from({length: 8}, async (_, index) => stream(system.callers, `a${index}`, {}, text => {
+		texts[index] = text;
+	}));
+	await waitUntil(async () => streaming.every((_, index) => texts[index]?.includes('id: 2')), 'all callers have two events');
+	await system.stopControl();
+	breakOff.emit('now');
+	for (const {events, servers} of await Promise.all(streaming)) {
+		const versions = servers.map(server => engines.find(({id}) => id === server)?.software);
+		assert.deepEqual({events, versions}, {events: ALL_EVENTS, versions: Array.from({length: 4}, () => versions[0])});
+	}
+
+	assert.ok(system.entryLines.some(({fields}) => fields.placedBy === 'self'));
+});
+
 test('a stream of unknown origin is refused while several software versions serve', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1'), createEngine('e2', 'v2')]);
 	for (const headers of [{resumes: 'unknown', 'last-event-id': '2'}, {'last-event-id': '2'}]) {
@@ -70,10 +122,72 @@
 
 test('a stream without a prompt is taken up only while one software version serves', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1')]);
-	const noPrompt = {'carawayhoist-model': '', 'carawayhoist-token-counts': '', 'last-event-id': '2'};
-	assert.deepEqual((await stream(system.callers, 'a', noPrompt)).events, ['3', '4']);
+	assert.deepEqual((await stream(system.callers, 'a', {...NO_PROMPT, 'last-event-id': '2'})).events, ['3', '4']);
 	await system.addServer(createEngine('e2', 'v2'));
-	assert.equal((await stream(system.callers, 'b', noPrompt)).status, 503);
+	assert.equal((await stream(system.callers, 'b', {...NO_PROMPT, 'last-event-id': '2'})).status, 503);
+});
+
+test('a stream is not taken up at the only software version left a moment after the servers of another one have left', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
+	for (const server of [createEngine('e2', 'v2'), createPlainServer('p2', 'v2')]) {
+		await system.addServer(server);
+	}
+
+	for (const server of ['e1', 'p1']) {
+		await system.removeServer(server);
+	}
+
+	await system.addEntry();
+	await assertNoneTakenUp(system);
+});
+
+test('a stream is not taken up at the only software version that the hosts have seen since all of them started', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
+	for (const server of ['e1', 'p1']) {
+		await system.removeServer(server);
+	}
+
+	await system.restartControl();
+	for (const server of [createEngine('e2', 'v2'), createPlainServer('p2', 'v2')]) {
+		await system.addServer(server);
+	}
+
+	await system.addEntry();
+	await assertNoneTakenUp(system);
+});
+
+test('a control host that joins a running system does not infer the version that began a stream, though its data folder is empty', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1')]);
+	const decide = async (address: Address) => new Promise<Message>(resolve => {
+		const connection = connect(address, message => {
+			connection.close();
+			resolve(message);
+		});
+		connection.send({...createRequest('a', 100, {resumption: {}}), type: 'offer'} as Message);
+	});
+	await waitUntil(async () => {
+		await system.announceServers();
+		return (await decide(system.controlPeer)).type === 'assignment';
+	}, 'the first control host knows all servers');
+	await sleep(WARM_MS);
+	await system.announceServers();
+	const joined = await system.addControl();
+	const decisions: Message[] = [];
+	await waitUntil(async () => {
+		const decision = await decide(joined);
+		decisions.push(decision);
+		return decisions.length > 30;
+	}, 'the joined control host has decided often');
+	assert.ok(decisions.every(decision => decision.type === 'rejection' && decision.isOriginUnknown === true), JSON.stringify(decisions));
+});
+
+test('a host that has just started takes up streams of unknown origin while the control host has known one software version only', async t => {
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
+	await system.addEntry();
+	for (const [index, request] of RESUMPTIONS.entries()) {
+		const {status, events} = await stream(system.callerAddresses.at(-1)!, `a${index}`, request);
+		assert.deepEqual({status, events}, {status: 200, events: ['3', '4']}, JSON.stringify(request));
+	}
 });
 
 test('a stream of unknown origin goes on when one software version serves', async t => {
@@ -97,7 +211,33 @@
 	assert.equal(read(7), undefined);
 });
 
-/** An engine; one that breaks ends every stream that begins there in its third event. */
+/** Next tries of a stream that no host remembers: at engines with and without a prompt, and at a service without engines. */
+const RESUMPTIONS = [
+	{'last-event-id': '2'},
+	{'last-event-id': '2', resumes: 'unknown'},
+	{...NO_PROMPT, 'last-event-id': '2'},
+	{...NO_PROMPT, 'last-event-id': '2', resumes: 'unknown'},
+	{path: '/read/1', 'last-event-id': '2'},
+];
+
+/** Asserts that all entry hosts refuse next tries of streams that they do not know, and that no server gets one. */
+async function assertNoneTakenUp({callerAddresses, servers}: Awaited<ReturnType<typeof startSystem>>): Promise<void> {
+	for (const address of callerAddresses) {
+		for (const request of RESUMPTIONS) {
+			const {status, retryAfter, servers: servedBy} = await stream(address, 'a', request);
+			assert.deepEqual({status, servedBy}, {status: 503, servedBy: []}, JSON.stringify(request));
+			assert.ok(Number(retryAfter) > 0);
+		}
+	}
+
+	assert.ok(servers.every(({receivedRequests}) => receivedRequests.length === 0));
+}
+
+function createPlainServer(id: string, software: string): StubBackendOptions {
+	const {stage, ...options} = createEngine(id, software);
+	return {...options, service: 'plain'};
+}
+
 /** Options of an engine; streams that begin at it break off after two events once `breakOff` is settled. */
 function createEngine(id: string, software: string, breakOff?: Promise<unknown>): StubBackendOptions {
 	return {
@@ -123,16 +263,17 @@
 }
 
 /** Reads a stream until it ends or its connection is closed. */
-async function stream({address, port}: Address, id: string, headers: http.OutgoingHttpHeaders = {}) {
+async function stream({address, port}: Address, id: string, {path = '/ask/1', ...headers}: http.OutgoingHttpHeaders & {readonly path?: string} = {}, onText: (text: string) => void = () => undefined) {
 	return new Promise<{status: number | undefined; retryAfter: string | undefined; events: string[]; servers: string[]; isComplete: boolean}>((resolve, reject) => {
 		const request = http.request({
-			host: address, port, path: '/ask/1', method: 'POST', headers: {
+			host: address, port, path, method: 'POST', headers: {
 				host: 'a.example', 'carawayhoist-attempt-id': id, ...PROMPT, ...headers,
 			},
 		}, response => {
 			let text = '';
 			response.on('data', chunk => {
 				text += String(chunk);
+				onText(text);
 			});
 			response.on('error', () => undefined);
 			response.once('close', () => {
