--- /dev/null
+++ b/test/announcement.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import {decodeAnnouncement} from '../platform/announcement.js';
+import type {Announcement} from '../src/generated/types.js';
+
+const ENGINE = {
+	service: 'llm', address: '10.128.0.9:8080', zone: 'selfoss', version: 'v1', slots: 48, state: 'ready', 'cold-remaining-ms': 0, stage: 'decode', models: [{name: 'm', version: 1, adapters: []}], sequence: 4, born: 1_780_000_000_000,
+};
+
+test('an announcement as the platform describes it is accepted, with and without the time of the start', () => {
+	const {born, ...withoutStart} = ENGINE;
+	assert.equal(decodeOrUndefined(ENGINE)?.incarnation, born);
+	assert.equal(decodeOrUndefined(withoutStart)?.incarnation, 0);
+	assert.equal(decodeOrUndefined({...ENGINE, sequence: (2 ** 32) - 1, slots: 100_000})?.sequence, (2 ** 32) - 1);
+});
+
+test('an announcement is rejected if its address is not an IPv4 address and port that a server can have', () => {
+	const addresses = [
+		'999.1.1.1:80', '256.0.0.1:80', '010.1.1.1:80', '0.0.0.0:80', '255.255.255.255:80', '224.0.0.1:80', '10.0.0.1:0', '10.0.0.1:65536', '10.0.0.1:70000', '10.0.0.1:1e3', '10.0.0.1', '10.0.0:80', 'localhost:80', ':::80', '',
+	];
+	assert.deepEqual(addresses.filter(address => decodeOrUndefined({...ENGINE, address})), []);
+	assert.ok(decodeOrUndefined({...ENGINE, address: '127.0.0.1:65535'}));
+});
+
+function decodeOrUndefined(fields: Readonly<Record<string, unknown>>): Announcement | undefined {
+	return Either.getOrElseW(() => undefined)(decodeAnnouncement('s1', JSON.stringify(fields)));
+}
