Announcements with names that hosts cannot pass on are rejected

Seen: a service, zone or model name of 2 MB was accepted and sent to every host in each feed; so was half of a surrogate pair, which CBOR changes on the way, and an ID with a line feed or a NUL, which cannot stand in the header that names the server to it. A `version` or `models` of another type was passed over, and the entry used all the same.

--- a/test/announcement.test.ts
+++ b/test/announcement.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import fc from 'fast-check';
 import * as Either from 'fp-ts/lib/Either.js';
 import {decodeAnnouncement} from '../platform/announcement.js';
-import type {Announcement} from '../src/generated/types.js';
+import type {Announcement, Feed} from '../src/generated/types.js';
+import {encodeFrame, FrameDecoder} from '../src/wire/frame.js';
 
 const ENGINE = {
 	service: 'llm', address: '10.128.0.9:8080', zone: 'selfoss', version: 'v1', slots: 48, state: 'ready', 'cold-remaining-ms': 0, stage: 'decode', models: [{name: 'm', version: 1, adapters: []}], sequence: 4, born: 1_780_000_000_000,
@@ -34,6 +36,64 @@
 	assert.ok(decodeOrUndefined({...ENGINE, address: '127.0.0.1:65535'}));
 });
 
+// Feeds carry all announcements, so one long name would be sent to every host each time.
+test('an announcement with a name of 2 MB is rejected', () => {
+	const name = 'x'.repeat(2_000_000);
+	for (const field of ['service', 'zone', 'version', 'stage']) {
+		assert.equal(decodeOrUndefined({...ENGINE, [field]: name}), undefined, field);
+	}
+
+	assert.equal(decodeOrUndefined({...ENGINE, models: [{name}]}), undefined);
+	assert.ok(Either.isLeft(decodeAnnouncement(name, JSON.stringify(ENGINE))));
+});
+
+// The ID is sent in a header of each request to the server, and in the path of orders.
+test('an announcement is rejected if the ID of its server cannot stand in a header', () => {
+	for (const server of ['', 'a b', 'a\nb', 'a\r\nx: 1', '\0', '\u{7F}', 'é', '\u{1F600}']) {
+		assert.ok(Either.isLeft(decodeAnnouncement(server, JSON.stringify(ENGINE))), JSON.stringify(server));
+	}
+
+	for (const server of ['i-7f3a91c2', '__proto__', 'constructor', '..', 'a/b', '%zz']) {
+		assert.ok(Either.isRight(decodeAnnouncement(server, JSON.stringify(ENGINE))), JSON.stringify(server));
+	}
+});
+
+// CBOR changes such a string, so hosts would hold different names.
+test('an announcement is rejected if a name contains half of a surrogate pair', () => {
+	for (const field of ['service', 'zone', 'version']) {
+		assert.equal(decodeOrUndefined({...ENGINE, [field]: 'a\u{D800}'}), undefined, field);
+	}
+
+	assert.equal(decodeOrUndefined({...ENGINE, models: [{name: '\u{DFFF}'}]}), undefined);
+});
+
+test('an announcement is rejected if a field that the platform describes has another type', () => {
+	for (const field of ['service', 'address', 'zone', 'version', 'state', 'stage', 'models']) {
+		const accepted = [5, true, {}, [5]].filter(value => decodeOrUndefined({...ENGINE, [field]: value}));
+		assert.deepEqual(accepted, [], field);
+	}
+});
+
+test('an announcement is rejected if a field is nested 100,000 deep, unless the field is unknown', () => {
+	const nested = '['.repeat(100_000) + ']'.repeat(100_000);
+	for (const field of Object.keys(ENGINE)) {
+		assert.ok(Either.isLeft(decodeAnnouncement('s1', replaceField(field, nested))), field);
+	}
+
+	assert.ok(Either.isRight(decodeAnnouncement('s1', `{"unknown":${nested},${JSON.stringify(ENGINE).slice(1)}`)));
+});
+
+// A value that the receiver of a feed refuses, or reads as another one, would cut it off from all other servers.
+test('an announcement with any value in any field is rejected or passes through a feed unchanged', () => {
+	const anyValue = fc.oneof(fc.jsonValue({depthSize: 'large'}), fc.double(), fc.string({unit: 'binary'}), fc.constantFrom(-0, Number.MAX_VALUE, Number.MIN_VALUE, 2 ** 32, 2 ** 53, 2 ** 64));
+	fc.assert(fc.property(fc.string({unit: 'binary', minLength: 1}), fc.constantFrom(...Object.keys(ENGINE)), anyValue, (server, field, value) => {
+		const decoded = decodeAnnouncement(server, JSON.stringify({...ENGINE, [field]: value}));
+		if (Either.isRight(decoded)) {
+			assert.deepEqual(passThroughFeed(decoded.right), Either.right(decoded.right));
+		}
+	}), {seed: 34, numRuns: 5000});
+});
+
 function decodeOrUndefined(fields: Readonly<Record<string, unknown>>): Announcement | undefined {
 	return Either.getOrElseW(() => undefined)(decodeAnnouncement('s1', JSON.stringify(fields)));
 }
@@ -41,3 +101,10 @@
 function replaceField(name: string, json: string): string {
 	return JSON.stringify({...ENGINE, [name]: 'PLACEHOLDER'}).replace('"PLACEHOLDER"', json);
 }
+
+function passThroughFeed(announcement: Announcement): unknown {
+	const feed: Feed = {
+		type: 'feed', host: 'c1', whole: true, hasQuorum: true, isWarm: true, version: 1, sightings: [{announcement, gone: false, silent: false}], members: [], entries: 1,
+	};
+	return Either.map(messages => (messages as Feed[])[0]?.sightings[0]?.announcement)(new FrameDecoder().push(encodeFrame(feed)));
+}
