A feed or gossip message with an entry that cannot be read keeps the others

Seen: a status or fact that the schema refuses invalidated its whole message. The connection was closed, opened again, and the first feed on it held the same entry: the host stopped following the list for as long as the control host kept the entry.

Red before: "a feed with statuses that cannot be read keeps the others" failed with "/sightings/0/announcement/server must match pattern", "a gossip message with facts that cannot be read keeps the others" likewise. Items of these two lists are now validated singly when the message is refused, and only the invalid ones are removed. What else a message holds stays mandatory.

--- a/dev/generate.ts
+++ b/dev/generate.ts
@@ -55,7 +55,7 @@
 	outputs.set('src/generated/types.ts', await renderTypes(bundle));
 	outputs.set('src/generated/checkers.ts', renderValidators(bundle, ['Settings', 'Specification', 'Announcement', 'PlatformSettings'], {allErrors: true, useDefaults: true}));
 	// Validation of messages between hosts stops at the first error, which makes a valid message cheaper to validate.
-	outputs.set('src/generated/messages.ts', renderUnionValidators(bundle, 'Message'));
+	outputs.set('src/generated/messages.ts', renderUnionValidators(bundle, 'Message', ['ServerStatus', 'Fact']));
 	const errors = JSON.parse(await readFile(path.join(ROOT, 'schema/errors.json'), 'utf8')) as ErrorRow[];
 	outputs.set('src/generated/codes.ts', renderCodes(errors));
 	outputs.set('docs/ERRORS.md', renderErrorTable(errors));
@@ -117,15 +117,15 @@
 }
 
 /**
- * Renders a table from the `type` of each variant of a union to its validator. A single validator for the union would nest
+ * Renders a table from the `type` of each variant of a union to its validator, and validators of some of their parts. A single validator for the union would nest
  * the variants in one chain of branches, which the compiler's flow analysis follows recursively.
  */
-function renderUnionValidators(bundle: Record<string, Schema>, name: string): string {
+function renderUnionValidators(bundle: Record<string, Schema>, name: string, parts: readonly string[]): string {
 	const variants = (bundle[name]!.oneOf ?? []).map(({$ref}) => $ref!.replace('#/definitions/', ''));
 	const rows = variants.map(variant => `\t['${String(bundle[variant]!.properties!.type!.const)}', check${variant}],`);
 	const table = `export const ${name.toLowerCase()}Validators = new Map([\n${rows.join('\n')}\n]);`;
 	// Definitions become functions of their own, so that the nesting does not grow with the number of properties below them.
-	return `${renderValidators(bundle, variants, {inlineRefs: false})}${table}\n`;
+	return `${renderValidators(bundle, [...variants, ...parts], {inlineRefs: false})}${table}\n`;
 }
 
 function renderCodes(errors: readonly ErrorRow[]): string {
--- a/src/base/validate.ts
+++ b/src/base/validate.ts
@@ -8,7 +8,7 @@
 import {
 	checkAnnouncement, checkPlatformSettings, checkSettings, checkSpecification,
 } from '../generated/checkers.js';
-import {messageValidators} from '../generated/messages.js';
+import {checkFact, checkServerStatus, messageValidators} from '../generated/messages.js';
 import type {
 	Announcement, PlatformSettings, Message, Settings, Specification,
 } from '../generated/types.js';
@@ -36,6 +36,12 @@
 
 const MESSAGE_VALIDATORS = messageValidators as unknown as ReadonlyMap<unknown, ValidateFunction>;
 
+/** Lists in messages whose items come from many sources, by the type of the message. */
+const INDEPENDENT_ITEMS: ReadonlyMap<unknown, {readonly field: string; readonly validator: ValidateFunction}> = new Map([
+	['feed', {field: 'sightings', validator: checkServerStatus as unknown as ValidateFunction}],
+	['gossip', {field: 'facts', validator: checkFact as unknown as ValidateFunction}],
+]);
+
 /**
  * Validates a value. Fills in the defaults of its schema and returns every violation, except for messages: they have no
  * defaults, and validation stops at the first violation to keep valid messages cheap.
@@ -57,6 +63,26 @@
 		: Either.left((validator.errors ?? []).map(error => describeError(error)));
 }
 
+/**
+ * Validates a message. Invalid items of lists that gather servers and facts are removed and do not invalidate the others: a
+ * host of another version may accept what this one does not.
+ *
+ * @example
+ * ```ts
+ * validateMessage({...feed, sightings: [status, {}]}); // Either.right({...feed, sightings: [status]})
+ * ```
+ */
+export function validateMessage(value: unknown): Either.Either<ValidationError[], Message> {
+	const checked = validate('Message', value);
+	const list = INDEPENDENT_ITEMS.get(readType(value));
+	const items = list && (value as Readonly<Record<string, unknown>>)[list.field];
+	if (Either.isRight(checked) || !list || !Array.isArray(items)) {
+		return checked;
+	}
+
+	return validate('Message', {...value as object, [list.field]: items.filter(item => list.validator(item))});
+}
+
 /**
  * Formats validation errors as one line.
  *
@@ -70,7 +96,11 @@
 }
 
 function findMessageValidator(value: unknown): ValidateFunction | undefined {
-	return MESSAGE_VALIDATORS.get((value as {readonly type?: unknown} | null | undefined)?.type);
+	return MESSAGE_VALIDATORS.get(readType(value));
+}
+
+function readType(value: unknown): unknown {
+	return (value as {readonly type?: unknown} | null | undefined)?.type;
 }
 
 function describeError(error: ErrorObject): ValidationError {
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {Encoder} from 'cbor-x';
 import * as Either from 'fp-ts/lib/Either.js';
-import {validate, formatValidationErrors} from '../base/validate.js';
+import {formatValidationErrors, validateMessage} from '../base/validate.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Message} from '../generated/types.js';
 
@@ -125,6 +125,6 @@
 		return decoded;
 	}
 
-	const checked = validate('Message', decoded.right);
+	const checked = validateMessage(decoded.right);
 	return Either.isLeft(checked) ? Either.left(createProblem('badRequest', formatValidationErrors(checked.left))) : checked;
 }
