--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import {decodeRoutingConfig} from '../platform/routes.js';
+import type {RoutingConfig} from '../src/routing/routes.js';
+import {ROUTES, SERVICES} from './system.js';
+
+const CONFIG = {version: 7, routes: ROUTES, services: SERVICES};
+
+test('a configuration is rejected if its version is not a whole number that keeps its value', () => {
+	const accepted = ['1.5', '-1', '1e400', '9007199254740993', '1e20', '"7"', 'null'].filter(version => Either.isRight(decodeRoutingConfig(replaceField('version', version))));
+	assert.deepEqual(accepted, []);
+	assert.ok(decodeOrUndefined({...CONFIG, version: Number.MAX_SAFE_INTEGER}));
+});
+
+function decodeOrUndefined(fields: Readonly<Record<string, unknown>>): RoutingConfig | undefined {
+	return Either.getOrElseW(() => undefined)(decodeRoutingConfig(JSON.stringify(fields)));
+}
+
+function replaceField(name: string, json: string): string {
+	return JSON.stringify({...CONFIG, [name]: 'PLACEHOLDER'}).replace('"PLACEHOLDER"', json);
+}
