--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -13,6 +13,11 @@
 	assert.ok(decodeOrUndefined({...CONFIG, version: Number.MAX_SAFE_INTEGER}));
 });
 
+test('a configuration is rejected if the type of a route is the name of a property that every object has', () => {
+	const types = ['constructor', '__proto__', 'toString', 'hasOwnProperty'];
+	assert.deepEqual(types.filter(type => decodeOrUndefined({...CONFIG, routes: [{...ROUTES[0], type}]})), []);
+});
+
 function decodeOrUndefined(fields: Readonly<Record<string, unknown>>): RoutingConfig | undefined {
 	return Either.getOrElseW(() => undefined)(decodeRoutingConfig(JSON.stringify(fields)));
 }
