Times of a configuration stay within the range of timers

Seen: with a `timeout-ms` of 1e10 or 1e300 all requests were answered 504 at once: the runtime's timers fire immediately beyond 2^31 ms. Negative limits were read as well.

Red before: "times of a configuration are within the range of timers"; on the running system nine of nine requests were answered 504.

--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -5,7 +5,14 @@
 import type {RoutingConfig} from '../src/routing/routes.js';
 import {ROUTES, SERVICES} from './system.js';
 
-const CONFIG = {version: 7, routes: ROUTES, services: SERVICES};
+const LIMITS = {
+	'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
+};
+const CONFIG = {
+	version: 7, routes: ROUTES, services: SERVICES, limits: LIMITS,
+};
+/** Longest delay of the runtime's timers. */
+const MAX_TIMER_MS = (2 ** 31) - 1;
 
 test('a configuration is rejected if its version is not a whole number that keeps its value', () => {
 	const accepted = ['1.5', '-1', '1e400', '9007199254740993', '1e20', '"7"', 'null'].filter(version => Either.isRight(decodeRoutingConfig(replaceField('version', version))));
@@ -18,6 +25,23 @@
 	assert.deepEqual(types.filter(type => decodeOrUndefined({...CONFIG, routes: [{...ROUTES[0], type}]})), []);
 });
 
+// A timer beyond the range of the runtime's timers fires at once, so every request would be answered 504.
+test('times of a configuration are within the range of timers', () => {
+	const long = 1e300;
+	const config = decodeOrUndefined({
+		...CONFIG,
+		routes: [{
+			...ROUTES[0], 'timeout-ms': long, 'slo-ms': long, 'itl-target-ms': long,
+		}],
+		limits: {...LIMITS, 'header-timeout-ms': long, 'idle-timeout-ms': long},
+	});
+	const [{timeoutMs, objectiveMs, interTokenTargetMs}] = config!.routes as [RoutingConfig['routes'][0]];
+	const {headerTimeoutMs, idleTimeoutMs} = config!.limits;
+	for (const timeMs of [timeoutMs, objectiveMs, interTokenTargetMs, headerTimeoutMs, idleTimeoutMs]) {
+		assert.ok(timeMs <= MAX_TIMER_MS);
+	}
+});
+
 function decodeOrUndefined(fields: Readonly<Record<string, unknown>>): RoutingConfig | undefined {
 	return Either.getOrElseW(() => undefined)(decodeRoutingConfig(JSON.stringify(fields)));
 }
