Priorities of a configuration are whole numbers

Seen: with a priority of 0.5 every placement closed the connection between entry and control host, and streams were placed by the entry host alone. Cause: the priority was any finite number, while the message `offer` holds an integer, and a message that is refused closes its connection.

Red before: "priorities of a configuration are whole numbers"; on the running system "Connection to control host ... closed." and placedBy self for each stream. The property test with seed 34 covers the fields of routes, limits and the configuration itself.

--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import fc from 'fast-check';
 import * as Either from 'fp-ts/lib/Either.js';
 import {decodeRoutingConfig} from '../platform/routes.js';
 import type {RoutingConfig} from '../src/routing/routes.js';
@@ -42,6 +43,34 @@
 	}
 });
 
+// Hosts send the priority to each other as an integer. With another number each placement would close the connection.
+test('priorities of a configuration are whole numbers', () => {
+	const readPriorities = (priority: number) => decodeOrUndefined({...CONFIG, routes: ROUTES.map(route => ({...route, priority}))})?.routes.map(route => route.priority);
+	assert.deepEqual(readPriorities(0.5), [0, 0, 0, 0]);
+	assert.deepEqual(readPriorities(2), [2, 2, 2, 2]);
+});
+
+test('a configuration with any value in any field is rejected or has numbers that hosts can use', () => {
+	const anyValue = fc.oneof(fc.jsonValue(), fc.double(), fc.integer(), fc.constantFrom(-0, Number.MAX_VALUE, Number.MIN_VALUE, 2 ** 31, 2 ** 53, 2 ** 64, '__proto__', 'constructor'));
+	const anyRoute = fc.tuple(fc.constantFrom(...Object.keys(ROUTES[2]!)), anyValue).map(([field, value]) => ({...CONFIG, routes: [{...ROUTES[2], [field]: value}]}));
+	const anyLimit = fc.tuple(fc.constantFrom(...Object.keys(LIMITS)), anyValue).map(([field, value]) => ({...CONFIG, limits: {...LIMITS, [field]: value}}));
+	const anyField = fc.tuple(fc.constantFrom(...Object.keys(CONFIG)), anyValue).map(([field, value]) => ({...CONFIG, [field]: value}));
+	fc.assert(fc.property(fc.oneof(anyRoute, anyLimit, anyField), fields => {
+		const config = decodeOrUndefined(fields);
+		if (config === undefined) {
+			return;
+		}
+
+		assert.ok(Number.isSafeInteger(config.version) && config.version >= 0);
+		assert.ok(Object.values(config.limits).every(limit => limit >= 0));
+		for (const route of config.routes) {
+			assert.ok(['repeatable', 'once', 'stream'].includes(route.kind));
+			assert.ok(Number.isSafeInteger(route.priority));
+			assert.ok([route.timeoutMs, route.objectiveMs, route.interTokenTargetMs].every(timeMs => timeMs >= 0 && timeMs <= MAX_TIMER_MS));
+		}
+	}), {seed: 34, numRuns: 5000});
+});
+
 function decodeOrUndefined(fields: Readonly<Record<string, unknown>>): RoutingConfig | undefined {
 	return Either.getOrElseW(() => undefined)(decodeRoutingConfig(JSON.stringify(fields)));
 }
