Announcements and configurations that are not UTF-8 are rejected

Seen: bytes that cannot be read were replaced by U+FFFD, and the rest was acknowledged. A configuration of that kind was then read back other than it was sent.

--- a/test/entries.test.ts
+++ b/test/entries.test.ts
@@ -4,7 +4,7 @@
 import http, {type IncomingMessage} from 'node:http';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
-import {startSystem} from './system.js';
+import {ROUTES, SERVICES, startSystem} from './system.js';
 
 type System = Awaited<ReturnType<typeof startSystem>>;
 
@@ -48,6 +48,21 @@
 	await assertFollowed(system, ['p1', 'e1']);
 });
 
+test('announcements and configurations that are not UTF-8 are rejected', async t => {
+	const system = await startSystem(t, [{id: 'p1', service: 'plain'}, {id: 'e1', service: 'llm', stage: 'decode'}]);
+	const announcement = JSON.stringify({
+		service: 'plain', address: '127.0.0.2:9', zone: 'a', version: '?', slots: 8, state: 'ready', sequence: 1, born: Date.now(),
+	});
+	const configuration = JSON.stringify({version: 2, routes: ROUTES, services: [...SERVICES, {name: '?'}]});
+	for (const [path, text] of [['/-/instances/odd', announcement], ['/-/config', configuration]] as const) {
+		const body = Buffer.from(text);
+		body[body.indexOf('?')] = 0xFF;
+		assert.equal(await put(system, path, body), 400, path);
+	}
+
+	await assertFollowed(system, ['p1', 'e1']);
+});
+
 // Their IDs are the names of properties that every object has, so they would show a plain object used as a map.
 test('entries with unusual IDs are listed until they are deleted', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain'}, {id: 'e1', service: 'llm', stage: 'decode'}]);
@@ -90,7 +105,7 @@
 }
 
 /** Sends a request with a path that `fetch` would normalise. Returns the status. */
-async function put(system: System, path: string, body: string, method = 'PUT'): Promise<number> {
+async function put(system: System, path: string, body: string | Buffer, method = 'PUT'): Promise<number> {
 	const [host, port] = system.control.split(':');
 	const request = http.request({
 		host, port, path, method, headers: {'content-length': Buffer.byteLength(body)},
