Messages hold bytes where the schema says bytes

Seen: a `relayData`, `relayRequest`, `feed` or `install-request` with a number, a text or a map where bytes belong was accepted; what follows writes, inflates or decodes it. Cause: the schema names the type for the generated types only (`tsType`), and the generated validators passed over it.

Red before: "a message with something else than bytes where bytes belong is rejected" (relayData 5). The generator now makes a check of each `tsType`.

--- a/dev/generate.ts
+++ b/dev/generate.ts
@@ -10,7 +10,9 @@
 import {mkdir, readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
-import {Ajv, type Options} from 'ajv';
+import {
+	_, Ajv, type KeywordCxt, type Options,
+} from 'ajv';
 import standaloneCode from 'ajv/dist/standalone/index.js';
 import {compile, type JSONSchema} from 'json-schema-to-typescript';
 
@@ -105,6 +107,13 @@
 	const ajv = new Ajv({
 		...options, discriminator: true, strict: false, code: {source: true, esm: true, lines: true},
 	});
+	ajv.addKeyword({
+		keyword: 'tsType',
+		code(context: KeywordCxt) {
+			context.fail(_`!(${context.data} instanceof Uint8Array)`);
+		},
+		error: {message: 'must be bytes'},
+	});
 	ajv.addSchema({$id: 'carawayhoist', definitions: bundle});
 	const references = Object.fromEntries(names.map(name => [`check${name}`, `carawayhoist#/definitions/${name}`]));
 	// Ajv emits `require` calls for its runtime helpers, which are not available in ES modules.
