Settings with an address that no machine can have are rejected

Seen: `callers` of 10.0.0.1:70000 or a seed of 10.0.0:80 passed the check of the settings and was then taken as a free port of the loopback interface: the host runs and nobody reaches it.

Red before: "settings with an address that no machine can have are rejected" (999.1.1.1), and the last line of "an announcement is rejected if its address is not ..." (0.0.0.0:80 was not read).

--- a/test/announcement.test.ts
+++ b/test/announcement.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import * as Either from 'fp-ts/lib/Either.js';
 import {decodeAnnouncement} from '../platform/announcement.js';
+import {parseAddress} from '../platform/protocol.js';
 import type {Announcement, Feed} from '../src/generated/types.js';
 import {encodeFrame, FrameDecoder} from '../src/wire/frame.js';
 
@@ -34,6 +35,7 @@
 	];
 	assert.deepEqual(addresses.filter(address => decodeOrUndefined({...ENGINE, address})), []);
 	assert.ok(decodeOrUndefined({...ENGINE, address: '127.0.0.1:65535'}));
+	assert.deepEqual(parseAddress('0.0.0.0:80'), {address: '0.0.0.0', port: 80});
 });
 
 // Feeds carry all announcements, so one long name would be sent to every host each time.
--- a/test/validate.test.ts
+++ b/test/validate.test.ts
@@ -27,3 +27,21 @@
 	assert.deepEqual(validate('Message', {type: 'hello', id: 1, extra: 2}), Either.left([{pointer: '/extra', text: 'is unknown'}]));
 	assert.deepEqual(validate('Message', {type: 'hello', id: '1'}), Either.left([{pointer: '/id', text: 'must be integer'}]));
 });
+
+const PLATFORM_SETTINGS = {
+	host: 'h1', dataCentre: 'a', role: 'entry', address: '10.0.0.1', peerPort: 7000, callers: '0.0.0.0:8080', readiness: '10.0.0.1:8081', seeds: ['10.0.0.2:9000'], firstStart: false, bounds: {
+		graceMs: 8000, leaseMs: 1000, repeatRatio: 0.2, repeatWindowMs: 10_000, repeatAllowance: 3, announceMs: 400,
+	},
+};
+
+// An address that cannot be read would be taken as a free port of the loopback interface.
+test('settings with an address that no machine can have are rejected', () => {
+	assert.ok(Either.isRight(validate('PlatformSettings', PLATFORM_SETTINGS)));
+	for (const odd of ['999.1.1.1', '10.0.0', '010.0.0.1', '10.0.0.1.1']) {
+		assert.ok(Either.isLeft(validate('PlatformSettings', {...PLATFORM_SETTINGS, address: odd})), odd);
+		for (const socketAddress of [`${odd}:80`, '10.0.0.1:70000', '10.0.0.1:', '10.0.0.1:100000']) {
+			assert.ok(Either.isLeft(validate('PlatformSettings', {...PLATFORM_SETTINGS, callers: socketAddress})), socketAddress);
+			assert.ok(Either.isLeft(validate('PlatformSettings', {...PLATFORM_SETTINGS, seeds: [socketAddress]})), socketAddress);
+		}
+	}
+});
