Settings and resources with infinite numbers are rejected

Seen: a number of 1e400 in the bounds of a host's settings or in a resource passed: `strict: false` also switches off ajv's check of numbers for infinity.

Red before: "settings and resources with infinite numbers are rejected" (graceMs). The validators of settings, resources and announcements are now made with strictNumbers. Those of messages are not: hosts of older versions may send an infinite estimate, and refusing it would close their connection.

--- a/dev/generate.ts
+++ b/dev/generate.ts
@@ -55,7 +55,7 @@
 	const outputs = new Map<string, string>();
 	const bundle = await readBundle();
 	outputs.set('src/generated/types.ts', await renderTypes(bundle));
-	outputs.set('src/generated/checkers.ts', renderValidators(bundle, ['Settings', 'Specification', 'Announcement', 'PlatformSettings'], {allErrors: true, useDefaults: true}));
+	outputs.set('src/generated/checkers.ts', renderValidators(bundle, ['Settings', 'Specification', 'Announcement', 'PlatformSettings'], {allErrors: true, useDefaults: true, strictNumbers: true}));
 	// Validation of messages between hosts stops at the first error, which makes a valid message cheaper to validate.
 	outputs.set('src/generated/messages.ts', renderUnionValidators(bundle, 'Message', ['ServerStatus', 'Fact']));
 	const errors = JSON.parse(await readFile(path.join(ROOT, 'schema/errors.json'), 'utf8')) as ErrorRow[];
--- a/test/validate.test.ts
+++ b/test/validate.test.ts
@@ -45,3 +45,15 @@
 		}
 	}
 });
+
+test('settings and resources with infinite numbers are rejected', () => {
+	const readInfinite = (text: string) => JSON.parse(text.replaceAll('"INFINITE"', '1e400')) as unknown;
+	for (const name of Object.keys(PLATFORM_SETTINGS.bounds)) {
+		const settings = {...PLATFORM_SETTINGS, bounds: {...PLATFORM_SETTINGS.bounds, [name]: 'INFINITE'}};
+		assert.ok(Either.isLeft(validate('PlatformSettings', readInfinite(JSON.stringify(settings)))), name);
+	}
+
+	assert.ok(Either.isLeft(validate('PlatformSettings', readInfinite(JSON.stringify({...PLATFORM_SETTINGS, maxResponseBytes: 'INFINITE'})))));
+	assert.ok(Either.isLeft(validate('Specification', readInfinite(JSON.stringify({kind: 'team', tokensInFlight: 'INFINITE'})))));
+	assert.ok(Either.isLeft(validate('Specification', readInfinite(JSON.stringify({kind: 'policy', profile: 'tallgrass', changeWeight: 'INFINITE'})))));
+});
