A server whose rate limit is beyond all numbers gets requests

Seen: a server that sent `Server-Limit` with 400 digits got no request any more (503 to all plain calls while it was the only one), and each permit closed the connection to the control host. Cause: the digits are read as infinite; the bucket's tokens, and with them the wait, became NaN, which the message `permit` may not hold.

Red before: "a limit beyond all numbers holds no request back", waits of NaN; on the running system 200 and then eleven times 503. Rates are now taken as 10^9 a second at most; the same run gave 200 to all.

--- a/src/routing/limiter.ts
+++ b/src/routing/limiter.ts
@@ -39,6 +39,8 @@
 const MIN_GRANTING_BURST = 2;
 /** Rate for a server whose limit is 0, so that the end of the limit is noticed, requests a second. */
 const MIN_RATE_PER_SECOND = 0.2;
+/** Rates beyond this, which the number of tokens could not express, hold no request back. */
+const MAX_RATE_PER_SECOND = 1e9;
 /** A bucket that was not used for this long starts anew. */
 const IDLE_MS = 5000;
 const DEMAND_WINDOW_MS = 2000;
@@ -174,7 +176,7 @@
 			return undefined;
 		}
 
-		const perSecond = Math.max(MIN_RATE_PER_SECOND, limit) * getShare();
+		const perSecond = Math.min(MAX_RATE_PER_SECOND, Math.max(MIN_RATE_PER_SECOND, limit)) * getShare();
 		const burst = Math.max(minBurst, perSecond * BURST_SECONDS);
 		let bucket = this.#buckets.get(server);
 		if (bucket?.incarnation !== incarnation || nowMs - bucket.usedMs > IDLE_MS) {
--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -30,6 +30,16 @@
 	});
 }
 
+// Infinite rates leave no number of tokens: the wait would be NaN, which no message may hold.
+test('a limit beyond all numbers holds no request back', () => {
+	for (const perSecond of [1e300, Number.POSITIVE_INFINITY]) {
+		for (const limiter of [createGrantingLimiter(() => perSecond), createFallbackLimiter(() => perSecond, {countHosts: () => 13, random: createRandom(1)})]) {
+			const waits = [0, 0, 0, 5, 10_000].map(nowMs => limiter.request(SERVER, 1, nowMs).waitMs);
+			assert.ok(waits.every(waitMs => waitMs < 1), waits.join(', '));
+		}
+	}
+});
+
 test('hosts that lose all control hosts at once stay within the limit together with what was granted before', () => {
 	const perSecond = 4;
 	const granting = createGrantingLimiter(() => perSecond);
