Announcements with thousands of letters of model names are rejected

Seen in a trial: with 4000 announcements of the largest size (100 models of 200 letters, 84 MB together), an entry host that joined knew no server within 20 s, twice, the second time with the servers announced all the while. A host that joins gets all announcements in one message, and a connection on which more than 64 MiB wait is closed.

--- a/test/announcement.test.ts
+++ b/test/announcement.test.ts
@@ -49,6 +49,13 @@
 	assert.ok(Either.isLeft(decodeAnnouncement(name, JSON.stringify(ENGINE))));
 });
 
+// A host that joins gets all announcements in one message; thousands of the largest size kept it from the list.
+test('an announcement is rejected if the names of its models together are longer than 4096 characters', () => {
+	const createModels = (count: number) => Array.from({length: count}, () => ({name: 'm'.repeat(64)}));
+	assert.equal(decodeOrUndefined({...ENGINE, models: createModels(64)})?.models?.length, 64);
+	assert.equal(decodeOrUndefined({...ENGINE, models: createModels(65)}), undefined);
+});
+
 // The ID is sent in a header of each request to the server, and in the path of orders.
 test('an announcement is rejected if the ID of its server cannot stand in a header', () => {
 	for (const server of ['', 'a b', 'a\nb', 'a\r\nx: 1', '\0', '\u{7F}', 'é', '\u{1F600}']) {
