--- a/dev/generate.ts
+++ b/dev/generate.ts
@@ -10,7 +10,9 @@
 import {mkdir, readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
-import {Ajv, type Options} from 'ajv';
+import {
+	_, Ajv, type KeywordCxt, type Options,
+} from 'ajv';
 import standaloneCode from 'ajv/dist/standalone/index.js';
 import {compile, type JSONSchema} from 'json-schema-to-typescript';
 
@@ -53,9 +55,9 @@
 	const outputs = new Map<string, string>();
 	const bundle = await readBundle();
 	outputs.set('src/generated/types.ts', await renderTypes(bundle));
-	outputs.set('src/generated/checkers.ts', renderValidators(bundle, ['Settings', 'Specification', 'Announcement', 'PlatformSettings'], {allErrors: true, useDefaults: true}));
+	outputs.set('src/generated/checkers.ts', renderValidators(bundle, ['Settings', 'Specification', 'Announcement', 'PlatformSettings'], {allErrors: true, useDefaults: true, strictNumbers: true}));
 	// Validation of messages between hosts stops at the first error, which makes a valid message cheaper to validate.
-	outputs.set('src/generated/messages.ts', renderUnionValidators(bundle, 'Message'));
+	outputs.set('src/generated/messages.ts', renderUnionValidators(bundle, 'Message', ['ServerStatus', 'Fact']));
 	const errors = JSON.parse(await readFile(path.join(ROOT, 'schema/errors.json'), 'utf8')) as ErrorRow[];
 	outputs.set('src/generated/codes.ts', renderCodes(errors));
 	outputs.set('docs/ERRORS.md', renderErrorTable(errors));
@@ -105,6 +107,13 @@
 	const ajv = new Ajv({
 		...options, discriminator: true, strict: false, code: {source: true, esm: true, lines: true},
 	});
+	ajv.addKeyword({
+		keyword: 'tsType',
+		code(context: KeywordCxt) {
+			context.fail(_`!(${context.data} instanceof Uint8Array)`);
+		},
+		error: {message: 'must be bytes'},
+	});
 	ajv.addSchema({$id: 'carawayhoist', definitions: bundle});
 	const references = Object.fromEntries(names.map(name => [`check${name}`, `carawayhoist#/definitions/${name}`]));
 	// Ajv emits `require` calls for its runtime helpers, which are not available in ES modules.
@@ -117,15 +126,15 @@
 }
 
 /**
- * Renders a table from the `type` of each variant of a union to its validator. A single validator for the union would nest
+ * Renders a table from the `type` of each variant of a union to its validator, and validators of some of their parts. A single validator for the union would nest
  * the variants in one chain of branches, which the compiler's flow analysis follows recursively.
  */
-function renderUnionValidators(bundle: Record<string, Schema>, name: string): string {
+function renderUnionValidators(bundle: Record<string, Schema>, name: string, parts: readonly string[]): string {
 	const variants = (bundle[name]!.oneOf ?? []).map(({$ref}) => $ref!.replace('#/definitions/', ''));
 	const rows = variants.map(variant => `\t['${String(bundle[variant]!.properties!.type!.const)}', check${variant}],`);
 	const table = `export const ${name.toLowerCase()}Validators = new Map([\n${rows.join('\n')}\n]);`;
 	// Definitions become functions of their own, so that the nesting does not grow with the number of properties below them.
-	return `${renderValidators(bundle, variants, {inlineRefs: false})}${table}\n`;
+	return `${renderValidators(bundle, [...variants, ...parts], {inlineRefs: false})}${table}\n`;
 }
 
 function renderCodes(errors: readonly ErrorRow[]): string {
