A relay that stops waits until the responses are written to the hosts that asked for them

Callers saw: a request that a cut-off host had sent through a relay ended with 502, or its stream broke off, when the relay got SIGTERM, although the server had answered in full. Cause: RelayService counted a request as ended as soon as its last message was passed to the connection. stop() then closed the connection, and what the peer had not read was dropped with it. Change: Connection.send reports when a message has been handed to the operating system or its connection has closed; a request counts until then. stop() still ends at the grace period, so a peer that never reads does not hold it longer.

--- a/src/serving/relayservice.ts
+++ b/src/serving/relayservice.ts
@@ -9,7 +9,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {
-	Message, RelayControl, RelayFailure, RelayRequest,
+	Message, RelayControl, RelayEnd, RelayFailure, RelayRequest,
 } from '../generated/types.js';
 import type {RouteTable} from '../routing/routes.js';
 import type {Connection} from '../wire/connection.js';
@@ -42,15 +42,17 @@
 	readonly #requests = new Map<Connection, Map<number, RelayedRequest>>();
 	#activeCount = 0;
 	#bodyBytes = 0;
+	/** Number of responses that are complete but not yet written to their connections. */
+	#unwrittenCount = 0;
 	#isStopping = false;
 
 	constructor(options: RelayServiceOptions) {
 		this.#options = options;
 	}
 
-	/** Number of requests of other hosts in progress. */
+	/** Number of requests of other hosts that are in progress or whose responses have not been written yet. */
 	get activeCount(): number {
-		return this.#activeCount;
+		return this.#activeCount + this.#unwrittenCount;
 	}
 
 	/** Declines further requests. */
@@ -88,7 +90,7 @@
 		const body = message.body ? Buffer.from(message.body.buffer, message.body.byteOffset, message.body.byteLength) : null;
 		const reason = this.#findReasonToDecline(body?.length ?? 0);
 		const fail = (failure: RelayFailure['failure'], text: string) => {
-			connection.send({
+			this.#sendLast(connection, {
 				type: 'relayFailure', id, failure, reason: text,
 			});
 		};
@@ -136,9 +138,9 @@
 					exchange.pause();
 				}
 			},
-			onEnd() {
+			onEnd: () => {
 				end('answered');
-				connection.send({type: 'relayEnd', id});
+				this.#sendLast(connection, {type: 'relayEnd', id});
 			},
 			onFailure(failure, error) {
 				end(failure);
@@ -154,6 +156,14 @@
 		}
 	}
 
+	/** Sends the last message of a request. */
+	#sendLast(connection: Connection, message: RelayEnd | RelayFailure): void {
+		this.#unwrittenCount++;
+		connection.send(message, () => {
+			this.#unwrittenCount--;
+		});
+	}
+
 	#findReasonToDecline(bodyBytes: number): string | undefined {
 		if (this.#isStopping) {
 			return 'The relay is stopping.';
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -66,18 +66,22 @@
 		return this.#socket.writableLength;
 	}
 
-	/** Sends a message. Closes the connection if more than 64 MiB are buffered because the peer does not read. */
-	send(message: Message): void {
-		if (!this.isOpen) {
-			return;
+	/**
+	 * Sends a message. Closes the connection if more than 64 MiB are buffered because the peer does not read.
+	 *
+	 * @param onWritten - Called once the message has been handed to the operating system, or the connection has closed.
+	 */
+	send(message: Message, onWritten?: () => void): void {
+		if (this.isOpen && this.#socket.writableLength > MAX_BUFFERED_BYTES) {
+			this.#socket.destroy();
 		}
 
-		if (this.#socket.writableLength > MAX_BUFFERED_BYTES) {
-			this.#socket.destroy();
+		if (!this.isOpen) {
+			onWritten?.();
 			return;
 		}
 
-		this.#socket.write(encodeFrame(message));
+		this.#socket.write(encodeFrame(message), onWritten);
 	}
 
 	onClose(handler: () => void): void {
--- /dev/null
+++ b/test/relaystop.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import {test} from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import {waitUntil} from '../dev/fleet.js';
+import type {Message} from '../src/generated/types.js';
+import type {Address} from '../src/wire/connection.js';
+import {encodeFrame, FrameDecoder} from '../src/wire/frame.js';
+import {createResponseHeaders} from './stub.js';
+import {startSystem} from './system.js';
+
+const GRACE_MS = 4000;
+/** Size of a header that fills the connection to a peer, bytes. A relay sends heads on even while its peer does not read. */
+const HEADER_BYTES = 24_000;
+/** Together more than the operating system buffers on a connection. */
+const RESPONSES = 1200;
+const RESPONSES_AT_A_TIME = 20;
+
+/** Another host that sends requests to a relay. */
+class Peer {
+	readonly socket: net.Socket;
+	readonly received: Message[] = [];
+
+	constructor({address, port}: Address) {
+		const decoder = new FrameDecoder();
+		this.socket = net.connect({host: address, port});
+		this.socket.on('error', () => undefined);
+		this.socket.on('data', bytes => {
+			const messages = decoder.push(bytes);
+			this.received.push(...(Either.isRight(messages) ? messages.right : []));
+		});
+	}
+
+	send(id: number, server: string): void {
+		const request = `relayed-${id}`;
+		this.socket.write(encodeFrame({
+			type: 'relayRequest', id, request, server, service: 'plain', method: 'GET', path: '/read/1', headers: ['host', 'a.example', 'carawayhoist-attempt-id', request],
+		}));
+	}
+}
+
+/** Whether a host still accepts connections of callers. */
+async function acceptsCallers({address, port}: Address): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = net.connect({host: address, port});
+		socket.once('connect', () => {
+			socket.destroy();
+			resolve(true);
+		});
+		socket.once('error', () => {
+			resolve(false);
+		});
+	});
+}
+
+test('a relay that stops sends the responses that its peer has not read yet', async t => {
+	const system = await startSystem(t, [{
+		id: 'p1',
+		service: 'plain',
+		intercept(request, response) {
+			response.writeHead(200, {...createResponseHeaders(request), 'x-fill': 'x'.repeat(HEADER_BYTES)}).end();
+			return true;
+		},
+	}], {graceMs: GRACE_MS});
+	const peer = new Peer(system.peerAddresses[0]!);
+	t.after(async () => {
+		peer.socket.destroy();
+	});
+	peer.socket.pause();
+	const countAnswered = () => system.entryLines.filter(({message}) => message === 'Relayed request answered.').length;
+	for (let sent = 0; sent < RESPONSES;) {
+		for (const last = sent + RESPONSES_AT_A_TIME; sent < last;) {
+			peer.send(++sent, 'p1');
+		}
+
+		await waitUntil(async () => countAnswered() === sent, 'the server has responded');
+	}
+
+	const stopping = system.entry.stop();
+	await waitUntil(async () => !await acceptsCallers(system.callers), 'the host accepts no callers');
+	peer.socket.resume();
+	await stopping;
+	await waitUntil(async () => peer.socket.closed, 'the peer has read what was sent');
+	assert.equal(peer.received.filter(({type}) => type === 'relayEnd').length, RESPONSES);
+});
--- a/test/system.ts
+++ b/test/system.ts
@@ -52,6 +52,8 @@
 	/** How the entry hosts connect to servers, by the order in which they start. */
 	readonly connectServers?: readonly ServerConnector[];
 	readonly findPort?: () => Promise<number>;
+	/** Grace period of the entry hosts, milliseconds. */
+	readonly graceMs?: number;
 };
 
 type TestContext = {
@@ -62,7 +64,7 @@
  * Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. After the test,
  * everything that was started is stopped, also if the start failed.
  */
-export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, connectServers = [], findPort = findOwnPort}: SystemOptions = {}) {
+export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, connectServers = [], findPort = findOwnPort, graceMs = 1000}: SystemOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
 	const cleanups: Array<() => Promise<void> | void> = [async () => rm(folder, {recursive: true, force: true})];
 	t.after(async () => {
@@ -104,12 +106,12 @@
 		const callers = {address: '127.0.0.1', port: await findPort()};
 		const peerAddress = {address: '127.0.0.1', port: await findPort()};
 		const host = unwrap(await EntryHost.start({
-			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, peerAddress, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs: 1000, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
+			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, peerAddress, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
 		}));
 		cleanups.push(() => {
 			host.close();
 		});
-		return {host, callers};
+		return {host, callers, peerAddress};
 	};
 
 	const first = await startEntry();
@@ -150,6 +152,10 @@
 		get callerAddresses() {
 			return entries.map(({callers}) => callers);
 		},
+		/** Where each entry host listens for other hosts. */
+		get peerAddresses() {
+			return entries.map(({peerAddress}) => peerAddress);
+		},
 		entry,
 		metrics,
 		controlRegistry,
