A request at a silent server is given up only if another host and another attempt can take it on

Callers saw: a resumable stream whose connection was closed in the middle, or 502 for a repeatable request, while all servers paused for a second and new connections to them hung; the servers went on and would have answered. Cause: ServerTransport failed every repeatable request 400 ms after its last byte once no probe was accepted, whether or not there was a host to relay it, and whether or not the request had an attempt, a retry of the budget or another server left. Change: the transport only reports the silence (onSilence). PlainCall finds a server, a permit and a retry first, as it does for an overdue response, and StreamCall acquires the retry first; otherwise the request waits until its deadline. Ruled out: streams that are not resumable and bookings; they were never given up this way.

--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -12,14 +12,14 @@
 import type {RateLimitTable} from '../membership/ratelimits.js';
 import type {AvailabilityTracker} from '../routing/availability.js';
 import type {ServiceRetryBudget} from '../routing/budget.js';
-import {ROUTE_KINDS, type Route, type RouteTable} from '../routing/routes.js';
+import type {Route, RouteTable} from '../routing/routes.js';
 import type {HealthTracker} from '../routing/health.js';
 import type {LoadTracker} from '../routing/load.js';
 import type {ResponseMemory} from './buffer.js';
 import type {Caller} from './caller.js';
 import type {CrashMonitor, SuspectRequest, TrackedAttempt} from './crashes.js';
 import {
-	ATTEMPT_PHASES, type AttemptPhase, type ResponseHead, type Attempt, type RequestHead, type ProtocolAdapter,
+	ATTEMPT_PHASES, type ResponseHead, type Attempt, type RequestHead, type ProtocolAdapter,
 } from './protocol.js';
 import type {ServingMetrics} from './metrics.js';
 import type {PlacementClient} from './placement.js';
@@ -78,6 +78,8 @@
 /** An attempt at a server, with the server's announcement. */
 export type AttemptOptions = Omit<Attempt, 'server'> & {
 	readonly server: Announcement;
+	/** See `UpstreamRequest`. */
+	readonly onSilence: () => void;
 };
 
 /** Fields of a request's log line. */
@@ -130,10 +132,10 @@
  *
  * @example
  * ```ts
- * const exchange = sendAttempt(context, call, {server, phase: 'full', deadlineMs: 800}, handler);
+ * const exchange = sendAttempt(context, call, {server, phase: 'full', deadlineMs: 800, onSilence() { … }}, handler);
  * ```
  */
-export function sendAttempt(context: ServingContext, call: Call, {server, ...attempt}: AttemptOptions, handler: ResponseHandler): Exchange {
+export function sendAttempt(context: ServingContext, call: Call, {server, onSilence, ...attempt}: AttemptOptions, handler: ResponseHandler): Exchange {
 	const {request} = call.caller;
 	// A prefill starts no response, so it is not what crashes an engine.
 	const tracked = attempt.phase === ATTEMPT_PHASES.prefill ? undefined : context.crashes.track(server, call.suspect);
@@ -141,7 +143,6 @@
 		server: server.server,
 		service: call.service,
 		request: call.head.id,
-		isRepeatable: isRepeatable(call, attempt.phase),
 		address: {address: server.address, port: server.port},
 		method: request.method ?? 'GET',
 		path: request.url ?? '/',
@@ -149,6 +150,7 @@
 		body: call.body,
 		maxConnections: limitConnections(context, call.routeTable, call.service),
 		maySend: () => context.availability.isAvailable(server, context.clock.monotonicMs()),
+		onSilence,
 		onRelay(relay) {
 			(call.logFields.relays ??= []).push(relay);
 		},
@@ -170,11 +172,6 @@
 	return Math.max(MIN_CONNECTIONS, Math.min(MAX_CONNECTIONS, share));
 }
 
-/** Whether an attempt may be sent again if its response is lost. */
-function isRepeatable({route, head}: Call, phase: AttemptPhase): boolean {
-	return phase === ATTEMPT_PHASES.prefill || route.kind === ROUTE_KINDS.repeatable || (route.isResumable && head.prompt !== undefined);
-}
-
 /** Wraps a handler so that the end of the response is also reported to the tracker. */
 function reportEnd(handler: ResponseHandler, tracked: TrackedAttempt): ResponseHandler {
 	let status = 0;
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -27,6 +27,13 @@
 		/** The server did not respond in time, and another one was found; it may have executed the request. */
 		| {readonly type: 'timedOut'};
 
+/** What an attempt uses to collect its response and to report its outcome. */
+type AttemptTools = {
+	readonly buffer: ResponseBuffer;
+	readonly settle: (outcome: Outcome) => void;
+	readonly onSilence: () => void;
+};
+
 /** Maximum number of attempts in which no byte was sent to a server. */
 const MAX_UNSENT_ATTEMPTS = 3;
 /** A repeatable request is retried at another server after this multiple of its objective without a response. */
@@ -237,19 +244,38 @@
 				resolve(outcome);
 			};
 
-			const timer = this.#startResponseTimer(async () => {
-				this.#context.health.recordFailure(server.server, this.#context.clock.monotonicMs());
+			let isPreparing = false;
+			const retryElsewhere = async () => {
+				if (isPreparing || !this.#mayRetryElsewhere()) {
+					return;
+				}
+
+				isPreparing = true;
 				const nextServer = await this.#prepareRetry();
+				isPreparing = false;
 				if (nextServer && !isSettled) {
 					this.#nextServer = nextServer;
 					this.#exchange?.cancel();
 					settle({type: 'timedOut'});
 				}
+			};
+
+			const timer = this.#startResponseTimer(() => {
+				this.#context.health.recordFailure(server.server, this.#context.clock.monotonicMs());
+				void retryElsewhere();
 			});
 			this.#call.caller.onEnd(() => {
 				settle({type: 'broken'});
 			});
-			this.#exchange = this.#send(server, settle, buffer);
+			this.#exchange = this.#send(server, {
+				buffer,
+				settle,
+				onSilence: () => {
+					if (this.#context.transport.usesRelays) {
+						void retryElsewhere();
+					}
+				},
+			});
 		});
 	}
 
@@ -269,13 +295,13 @@
 		return undefined;
 	}
 
-	#send(server: Announcement, settle: (outcome: Outcome) => void, buffer: ResponseBuffer): Exchange {
+	#send(server: Announcement, {buffer, settle, onSilence}: AttemptTools): Exchange {
 		const context = this.#context;
 		let head: ResponseHead | undefined;
 		const deadlineMs = this.#call.deadlineMs - context.clock.monotonicMs();
 		const {lastEventId} = this.#call.head;
 		return sendAttempt(context, this.#call, {
-			server, phase: 'full', deadlineMs, ...(lastEventId !== undefined && {lastEventId}),
+			server, phase: 'full', deadlineMs, onSilence, ...(lastEventId !== undefined && {lastEventId}),
 		}, {
 			onHead: (status, headers) => {
 				head = context.protocol.parseResponse(status, headers);
@@ -324,10 +350,14 @@
 		}
 	}
 
-	#startResponseTimer(onTimeout: () => Promise<void>): NodeJS.Timeout | undefined {
+	#startResponseTimer(onTimeout: () => void): NodeJS.Timeout | undefined {
+		return this.#mayRetryElsewhere() ? setTimeout(onTimeout, this.#call.route.objectiveMs * RESPONSE_TIMEOUT_FACTOR) : undefined;
+	}
+
+	/** Whether another attempt may follow the one in progress. */
+	#mayRetryElsewhere(): boolean {
 		const {route} = this.#call;
-		const mayRetryElsewhere = route.kind === ROUTE_KINDS.repeatable && this.#sentCount + 1 < route.maxAttempts;
-		return mayRetryElsewhere ? setTimeout(onTimeout, route.objectiveMs * RESPONSE_TIMEOUT_FACTOR) : undefined;
+		return route.kind === ROUTE_KINDS.repeatable && this.#sentCount + 1 < route.maxAttempts;
 	}
 }
 
--- a/src/serving/prefill.ts
+++ b/src/serving/prefill.ts
@@ -61,7 +61,15 @@
 	call.caller.onEnd(() => {
 		clearTimeout(timer);
 	});
-	const exchange = sendAttempt(context, call, {server, phase: 'prefill', ...attempt}, {
+	const onSilence = () => {
+		if (context.transport.usesRelays) {
+			abandon(`Server ${server.server} fell silent during a prefill, and this host reaches no other one.`);
+		}
+	};
+
+	const exchange = sendAttempt(context, call, {
+		server, phase: 'prefill', onSilence, ...attempt,
+	}, {
 		onHead(status, headers) {
 			head = context.protocol.parseResponse(status, headers);
 			const mismatch = findResponseMismatch(call, head);
--- a/src/serving/relayservice.ts
+++ b/src/serving/relayservice.ts
@@ -122,7 +122,6 @@
 			path,
 			headers,
 			body,
-			isRepeatable: false,
 			maxConnections: limitConnections(context, getRouteTable(), service),
 			maySend: () => context.availability.isAvailable(server, context.clock.monotonicMs()),
 		}, observeResponse(context, {server, request}, {
--- a/src/serving/release.ts
+++ b/src/serving/release.ts
@@ -38,17 +38,19 @@
 	}
 
 	const ignore = () => undefined;
-	transport.send({
+	const exchange = transport.send({
 		server: kvCache.server,
 		service,
 		request,
-		isRepeatable: true,
 		address: kvCache.address,
 		...protocol.buildReleaseRequest(kvCache),
 		headers: [],
 		body: null,
 		maxConnections: 1,
 		maySend,
+		onSilence() {
+			exchange.cancel();
+		},
 	}, {
 		onHead(status, headers) {
 			recordAvailability(context, server, protocol.parseResponse(status, headers));
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -57,6 +57,8 @@
 	#hasFirstEvent = false;
 	/** Software version of the servers whose events the stream holds, once it is known. */
 	#software: string | undefined;
+	/** Whether a retry has been acquired for the next run. */
+	#hasRetry = false;
 	#mayHaveRun = false;
 	/** Whether the engine that failed last sent a response, so that it may be used again if there is no other. */
 	#mayReuseExcluded = false;
@@ -304,10 +306,11 @@
 	async #runAt(server: Announcement): Promise<RunOutcome> {
 		const context = this.#context;
 		const {caller, logFields} = this.#call;
-		if (this.#runCount > 0 && !tryAcquireRetry(this.#context, this.#call.service)) {
+		if (this.#runCount > 0 && !this.#hasRetry && !tryAcquireRetry(this.#context, this.#call.service)) {
 			return {type: 'retryDenied'};
 		}
 
+		this.#hasRetry = false;
 		this.#runCount++;
 		logFields.servers.push(server.server);
 		(logFields.software ??= []).push(server.software ?? '');
@@ -328,6 +331,12 @@
 				lastEventId,
 				priority: this.#priority(),
 				kvFetchSource: kvCache ? undefined : this.#kvFetchSource,
+				onSilence: () => {
+					if (this.#prepareResumption(server)) {
+						this.#exchange?.cancel();
+						resolve({type: 'broken', hasResponded: false});
+					}
+				},
 			}, {
 				onHead: (status, headers) => {
 					head = context.protocol.parseResponse(status, headers);
@@ -448,6 +457,17 @@
 		}
 	}
 
+	/** Acquires a retry for a stream that a relay can resume at another engine. Without one, the engine that is silent may still go on. */
+	#prepareResumption(silent: Announcement): boolean {
+		const {listServers, transport} = this.#context;
+		const hasOtherEngine = listServers().some(({server, services, software = ''}) => server !== silent.server
+			&& !this.#excluded.has(server)
+			&& services?.includes(this.#call.service)
+			&& software === (this.#software ?? software));
+		this.#hasRetry ||= transport.usesRelays && hasOtherEngine && this.#mayResume() && tryAcquireRetry(this.#context, this.#call.service);
+		return this.#hasRetry;
+	}
+
 	/** Whether another engine may resume after a failed run. */
 	#mayResume(): boolean {
 		const {route} = this.#call;
--- a/src/serving/transport.ts
+++ b/src/serving/transport.ts
@@ -33,11 +33,9 @@
 /** A request that was sent over this host's own network. */
 type DirectRequest = {
 	readonly startedMs: number;
-	readonly isRepeatable: boolean;
+	readonly onSilence: (() => void) | undefined;
 	/** When the request was sent or last received something, milliseconds of the monotonic clock. */
 	activeMs: number;
-	/** Fails the request. */
-	abort: () => void;
 };
 
 const TICK_MS = 100;
@@ -78,17 +76,19 @@
 		return this.#reachability.isCutOff;
 	}
 
+	/** Whether requests are sent through other hosts because this one reaches no server. */
+	get usesRelays(): boolean {
+		return this.isCutOff && this.#options.relays.hasRelays;
+	}
+
 	send(request: UpstreamRequest, handler: ResponseHandler): Exchange {
-		const {relays} = this.#options;
-		return this.isCutOff && relays.hasRelays ? relays.send(request, handler) : this.sendDirectly(request, handler);
+		return this.usesRelays ? this.#options.relays.send(request, handler) : this.sendDirectly(request, handler);
 	}
 
 	/** Sends a request over this host's own network, also while that seems to reach no server. */
 	sendDirectly(request: UpstreamRequest, handler: ResponseHandler): Exchange {
 		const nowMs = this.#now();
-		const direct: DirectRequest = {
-			startedMs: nowMs, activeMs: nowMs, isRepeatable: request.isRepeatable, abort: () => undefined,
-		};
+		const direct: DirectRequest = {startedMs: nowMs, activeMs: nowMs, onSilence: request.onSilence};
 		this.#inFlight.add(direct);
 		const recordContact = () => {
 			direct.activeMs = this.#now();
@@ -114,19 +114,11 @@
 				handler.onFailure(failure, error);
 			},
 		});
-		const cancel = () => {
-			this.#inFlight.delete(direct);
-			return exchange.cancel();
-		};
-
-		direct.abort = () => {
-			if (cancel()) {
-				handler.onFailure('broken', new Error('The server fell silent, and this host reaches no other one.'));
-			}
-		};
-
 		return {
-			cancel,
+			cancel: () => {
+				this.#inFlight.delete(direct);
+				return exchange.cancel();
+			},
 			pause() {
 				exchange.pause();
 			},
@@ -159,15 +151,15 @@
 		}
 
 		if (this.#reachability.areConnectionsSilent) {
-			this.#abortSilentRequests(nowMs);
+			this.#reportSilence(nowMs);
 		}
 	}
 
-	/** Fails the requests that wait for a response over a network that is cut and may be sent again. The others may still be answered. */
-	#abortSilentRequests(nowMs: number): void {
-		for (const direct of this.#inFlight) {
-			if (direct.isRepeatable && nowMs - direct.activeMs >= SILENCE_MS) {
-				direct.abort();
+	/** Reports to the requests in progress that their connections are silent and the network seems to be cut. */
+	#reportSilence(nowMs: number): void {
+		for (const {activeMs, onSilence} of this.#inFlight) {
+			if (nowMs - activeMs >= SILENCE_MS) {
+				onSilence?.();
 			}
 		}
 	}
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -17,8 +17,6 @@
 	readonly address: Address;
 	/** ID of the caller's request. */
 	readonly request: string;
-	/** Whether the request may be sent again if its response is lost. */
-	readonly isRepeatable: boolean;
 	readonly method: string;
 	readonly path: string;
 	/** Alternating names and values. */
@@ -31,6 +29,11 @@
 	 * waited for a connection. If false, the request fails as not sent.
 	 */
 	readonly maySend?: () => boolean;
+	/**
+	 * Called while this host reaches no server and the request's connection has been silent for some time, possibly more than once.
+	 * The server may just have paused, so the request goes on unless the callback cancels it.
+	 */
+	readonly onSilence?: (() => void) | undefined;
 	/** Called with the address of each host through which the request is sent. */
 	readonly onRelay?: (relay: string) => void;
 };
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -174,6 +174,6 @@
 
 function createRequest(port: number) {
 	return {
-		server: 's1', service: 'plain', request: 'id-1', isRepeatable: false, address: {address: '127.0.0.1', port}, method: 'POST', path: '/', headers: [], body: Buffer.from('x'), maxConnections: 2,
+		server: 's1', service: 'plain', request: 'id-1', address: {address: '127.0.0.1', port}, method: 'POST', path: '/', headers: [], body: Buffer.from('x'), maxConnections: 2,
 	};
 }
