--- a/test/relaystop.test.ts
+++ b/test/relaystop.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import net from 'node:net';
 import {test} from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
@@ -6,9 +7,11 @@
 import type {Message} from '../src/generated/types.js';
 import type {Address} from '../src/wire/connection.js';
 import {encodeFrame, FrameDecoder} from '../src/wire/frame.js';
+import {HostNetwork} from './network.js';
 import {createResponseHeaders} from './stub.js';
-import {startSystem} from './system.js';
+import {ROUTES, SERVICES, startSystem} from './system.js';
 
+const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 const GRACE_MS = 4000;
 /** Size of a header that fills the connection to a peer, bytes. A relay sends heads on even while its peer does not read. */
 const HEADER_BYTES = 24_000;
@@ -83,3 +86,47 @@
 	await waitUntil(async () => peer.socket.closed, 'the peer has read what was sent');
 	assert.equal(peer.received.filter(({type}) => type === 'relayEnd').length, RESPONSES);
 });
+
+test('a host that reaches no server and its relay are stopped together: requests in progress are answered in full', async t => {
+	const network = await HostNetwork.start();
+	t.after(async () => {
+		network.stop();
+	});
+	const held: ServerResponse[] = [];
+	const intercept = (request: IncomingMessage, response: ServerResponse) => {
+		if (request.url?.endsWith('/slow') === true) {
+			response.writeHead(200, createResponseHeaders(request)).write('first ');
+			held.push(response);
+			return true;
+		}
+
+		return false;
+	};
+
+	const system = await startSystem(t, [
+		{id: 'p1', service: 'plain', intercept},
+		{
+			id: 'd1', service: 'llm', stage: 'decode', intercept,
+		},
+	], {connectServers: [network.connect], graceMs: GRACE_MS});
+	const body = JSON.stringify({version: 2, routes: ROUTES.map(route => ({...route, 'timeout-ms': 2 * GRACE_MS})), services: SERVICES});
+	assert.equal((await fetch(`http://${system.control}/-/config`, {method: 'PUT', body})).status, 200);
+	await waitUntil(async () => system.entryLines.some(({message}) => message === 'Applied publication 2.'), 'the configuration is in force');
+	await system.addEntry();
+	network.cut({open: 'reset', fresh: 'refused'});
+	await waitUntil(async () => {
+		await system.announceServers();
+		const responses = await Promise.all([system.call('/read/1'), system.call('/ask/1', PROMPT)]);
+		return responses.every(({status}) => status === 200);
+	}, 'the host sends requests through its relay');
+	const calls = [system.call('/book/slow', {}, 'seat'), system.call('/tell/slow', PROMPT), system.call('/ask/slow', PROMPT)];
+	await waitUntil(async () => held.length === calls.length, 'the requests are at servers');
+	const stops = system.entries.map(async entry => entry.stop());
+	await waitUntil(async () => (await Promise.all(system.callerAddresses.map(async address => acceptsCallers(address)))).every(accepts => !accepts), 'the hosts accept no callers');
+	for (const response of held) {
+		response.end('last');
+	}
+
+	assert.deepEqual((await Promise.all(calls)).map(({status, text}) => [status, text]), calls.map(() => [200, 'first last']));
+	await Promise.all(stops);
+});
