--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -5,6 +5,9 @@
 const process = require('node:process');
 const vm = require('node:vm');
 
+// Without a handler, the signal would end the process. The settings, which may have changed, have not been read yet.
+process.on('SIGHUP', () => undefined);
+
 const filename = path.join(__dirname, 'carawayhoist-bundle.cjs');
 let cachedData;
 try {
