A caller's connection stays open for the time that its response announces

Callers saw: a kept connection closed within seconds although the response on it had said `Keep-Alive: timeout=15`, after a configuration with a shorter idle timeout had arrived while the response was sent; a request sent at that moment got no answer. Cause: Node.js announces the idle timeout that is in force when the request arrives, and applies the one in force when the response ends. Evidence: the second test of test/configchange.test.ts with the code before: the connection was closed within 3 s (`true !== false`). Change: if the timeout has become shorter meanwhile, the timer of the connection is extended by the difference. The first test of the file held on the code before: routes removed or moved, shorter times and lower limits do not touch requests in progress, streams, or a body that is half read.

--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -15,6 +15,7 @@
 import {PlainCall} from './plaincall.js';
 import {createQuarantineProblem, type Call, type ServingContext} from './context.js';
 import {fingerprintRequest} from './fingerprint.js';
+import {keepAnnouncedTimeout} from './idletimeout.js';
 import {StreamCall} from './streamcall.js';
 
 export type GatewayOptions = {
@@ -48,6 +49,7 @@
 		this.#options = options;
 		this.#startedMs = options.context.clock.monotonicMs();
 		this.#server = http.createServer({maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true}, (request, response) => {
+			keepAnnouncedTimeout(this.#server, request, response);
 			void this.#serve(request, response);
 		});
 		this.#server.requestTimeout = 0;
