A relay that stops closes its connections once its peers have received everything

Callers saw: the last responses that a cut-off host received through a relay were missing when that relay stopped, although they had been written to the connection; their callers got 502 or a stream that broke off. Cause: the connections were closed at once. A connection that is closed while bytes of the peer are unread is reset, and what the operating system has not sent by then is dropped. Peers send requests and control messages at any time. Change: the listener ends its connections and reads on until the peers have closed theirs, at most until the end of the grace period less its margin. A message for a connection that is ending is not sent.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -222,6 +222,7 @@
 			await sleep(POLL_MS);
 		}
 
+		await this.#listener.finish(Math.max(0, startedMs + graceMs - STOP_MARGIN_MS - clock.monotonicMs()));
 		this.#logger.info('Shutdown complete.', {active: this.#gateway.activeCount});
 		this.close();
 	}
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import * as Either from 'fp-ts/lib/Either.js';
 import type {Message} from '../generated/types.js';
 import {createProblem, type Problem} from '../base/problem.js';
@@ -76,7 +77,7 @@
 			this.#socket.destroy();
 		}
 
-		if (!this.isOpen) {
+		if (!this.#socket.writable) {
 			onWritten?.();
 			return;
 		}
@@ -93,6 +94,11 @@
 		this.#socket.on('drain', handler);
 	}
 
+	/** Closes the connection once the peer has received everything and closed its side. Nothing can be sent any more. */
+	finish(): void {
+		this.#socket.end();
+	}
+
 	close(): void {
 		this.#socket.destroy();
 	}
@@ -143,6 +149,21 @@
 		});
 	}
 
+	/**
+	 * Stops accepting connections and waits until the peers have received everything, but no longer than a time. A connection that is
+	 * closed at once, with bytes of the peer unread, is reset, and what the peer has not received is lost.
+	 */
+	async finish(timeoutMs: number): Promise<void> {
+		this.#server.close();
+		const closed = [...this.#connections].map(async connection => new Promise<void>(resolve => {
+			connection.onClose(resolve);
+			connection.finish();
+		}));
+		const timeout = new AbortController();
+		await Promise.race([Promise.all(closed), sleep(timeoutMs, undefined, {signal: timeout.signal}).catch(() => undefined)]);
+		timeout.abort();
+	}
+
 	close(): void {
 		this.#server.close();
 		for (const connection of this.#connections) {
--- a/test/relaystop.test.ts
+++ b/test/relaystop.test.ts
@@ -34,7 +34,12 @@
 		});
 	}
 
-	send(id: number, server: string): void {
+	/** Sends a message about a request that has ended; the relay ignores it. */
+	sendControl(id: number): void {
+		this.socket.write(encodeFrame({type: 'relayControl', id, action: 'resume'}));
+	}
+
+	sendRequest(id: number, server: string): void {
 		const request = `relayed-${id}`;
 		this.socket.write(encodeFrame({
 			type: 'relayRequest', id, request, server, service: 'plain', method: 'GET', path: '/read/1', headers: ['host', 'a.example', 'carawayhoist-attempt-id', request],
@@ -56,36 +61,43 @@
 	});
 }
 
-test('a relay that stops sends the responses that its peer has not read yet', async t => {
-	const system = await startSystem(t, [{
-		id: 'p1',
-		service: 'plain',
-		intercept(request, response) {
-			response.writeHead(200, {...createResponseHeaders(request), 'x-fill': 'x'.repeat(HEADER_BYTES)}).end();
-			return true;
-		},
-	}], {graceMs: GRACE_MS});
-	const peer = new Peer(system.peerAddresses[0]!);
-	t.after(async () => {
-		peer.socket.destroy();
-	});
-	peer.socket.pause();
-	const countAnswered = () => system.entryLines.filter(({message}) => message === 'Relayed request answered.').length;
-	for (let sent = 0; sent < RESPONSES;) {
-		for (const last = sent + RESPONSES_AT_A_TIME; sent < last;) {
-			peer.send(++sent, 'p1');
-		}
+for (const [peerName, hasMore] of [['a peer', false], ['a peer that sends more meanwhile', true]] as const) {
+	test(`a relay that stops sends the responses that ${peerName} has not read yet`, async t => {
+		const system = await startSystem(t, [{
+			id: 'p1',
+			service: 'plain',
+			intercept(request, response) {
+				response.writeHead(200, {...createResponseHeaders(request), 'x-fill': 'x'.repeat(HEADER_BYTES)}).end();
+				return true;
+			},
+		}], {graceMs: GRACE_MS});
+		const peer = new Peer(system.peerAddresses[0]!);
+		t.after(async () => {
+			peer.socket.destroy();
+		});
+		peer.socket.pause();
+		const countAnswered = () => system.entryLines.filter(({message}) => message === 'Relayed request answered.').length;
+		for (let sent = 0; sent < RESPONSES;) {
+			for (const last = sent + RESPONSES_AT_A_TIME; sent < last;) {
+				peer.sendRequest(++sent, 'p1');
+			}
 
-		await waitUntil(async () => countAnswered() === sent, 'the server has responded');
-	}
+			await waitUntil(async () => countAnswered() === sent, 'the server has responded');
+		}
 
-	const stopping = system.entry.stop();
-	await waitUntil(async () => !await acceptsCallers(system.callers), 'the host accepts no callers');
-	peer.socket.resume();
-	await stopping;
-	await waitUntil(async () => peer.socket.closed, 'the peer has read what was sent');
-	assert.equal(peer.received.filter(({type}) => type === 'relayEnd').length, RESPONSES);
-});
+		const stopping = system.entry.stop();
+		await waitUntil(async () => !await acceptsCallers(system.callers), 'the host accepts no callers');
+		peer.socket.on('data', () => {
+			if (hasMore) {
+				peer.sendControl(1);
+			}
+		});
+		peer.socket.resume();
+		await stopping;
+		await waitUntil(async () => peer.socket.closed, 'the peer has read what was sent');
+		assert.equal(peer.received.filter(({type}) => type === 'relayEnd').length, RESPONSES);
+	});
+}
 
 test('a host that reaches no server and its relay are stopped together: requests in progress are answered in full', async t => {
 	const network = await HostNetwork.start();
