--- a/test/configchange.test.ts
+++ b/test/configchange.test.ts
@@ -84,6 +84,28 @@
 	assert.match(received, /^HTTP\/1.1 200 OK\r\n[\s\S]*plain up$/v);
 });
 
+test('requests in progress outlive the announcements of their servers, whose addresses other servers announce', async t => {
+	const {system, held} = await startHoldingSystem(t);
+	const calls = [system.call('/book/slow', {}, 'seat'), system.call('/ask/slow', PROMPT), system.call('/tell/slow', PROMPT)];
+	await waitUntil(async () => held.length === calls.length, 'the requests are at servers');
+	for (const server of system.servers) {
+		assert.equal(await server.announce(system.control, 'draining'), 200);
+		assert.equal((await fetch(`http://${system.control}/-/instances/${server.id}`, {method: 'DELETE'})).status, 200);
+		const successor = {
+			service: 'plain', address: server.address, zone: 'a', version: 'v1', slots: 8, state: 'ready', 'cold-remaining-ms': 0, sequence: 1, born: Date.now(),
+		};
+		assert.equal((await fetch(`http://${system.control}/-/instances/${server.id}-successor`, {method: 'PUT', body: JSON.stringify(successor)})).status, 200);
+	}
+
+	await waitUntil(async () => system.entry.listServers().toSorted().join(' ') === 'd1-successor p1-successor', 'the host knows the other servers');
+	await sleep(WAIT_MS);
+	for (const response of held) {
+		response.end('last');
+	}
+
+	assert.deepEqual((await Promise.all(calls)).map(({status, text}) => [status, text]), calls.map(() => [200, 'first last']));
+});
+
 test('a connection stays open for the time that its last response has promised, although the idle timeout has been shortened since', async t => {
 	const {system, held, publish} = await startHoldingSystem(t);
 	const agent = new http.Agent({keepAlive: true, maxSockets: 1});
