A host that is cut off stays so while no server is listed

Callers saw: 503 and 504 for every request of a host that reached no server, for as long as the test looked (20 s), although another host could have relayed them, after its servers had been silent for about a second and were announced again. Cause: with fewer than two servers listed there was nothing to probe, which counted as reached: the host forgot its relays and sent requests over its own network again. Evidence: the last test of test/relay.test.ts with the code before: `503 !== 200`. After: green. It was found by tracing a run of test/detour.test.ts (connections hang) that failed beside load; the log said `This host reaches servers over its own network again` while the network was cut. Change: a check without a server to probe keeps what is known; a host that is cut off also probes a single server.

--- a/src/serving/transport.ts
+++ b/src/serving/transport.ts
@@ -172,7 +172,8 @@
 	async #runCheck(): Promise<void> {
 		const {logger, metrics, relays, onChange} = this.#options;
 		const probed = this.#selectServers();
-		const hasReachedServer = probed.length === 0 || await this.#probeAny(probed);
+		// Without a server to probe there is no news.
+		const hasReachedServer = probed.length === 0 ? !this.isCutOff : await this.#probeAny(probed);
 		this.#check = undefined;
 		if (!this.#reachability.recordCheck(hasReachedServer, this.#now())) {
 			return;
@@ -192,7 +193,7 @@
 
 	#selectServers(): Announcement[] {
 		const servers = this.#options.listServers();
-		if (servers.length < MIN_SERVERS) {
+		if (servers.length < (this.isCutOff ? 1 : MIN_SERVERS)) {
 			return [];
 		}
 
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {sleep} from '../src/base/clock.js';
 import {HostNetwork} from './network.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
@@ -38,6 +39,9 @@
 	return {system, callRelays, countReceived};
 }
 
+/** Time in which a host that is cut off checks its network more than once. */
+const CHECKS_MS = 700;
+
 const PLAIN_SERVERS = ['p1', 'p2'].map(id => ({id, service: 'plain'}));
 
 test('a booking in flight at a relay that stops working is not sent again', async t => {
@@ -148,3 +152,13 @@
 
 	assert.equal(countReceived('/read/refused'), 2);
 });
+
+test('a host that is cut off goes on using its relays after all servers have been silent and are announced again', async t => {
+	const {system} = await startCutSystem(t, PLAIN_SERVERS);
+	await waitUntil(async () => system.entry.listServers().length === 0, 'the servers count as silent');
+	await sleep(CHECKS_MS);
+	await system.announceServers();
+	await waitUntil(async () => system.entries.every(entry => entry.listServers().length === PLAIN_SERVERS.length), 'every host lists the servers again');
+	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
+	assert.deepEqual(system.entryLines.filter(({message}) => message.startsWith('This host reaches servers')), []);
+});
