--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -223,6 +223,7 @@
 		await this.#waitUntilIdle(abortMs);
 		this.#gateway.abort();
 		await this.#waitUntilIdle(abortMs + FLUSH_MS);
+		await this.#listener.finish(Math.max(0, abortMs + FLUSH_MS - clock.monotonicMs()));
 		this.#logger.info('Shutdown complete.', {unsent: this.#gateway.activeCount, relayed: this.#relayService.activeCount});
 		this.close();
 	}
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -16,6 +16,7 @@
 import {PlainCall} from './plaincall.js';
 import {createQuarantineProblem, type Call, type ServingContext} from './context.js';
 import {fingerprintRequest} from './fingerprint.js';
+import {keepAnnouncedTimeout} from './idletimeout.js';
 import {StreamCall} from './streamcall.js';
 
 export type GatewayOptions = {
@@ -55,6 +56,7 @@
 		this.#startedMs = options.context.clock.monotonicMs();
 		this.#server = http.createServer({maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true}, (request, response) => {
 			if (this.#connections.accept(request, response)) {
+				keepAnnouncedTimeout(this.#server, request, response);
 				void this.#serve(request, response);
 			}
 		});
--- a/src/serving/release.ts
+++ b/src/serving/release.ts
@@ -38,18 +38,20 @@
 	}
 
 	const ignore = () => undefined;
-	transport.send({
+	const exchange = transport.send({
 		server: kvCache.server,
 		service,
 		request,
 		echoId: undefined,
-		isRepeatable: true,
 		address: kvCache.address,
 		...protocol.buildReleaseRequest(kvCache),
 		headers: [],
 		body: null,
 		maxConnections: 1,
 		maySend,
+		onSilence() {
+			exchange.cancel();
+		},
 	}, {
 		onHead(status, headers) {
 			const head = protocol.parseResponse(status, headers);
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -4,6 +4,7 @@
 import type net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {sleep} from '../src/base/clock.js';
 import {HostNetwork} from './network.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
@@ -39,6 +40,9 @@
 	return {system, callRelays, countReceived};
 }
 
+/** Time in which a host that is cut off checks its network more than once. */
+const CHECKS_MS = 700;
+
 const PLAIN_SERVERS = ['p1', 'p2'].map(id => ({id, service: 'plain'}));
 
 test('a booking in flight at a relay that stops working is not sent again', async t => {
@@ -195,3 +199,13 @@
 
 	assert.equal(carried.size, 8);
 });
+
+test('a host that is cut off goes on using its relays after all servers have been silent and are announced again', async t => {
+	const {system} = await startCutSystem(t, PLAIN_SERVERS);
+	await waitUntil(async () => system.entry.listServers().length === 0, 'the servers count as silent');
+	await sleep(CHECKS_MS);
+	await system.announceServers();
+	await waitUntil(async () => system.entries.every(entry => entry.listServers().length === PLAIN_SERVERS.length), 'every host lists the servers again');
+	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
+	assert.deepEqual(system.entryLines.filter(({message}) => message.startsWith('This host reaches servers')), []);
+});
--- a/test/system.ts
+++ b/test/system.ts
@@ -122,7 +122,7 @@
 		cleanups.push(() => {
 			host.close();
 		});
-		return {host, callers};
+		return {host, callers, peerAddress};
 	};
 
 	const first = await startEntry();
@@ -165,6 +165,10 @@
 		get callerAddresses() {
 			return entries.map(({callers}) => callers);
 		},
+		/** Where each entry host listens for other hosts. */
+		get peerAddresses() {
+			return entries.map(({peerAddress}) => peerAddress);
+		},
 		entry,
 		metrics,
 		controlRegistry,
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -204,6 +204,6 @@
 
 function createRequest(port: number): UpstreamRequest {
 	return {
-		server: 's1', service: 'plain', request: 'id-1', echoId: `id-${++lastId}`, isRepeatable: false, address: {address: '127.0.0.1', port}, method: 'POST', path: '/', headers: [], body: Buffer.from('x'), maxConnections: 2,
+		server: 's1', service: 'plain', request: 'id-1', echoId: `id-${++lastId}`, address: {address: '127.0.0.1', port}, method: 'POST', path: '/', headers: [], body: Buffer.from('x'), maxConnections: 2,
 	};
 }
