A host that had no server to probe once goes on checking its network

Callers saw: a host that never noticed again that it was cut off from its servers, or that they were back, after fewer than two servers had been listed during one check. It sent requests over a network that was cut, or through relays for no reason. Cause: a check without a server to probe ended before its promise was noted as the check in progress. The note was thus never removed, and each later check waited for the one that had ended. Change: the note is removed when the promise settles.

--- a/src/serving/transport.ts
+++ b/src/serving/transport.ts
@@ -165,7 +165,9 @@
 	}
 
 	async #startCheck(): Promise<void> {
-		this.#check ??= this.#runCheck();
+		this.#check ??= this.#runCheck().finally(() => {
+			this.#check = undefined;
+		});
 		await this.#check;
 	}
 
@@ -174,7 +176,6 @@
 		const probed = this.#selectServers();
 		// Without a server to probe there is no news.
 		const hasReachedServer = probed.length === 0 ? !this.isCutOff : await this.#probeAny(probed);
-		this.#check = undefined;
 		if (!this.#reachability.recordCheck(hasReachedServer, this.#now())) {
 			return;
 		}
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -36,7 +36,9 @@
 	}, 'the hosts have noticed the cut');
 	await waitUntil(async () => cutRelays === relays || (await system.call('/read/warm-up')).status === 200, 'the host has a relay');
 	const countReceived = (path: string) => system.servers.flatMap(({receivedRequests}) => receivedRequests).filter(received => received.path === path).length;
-	return {system, callRelays, countReceived};
+	return {
+		system, callRelays, countReceived, network: networks[0]!,
+	};
 }
 
 /** Time in which a host that is cut off checks its network more than once. */
@@ -153,12 +155,14 @@
 	assert.equal(countReceived('/read/refused'), 2);
 });
 
-test('a host that is cut off goes on using its relays after all servers have been silent and are announced again', async t => {
-	const {system} = await startCutSystem(t, PLAIN_SERVERS);
+test('a host that is cut off goes on using its relays after all servers have been silent and are announced again, until it reaches them', async t => {
+	const {system, network} = await startCutSystem(t, PLAIN_SERVERS);
 	await waitUntil(async () => system.entry.listServers().length === 0, 'the servers count as silent');
 	await sleep(CHECKS_MS);
 	await system.announceServers();
 	await waitUntil(async () => system.entries.every(entry => entry.listServers().length === PLAIN_SERVERS.length), 'every host lists the servers again');
 	assert.equal((await system.call('/book/1', {}, 'seat')).status, 200);
 	assert.deepEqual(system.entryLines.filter(({message}) => message.startsWith('This host reaches servers')), []);
+	network.heal();
+	await waitUntil(async () => system.entryLines.some(({message}) => message.startsWith('This host reaches servers')), 'the host has noticed that it reaches servers');
 });
