A shutdown tells callers that their connection ends, and answers one more request behind a stream

What callers would see: no answer to a request that they send as soon as they have the response before it, although that response promised to keep the connection. Cause: connections were closed after the response in progress, but its head had said keep-alive at the request's arrival. Change: from SIGTERM on, responses whose head has not been sent say 'connection: close'. A connection whose stream has begun stays open for one more request, which is served or, if it cannot end in time, refused with 503, not-run. Evidence: 'the response to a request from before the shutdown tells its caller ...' (both doors) and 'a request behind a stream that began before the shutdown is answered, and not cut', red before: keep-alive, and no answer to the second request. The latter replaces 'a connection ... takes no request after it': it asks for more, an answer instead of a closed connection, and still that the request does not reach a server.

--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -90,7 +90,7 @@
 		});
 	}
 
-	/** Closes each connection after its current response, or after the next one if it is idle. */
+	/** Ends each connection with the response in progress, or with the next one. */
 	startDraining(): void {
 		this.#stoppedMs = this.#options.context.clock.monotonicMs();
 		this.#connections.startDraining();
--- a/src/wire/callers.ts
+++ b/src/wire/callers.ts
@@ -7,11 +7,11 @@
 import type {Socket} from 'node:net';
 
 type ConnectionState = {
-	/** Requests whose response has not been handed to the operating system completely. */
-	openCount: number;
+	/** Responses that have not been handed to the operating system completely, in the order of their requests. */
+	readonly open: Set<ServerResponse>;
 	/** Bytes received when the last response ended; undefined before the first one. */
 	receivedBytes: number | undefined;
-	/** Whether the connection ends with a response that is in progress; requests behind it are not served. */
+	/** Whether the connection ends with the last open response; requests behind it are not served. */
 	isEnding: boolean;
 };
 
@@ -19,7 +19,7 @@
  * Tracks the connections of one HTTP server.
  *
  * Node's server counts a connection as idle once its response has ended, even if the caller has not taken all bytes yet, and
- * keeps a connection open if its response began before the server was told to stop.
+ * does not tell a caller whose request it has already received that the connection is about to be closed.
  */
 export class CallerConnections {
 	readonly #connections = new Map<Socket, ConnectionState>();
@@ -50,33 +50,35 @@
 		return this.#openCount;
 	}
 
-	/** From now on each connection is closed after its current response, or after the next one if it is idle. */
+	/**
+	 * From now on each connection ends with the response in progress. If that has begun already, or there is none, its caller expects
+	 * the connection to stay open, so that it ends with the next response.
+	 */
 	startDraining(): void {
 		this.#isDraining = true;
+		for (const state of this.#connections.values()) {
+			const last = [...state.open].at(-1);
+			if (last && !last.headersSent) {
+				end(state, last);
+			}
+		}
 	}
 
-	/** Registers a request. Returns false if its connection is closed after an earlier one, so that it must not be served. */
+	/** Registers a request. Returns false if its connection ends with an earlier one, so that it must not be served. */
 	accept({socket}: IncomingMessage, response: ServerResponse): boolean {
 		const state = this.#track(socket);
 		if (state.isEnding) {
 			return false;
 		}
 
+		state.open.add(response);
+		this.#openCount++;
 		if (this.#isDraining) {
-			response.setHeader('connection', 'close');
-			state.isEnding = true;
+			end(state, response);
 		}
 
-		state.openCount++;
-		this.#openCount++;
 		response.once('close', () => {
-			state.openCount--;
-			this.#openCount--;
-			state.receivedBytes = socket.bytesRead;
-			if (this.#isDraining && state.openCount === 0) {
-				state.isEnding = true;
-				socket.destroySoon();
-			}
+			this.#remove(socket, state, response);
 		});
 		return true;
 	}
@@ -87,7 +89,7 @@
 			return known;
 		}
 
-		const state: ConnectionState = {openCount: 0, receivedBytes: undefined, isEnding: false};
+		const state: ConnectionState = {open: new Set(), receivedBytes: undefined, isEnding: false};
 		this.#connections.set(socket, state);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -95,12 +97,31 @@
 		return state;
 	}
 
+	#remove(socket: Socket, state: ConnectionState, response: ServerResponse): void {
+		if (!state.open.delete(response)) {
+			return;
+		}
+
+		this.#openCount--;
+		state.receivedBytes = socket.bytesRead;
+		if (state.isEnding && state.open.size === 0) {
+			socket.destroySoon();
+		}
+	}
+
 	/** Closes the connections that have received nothing since their last response. */
 	#closeIdle(): void {
-		for (const [socket, {openCount, receivedBytes}] of this.#connections) {
-			if (openCount === 0 && receivedBytes === socket.bytesRead) {
+		for (const [socket, {open, receivedBytes}] of this.#connections) {
+			if (open.size === 0 && receivedBytes === socket.bytesRead) {
 				socket.destroy();
 			}
 		}
 	}
 }
+
+function end(state: ConnectionState, response: ServerResponse): void {
+	state.isEnding = true;
+	if (!response.headersSent) {
+		response.setHeader('connection', 'close');
+	}
+}
