Pipelined requests of a caller that disconnects end

What callers would see (GONE): a request behind another one on a connection went on at its server after its caller had left; and each later shutdown waited for the whole grace period. Cause: Node reports the end of a response only while it is the current one of its connection, not while it waits. Change: the end of the connection ends all of its requests, in Caller and in CallerConnections. Evidence: 'pipelined requests of a caller that disconnects are cancelled, and no shutdown waits for them'; before, one request was never cancelled.

--- a/src/serving/caller.ts
+++ b/src/serving/caller.ts
@@ -42,8 +42,15 @@
 	constructor(request: IncomingMessage, response: ServerResponse) {
 		this.request = request;
 		this.#response = response;
-		response.once('close', () => {
+		const handleClose = () => {
 			this.#end(CALL_OUTCOMES.gone);
+		};
+
+		response.once('close', handleClose);
+		// Node does not report the end of a response that waits for an earlier one on its connection.
+		request.socket.once('close', handleClose);
+		this.onEnd(() => {
+			request.socket.off('close', handleClose);
 		});
 	}
 
--- a/src/wire/callers.ts
+++ b/src/wire/callers.ts
@@ -93,6 +93,10 @@
 		this.#connections.set(socket, state);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
+			// Node does not report the end of a response that waits for an earlier one.
+			for (const response of state.open) {
+				this.#remove(socket, state, response);
+			}
 		});
 		return state;
 	}
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -88,6 +88,28 @@
 	assert.match(caller.text, /^HTTP\/1\.1 200 OK\r\n[\s\S]*connection: close\r\n[\s\S]*held$/iv);
 });
 
+test('pipelined requests of a caller that disconnects are cancelled, and no shutdown waits for them', async t => {
+	const closed: boolean[] = [];
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept(_request, response) {
+			const index = closed.push(false) - 1;
+			response.once('close', () => {
+				closed[index] = true;
+			});
+			return true;
+		},
+	}], {graceMs: 60_000});
+	const caller = await connectCaller(system.callers);
+	caller.send('/book/1', 'gone-1');
+	caller.send('/book/1', 'gone-2');
+	await waitUntil(async () => closed.length === 2, 'the server has both requests');
+	caller.disconnect();
+	await waitUntil(async () => closed.every(Boolean), 'both requests are cancelled');
+	await waitUntil(async () => (await system.metrics.active.get()).values[0]?.value === 0, 'no request is in progress');
+	await system.entry.stop();
+	assert.equal(system.entryLines.find(({message}) => message === 'Shutdown complete.')?.fields.unsent, 0);
+});
+
 test('a request behind one that ends its connection does not reach a server', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain'}], {graceMs: 1000});
 	const caller = await connectCaller(system.callers);
