Bytes that are no request do not answer the request before them

What callers could see (REFUSED, MIXED): 400 or 408, which promise that a request was not run, for a booking that its server was running; a second head inside the body of a stream. Cause: a parse error or a late head was answered on the connection at once, whatever was in progress on it. Change: the connection ends with the responses in progress; the error is answered only if there are none. Evidence: 'bytes that are no request behind ... do not answer it', both red before (400; a head inside the stream).

--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -64,7 +64,9 @@
 		this.#server.requestTimeout = 0;
 		this.applyLimits(DEFAULT_LIMITS);
 		this.#server.on('clientError', (error, socket) => {
-			rejectMalformed(error, socket as Socket);
+			if (!this.#connections.endAfterResponses(socket as Socket)) {
+				rejectMalformed(error, socket as Socket);
+			}
 		});
 	}
 
--- a/src/wire/callers.ts
+++ b/src/wire/callers.ts
@@ -83,6 +83,20 @@
 		return true;
 	}
 
+	/**
+	 * Ends a connection with its open responses, for example because the bytes behind their requests cannot be read. Returns false if
+	 * it has none.
+	 */
+	endAfterResponses(socket: Socket): boolean {
+		const state = this.#connections.get(socket);
+		if (!state || state.open.size === 0) {
+			return false;
+		}
+
+		end(state, [...state.open].at(-1)!);
+		return true;
+	}
+
 	#track(socket: Socket): ConnectionState {
 		const known = this.#connections.get(socket);
 		if (known) {
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -110,6 +110,42 @@
 	assert.equal(system.entryLines.find(({message}) => message === 'Shutdown complete.')?.fields.unsent, 0);
 });
 
+for (const {title, target, headers, first, expected} of [
+	{
+		title: 'a booking that runs', target: '/book/1', headers: '', first: '', expected: /^HTTP\/1\.1 200 OK\r\n[\s\S]*connection: close\r\n[\s\S]*last$/iv,
+	},
+	{
+		title: 'a stream', target: '/tell/1', headers: SHORT_PROMPT, first: 'id: 1\ndata: first\n\n', expected: /^HTTP\/1\.1 200 OK\r\n[\s\S]*data: first\n\n\r\n4\r\nlast\r\n0\r\n\r\n$/v,
+	},
+]) {
+	test(`bytes that are no request behind ${title} do not answer it`, async t => {
+		const held = new EventEmitter();
+		const intercept: StubBackendOptions['intercept'] = (request, response) => {
+			response.writeHead(200, createResponseHeaders(request));
+			if (first !== '') {
+				response.write(first);
+			}
+
+			held.once('release', () => {
+				response.end('last');
+			});
+			return true;
+		};
+
+		const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept}, {
+			id: 'e1', service: 'llm', stage: 'decode', intercept,
+		}]);
+		const caller = await connectCaller(system.callers);
+		caller.send(target, 'ahead', headers);
+		await waitUntil(async () => held.listenerCount('release') === 1 && caller.text.endsWith(first === '' ? '' : `${first}\r\n`), 'the server has the request');
+		caller.write('GARBAGE\r\n\r\n');
+		await system.call('/read/unrelated', {'carawayhoist-deadline-ms': '50'});
+		held.emit('release');
+		await waitUntil(async () => caller.isClosed, 'the connection is closed');
+		assert.match(caller.text, expected);
+	});
+}
+
 test('a request behind one that ends its connection does not reach a server', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain'}], {graceMs: 1000});
 	const caller = await connectCaller(system.callers);
