A resumed stream is bound to the version that the scheduler found

Callers saw: 200 and text joined from two software versions, when an engine had started again with another version, the entry host knew it, the control host did not yet, and only the control host knew which version began the stream (found by a reviewer, not seen on our machines). The same for requests without a prompt and services without engines. Cause: the scheduler resolved the version but did not say which. The entry host looked up the assigned engine in its own table and took that version for the one of the stream; #hasOtherSoftware compared nothing while the version was unknown, and findOnlySoftware took the only version of the servers of the moment. Change: assignments and rejections for resumptions have the field `software`. The placement client compares it with its own view of the engine, drops a placement that differs, and asks the next host or the local scheduler for an engine of that version. StreamCall binds the stream to it and passes over an engine that is announced with another one, listed as usable or not; findResumedSoftware returns it. So the version comes from the host that resolved it and is never inferred from an engine's present one. Rejections have it because a scheduler has no engines for a service without engines. An older control host leaves the field out; then it is as before.

--- a/src/routing/request.ts
+++ b/src/routing/request.ts
@@ -46,6 +46,8 @@
 		readonly isLate?: boolean;
 		/** Engine that decodes; absent until the reader has completed the prefill. */
 		readonly runner?: string;
+		/** Software version at which a stream is resumed; absent for a new one. */
+		readonly software?: string;
 	}
 	| {
 		readonly type: 'rejection';
@@ -54,6 +56,8 @@
 		readonly retryAfterMs: number;
 		/** Whether the scheduler does not know which software version started the stream; another one may. */
 		readonly isOriginUnknown?: boolean;
+		/** Software version at which a stream would be resumed; absent for a new one, or if it is unknown. */
+		readonly software?: string;
 	};
 
 /** Progress of a request, as reported to the scheduler that placed it. */
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -292,6 +292,7 @@
 			cachedTokens: plan.cachedTokens,
 			expectedMs: Math.round(firstEventMs),
 			isLate,
+			...describeOrigin(request),
 		};
 	}
 
@@ -310,7 +311,9 @@
 		found.engine.recordHandoff(nowMs);
 		found.engine.startRun(request.id, toRequestSize(request), nowMs + found.delayMs + found.engine.speed.handoffMs);
 		this.recordOrigin(request.id, found.engine.info.software, nowMs);
-		return {type: 'assignment', id: request.id, runner: openRequest.runner};
+		return {
+			type: 'assignment', id: request.id, runner: openRequest.runner, ...describeOrigin(request),
+		};
 	}
 
 	/** Adds the software version that started the stream of a resumed request; undefined if that is not known. */
@@ -393,10 +396,15 @@
 
 function reject(request: PlacementRequest, reason: string, retryAfterMs: number): PlacementDecision {
 	return {
-		type: 'rejection', id: request.id, reason, retryAfterMs,
+		type: 'rejection', id: request.id, reason, retryAfterMs, ...describeOrigin(request),
 	};
 }
 
+/** Tells the entry host the version that was resolved: it may know other versions of the same engines. */
+function describeOrigin({resumption}: PlacementRequest): Pick<PlacementDecision, 'software'> {
+	return resumption?.software === undefined ? {} : {software: resumption.software};
+}
+
 function excludeEngines(request: PlacementRequest, engines: readonly EngineInfo[]): PlacementRequest {
 	return engines.length === 0 ? request : {...request, excluded: [...request.excluded, ...engines.map(({server}) => server)]};
 }
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -117,9 +117,8 @@
 			this.reportMilestone(received.id, MILESTONES.refused, undefined);
 		}
 
-		const request = this.#addLocalOrigin(received);
-		const {resumption} = request;
-		const needsOrigin = resumption !== undefined && resumption.software === undefined;
+		let request = this.#addLocalOrigin(received);
+		const needsOrigin = isOriginMissing(request);
 		let rejection: PlacementResult | undefined;
 		for (const host of this.#rankHosts(request.service).slice(0, needsOrigin ? undefined : 1)) {
 			const decision = await this.#queryDecision(host, request.id, {
@@ -127,6 +126,7 @@
 			});
 			if (!decision || this.#hasOtherSoftware(decision, request)) {
 				this.#dropPlacement(host, request.id);
+				request = addResolvedOrigin(request, decision);
 				continue;
 			}
 
@@ -138,7 +138,7 @@
 			rejection = {decision, by: host};
 		}
 
-		if (rejection) {
+		if (rejection && isOriginMissing(request)) {
 			return rejection;
 		}
 
@@ -147,7 +147,8 @@
 	}
 
 	/** Reports that the reader has completed the prefill, and requests a runner. */
-	async chooseRunner(request: PlacementRequest, reader: string): Promise<PlacementResult> {
+	async chooseRunner(received: PlacementRequest, reader: string): Promise<PlacementResult> {
+		let request = received;
 		const host = this.#schedulerHosts.get(request.id);
 		if (host !== undefined && host !== SELF) {
 			const decision = await this.#queryDecision(host, request.id, {
@@ -160,6 +161,7 @@
 
 			// It responded too late, or does not know yet that the engine has become unavailable or has started again with another version.
 			this.#dropPlacement(host, request.id);
+			request = addResolvedOrigin(request, decision);
 			this.#schedulerHosts.set(request.id, SELF);
 		}
 
@@ -256,10 +258,11 @@
 	}
 
 	/** Whether an engine has started again with another software version than the one of the stream, which the scheduler host does not know yet. */
-	#hasOtherSoftware(decision: PlacementDecision, {resumption}: PlacementRequest): boolean {
+	#hasOtherSoftware(decision: PlacementDecision, request: PlacementRequest): boolean {
+		const resolved = addResolvedOrigin(request, decision).resumption?.software;
 		const server = decision.type === 'assignment' ? decision.reader ?? decision.runner : undefined;
 		const software = server === undefined ? undefined : this.#localScheduler.findSoftware(server);
-		return resumption?.software !== undefined && software !== undefined && software !== resumption.software;
+		return resolved !== undefined && software !== undefined && software !== resolved;
 	}
 
 	/** Adds the software version that started a resumed stream, if this host knows it. */
@@ -282,3 +285,13 @@
 			.map(({host}) => host);
 	}
 }
+
+/** Whether it is not known which software version started the stream that a request resumes. */
+function isOriginMissing({resumption}: PlacementRequest): boolean {
+	return resumption !== undefined && resumption.software === undefined;
+}
+
+/** Adds the software version that a scheduler has found for a resumed stream; those of older hosts do not report it. */
+function addResolvedOrigin(request: PlacementRequest, decision: PlacementDecision | undefined): PlacementRequest {
+	return isOriginMissing(request) && decision?.software !== undefined ? {...request, resumption: {...request.resumption, software: decision.software}} : request;
+}
--- a/src/serving/resumption.ts
+++ b/src/serving/resumption.ts
@@ -38,13 +38,18 @@
 		resumption: resumedAttempt === undefined ? {} : {attempt: resumedAttempt},
 	});
 	placement.reportMilestone(id, 'refused', undefined);
+	if (decision.type === 'assignment' && decision.software !== undefined) {
+		return Either.right(decision.software);
+	}
+
+	// Older scheduler hosts do not report the version.
 	if (decision.type === 'assignment') {
 		const engine = context.findServer(decision.reader ?? decision.runner ?? '');
 		return engine ? Either.right(engine.software ?? '') : Either.left(createProblem('notStarted', 'The server is not known yet.', estimateRetrySeconds(context, call, 1)));
 	}
 
-	// The scheduler has no servers of a service without engines, but it knows whether one version only can have started the stream.
-	const software = decision.isOriginUnknown === true || routeTable.findService(service)?.engines ? undefined : findOnlySoftware(context, service);
+	// The scheduler has no servers of a service without engines, but it knows which version started the stream.
+	const software = decision.isOriginUnknown === true || routeTable.findService(service)?.engines ? undefined : decision.software ?? findOnlySoftware(context, service);
 	return software === undefined
 		? Either.left(createProblem('notStarted', decision.reason, estimateRetrySeconds(context, call, Math.ceil(decision.retryAfterMs / 100) / 10)))
 		: Either.right(software);
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -149,7 +149,7 @@
 				return undefined;
 			}
 
-			const runner = decision.runner === undefined ? undefined : this.#context.findServer(decision.runner);
+			const runner = decision.runner === undefined ? undefined : this.#findEngine(decision.runner);
 			if (runner && this.#isAvailable(runner)) {
 				this.#context.placement.notifyBackup(this.#createRequest(), logFields.reader, runner.server);
 				return runner;
@@ -175,9 +175,9 @@
 
 	/** Prefills the prompt at a reader and requests a runner; undefined if the request has to be placed again, or has ended. */
 	async #prefill(server: string, expectedMs: number): Promise<PlacementResult | undefined> {
-		const {placement, findServer} = this.#context;
+		const {placement} = this.#context;
 		const {caller, head, logFields} = this.#call;
-		const reader = findServer(server);
+		const reader = this.#findEngine(server);
 		if (reader && !this.#isAvailable(reader)) {
 			placement.reportMilestone(head.id, 'refused', undefined);
 			this.#placementCount--;
@@ -278,10 +278,20 @@
 
 	/** Notes the software version by which a scheduler has resolved the origin of a resumed stream. */
 	#noteOrigin(decision: PlacementDecision): void {
-		const server = decision.type === 'assignment' ? this.#context.findServer(decision.reader ?? decision.runner ?? '') : undefined;
-		if (this.#call.head.lastEventId !== undefined && server) {
-			this.#software ??= server.software ?? '';
+		if (this.#call.head.lastEventId === undefined) {
+			return;
 		}
+
+		// Older scheduler hosts do not report the version.
+		const server = decision.type === 'assignment' ? this.#context.findServer(decision.reader ?? decision.runner ?? '') : undefined;
+		this.#software ??= decision.software ?? (server && (server.software ?? ''));
+	}
+
+	/** Finds an engine; undefined if it is not known, or has started again with another software version than the one of the stream. */
+	#findEngine(server: string): Announcement | undefined {
+		const engine = this.#context.findServer(server);
+		const software = engine?.software ?? '';
+		return software === (this.#software ?? software) ? engine : undefined;
 	}
 
 	/** Prefills the prompt at a reader; undefined if that failed. */
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import type {Announcement, Message} from '../src/generated/types.js';
 import {ServerRegistry} from '../src/membership/registry.js';
 import type {EngineInfo} from '../src/routing/engine.js';
@@ -8,7 +9,10 @@
 import type {PlacementDecision, PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {listServerVersions} from '../src/serving/engines.js';
+import type {Call, ServingContext} from '../src/serving/context.js';
 import {PlacementClient} from '../src/serving/placement.js';
+import {findResumedSoftware} from '../src/serving/resumption.js';
+import {StreamCall} from '../src/serving/streamcall.js';
 import {createEngine, createRequest} from './pool.js';
 
 const ENGINES = [createEngine('d1', 'decode', {software: 'v1'}), createEngine('d2', 'decode', {software: 'v2'}), createEngine('p1', 'prefill', {software: 'v1'}), createEngine('p2', 'prefill', {software: 'v2'})];
@@ -245,6 +249,89 @@
 	assert.equal(control.openCount, 0);
 });
 
+test('a stream whose origin only the control host knows is not resumed at an engine that has started again with another version', async () => {
+	const {control, client} = createRestarted();
+	const {decision} = await client.place(createRequest('a', 100, {resumption: {attempt: 'begun'}}));
+	assert.equal(decision.type, 'rejection', JSON.stringify(decision));
+	assert.equal(control.openCount, 0);
+});
+
+test('a stream whose origin only the control host knows is not run, after its prefill, at an engine that has started again with another version', async () => {
+	const {control, client} = createRestarted();
+	const {decision: prefilled} = await client.place(createRequest('b', 9000, {resumption: {attempt: 'begun'}}));
+	assert.ok(prefilled.type === 'assignment' && prefilled.reader === 'p1', JSON.stringify(prefilled));
+	const {decision: chosen} = await client.chooseRunner(createRequest('b', 9000, {resumption: {attempt: 'begun'}}), 'p1');
+	assert.equal(chosen.type, 'rejection', JSON.stringify(chosen));
+	assert.equal(control.openCount, 0);
+});
+
+test('a stream that a control host would resume at an engine with another version is resumed at one of its version that this host knows', async () => {
+	const {client} = createRestarted(createEngine('d3', 'decode', {software: 'v1'}));
+	const {decision, by} = await client.place(createRequest('a', 100, {resumption: {attempt: 'begun'}}));
+	assert.deepEqual(listServers(decision), ['d3']);
+	assert.equal(by, 'self');
+});
+
+test('a scheduler says at which software version it resumes a stream, and nothing of a request that resumes none', () => {
+	const scheduler = createScheduler();
+	scheduler.recordOrigin('begun', 'v2', 0);
+	const resumption = {attempt: 'begun'};
+	const placed = scheduler.place(createRequest('a', 9000, {resumption}), 0);
+	const chosen = scheduler.recordMilestone('a', 'read', {}, 0);
+	const refused = scheduler.place(createRequest('b', 100, {service: 'other', resumption}), 0);
+	const begun = scheduler.place(createRequest('c', 100), 0);
+	assert.ok(placed.type === 'assignment' && placed.reader === 'p2');
+	assert.ok(chosen?.type === 'assignment' && refused.type === 'rejection' && begun.type === 'assignment');
+	assert.deepEqual([placed, chosen, refused, begun].map(({software}) => software), ['v2', 'v2', 'v2', undefined]);
+});
+
+test('a request without a prompt, or to a service without engines, goes on at the version that the control host found, whatever servers this host knows', async () => {
+	const engine = createEngine('d1', 'decode');
+	const restarted = {...engine, software: 'v2', incarnation: 2};
+	const found: unknown[] = [];
+	for (const {engines, local} of [{engines: true, local: []}, {engines: true, local: [createEngine('d3', 'decode'), restarted]}, {engines: false, local: []}]) {
+		const control = createScheduler(engines ? [engine] : []);
+		control.recordOrigin('begun', 'v1', 0);
+		const {client} = createClient({c1: control}, {localScheduler: createScheduler(local)});
+		const software = await findResumedSoftware(...createResumedCall(client, engines, [{...restarted, services: ['llm']} as unknown as Announcement]));
+		found.push(Either.isRight(software) ? software.right : software.left);
+	}
+
+	assert.deepEqual(found, ['v1', 'v1', 'v1']);
+});
+
+test('a stream is not run at an engine that has started again with another version, though it is not among the usable ones of this host', async () => {
+	const control = createScheduler([createEngine('d1', 'decode')]);
+	control.recordOrigin('begun', 'v1', 0);
+	for (const software of ['v1', 'v2']) {
+		const {client} = createClient({c1: control}, {localScheduler: createScheduler([])});
+		const [context, call] = createResumedCall(client, true, [{...createEngine('d1', 'decode', {software}), services: ['llm']} as unknown as Announcement]);
+		let hasRunner = false;
+		const crashes = {
+			isQuarantined() {
+				hasRunner = true;
+				return true;
+			},
+		} as unknown as ServingContext['crashes'];
+		await new StreamCall({...context, crashes}, call, {
+			model: 'm', parts: [], promptTokens: 100, outputTokens: 10,
+		}).run();
+		assert.equal(hasRunner, software === 'v1');
+		assert.ok(call.caller.isEnded);
+	}
+});
+
+test('a stream is resumed, with and without a prompt, through an older control host, which does not say at which version', async () => {
+	const control = createScheduler();
+	control.recordOrigin('begun', 'v2', 0);
+	const {client} = createClient({c1: control}, {isOlder: true});
+	const {decision, by} = await client.place(createRequest('a', 100, {resumption: {attempt: 'begun'}}));
+	assert.deepEqual([by, listServers(decision), decision.software], ['c1', ['d2'], undefined]);
+	const engine = {...createEngine('d2', 'decode', {software: 'v2'}), services: ['llm']} as unknown as Announcement;
+	const software = await findResumedSoftware(...createResumedCall(client, true, [engine]));
+	assert.equal(Either.isRight(software) && software.right, 'v2');
+});
+
 test('a control host that responds too late drops the placement, and its runner is not the origin of the stream', async () => {
 	const scheduler = createScheduler();
 	const {client} = createClient({c1: scheduler}, {late: ['c1']});
@@ -266,16 +353,51 @@
 	assert.equal(scheduler.openCount, 0);
 });
 
+/** A client that knows that d1 has started again with v2, and a control host that does not, but knows that v1 began a stream. */
+function createRestarted(...others: EngineInfo[]) {
+	const control = createScheduler(ENGINES.filter(({software}) => software === 'v1'));
+	control.recordOrigin('begun', 'v1', 0);
+	const restarted = [createEngine('d1', 'decode', {software: 'v2', incarnation: 2}), createEngine('p1', 'prefill', {software: 'v1'})];
+	return {control, ...createClient({c1: control}, {localScheduler: createScheduler([...restarted, ...others])})};
+}
+
+/** A next try of a stream, and a context with what finding its version and placing it needs. */
+function createResumedCall(placement: PlacementClient, engines: boolean, servers: readonly Announcement[]): [ServingContext, Call] {
+	const context: Partial<ServingContext> = {
+		placement, dataCentre: 'x', clock: {monotonicMs: () => 0, wallMs: () => 0}, listServers: () => servers, findServer: name => servers.find(({server}) => server === name), random: () => 0.5,
+		availability: {
+			isAvailable: () => true, drawHeldBack: () => [], listUnavailable: () => [], listRefusing: () => [],
+		} as unknown as ServingContext['availability'],
+		transport: {hasIdleConnection: () => false} as unknown as ServingContext['transport'],
+		metrics: {placements: {inc: () => undefined}} as unknown as ServingContext['metrics'],
+	};
+	const caller = {
+		isEnded: false,
+		onEnd: () => undefined,
+		fail() {
+			caller.isEnded = true;
+		},
+	};
+	const call = {
+		caller, logFields: {servers: []}, arrivedMs: 0, suspect: {getFingerprint: () => 'f'},
+		head: {id: 'a', resumedAttempt: 'begun', lastEventId: '2'}, service: 'llm', body: null, deadlineMs: 3000,
+		route: {priority: 1, objectiveMs: 600}, routeTable: {findService: () => ({engines})},
+	};
+	return [context as ServingContext, call as unknown as Call];
+}
+
 type ClientOptions = {
 	/** Called at the first offer, with the hosts that did not get it. */
 	readonly prepare?: (schedulers: Record<string, Scheduler>, others: string[]) => void;
 	/** Control hosts whose responses come too late. */
 	readonly late?: readonly string[];
+	/** Whether the control hosts leave out the version at which a stream is resumed. */
+	readonly isOlder?: boolean;
 	readonly localScheduler?: Scheduler;
 };
 
 /** A client of schedulers by control host. */
-function createClient(schedulers: Record<string, Scheduler>, {prepare, late = [], localScheduler = createScheduler()}: ClientOptions = {}) {
+function createClient(schedulers: Record<string, Scheduler>, {prepare, late = [], isOlder = false, localScheduler = createScheduler()}: ClientOptions = {}) {
 	const asked: string[] = [];
 	const lateHosts = new Set(late);
 	const downHosts = new Set<string>();
@@ -297,9 +419,9 @@
 						prepare?.(schedulers, Object.keys(schedulers).filter(other => other !== host));
 					}
 
-					const decision = scheduler.place({bodyBytes: 0, connected: [], ...message}, 0);
+					const {software, ...decision} = scheduler.place({bodyBytes: 0, connected: [], ...message}, 0);
 					if (!lateHosts.has(host)) {
-						client.receive(decision, host);
+						client.receive({...decision, ...(!isOlder && software !== undefined && {software})}, host);
 					}
 				}
 
