carawayhoistd finishes its requests although SIGHUP arrives, and handles signals from its start on

Callers saw: connections that closed without an answer when carawayhoistd got SIGHUP, also while it finished its requests after SIGTERM. Operators saw: a process that ended by the signal, with no line in its log and without exit code 0, when SIGTERM or SIGHUP arrived during the start. Only SIGTERM and SIGINT had a handler, and only once the host had started; without one a signal ends the process. Not covered: a signal while Node.js still loads the modules of carawayhoistd, which has no start file of its own.

--- a/src/daemon/carawayhoistd.ts
+++ b/src/daemon/carawayhoistd.ts
@@ -13,6 +13,7 @@
 import {formatUrlHost} from '../entry/engine.js';
 import {Host} from './host.js';
 import {readSettings, type SettingsFailure} from './settings.js';
+import {holdSignal} from './signals.js';
 
 const EXIT_OK = 0;
 const EXIT_FAILED = 1;
@@ -28,6 +29,7 @@
 Signals:
   SIGTERM, SIGINT   shut down gracefully: report not ready, stop accepting connections,
                     finish running requests, transfer leadership, exit
+  SIGHUP            ignored: settings are read at the start only
 
 Exit codes:
   0  shut down as requested, or the settings are valid
@@ -93,6 +95,9 @@
 }
 
 async function run(file: string): Promise<void> {
+	const onTermination = holdSignal('SIGTERM');
+	const onInterrupt = holdSignal('SIGINT');
+	const onHangup = holdSignal('SIGHUP');
 	const settings = await readSettings(file);
 	if (Either.isLeft(settings)) {
 		printFailure(file, settings.left);
@@ -127,6 +132,9 @@
 		}
 	};
 
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	onHangup(() => {
+		logger.info('Ignored SIGHUP: the settings are read at the start only.');
+	});
+	onTermination(stop);
+	onInterrupt(stop);
 }
