A control host that stops answers the requests of operators and servers that it has begun to read

Operators saw: PUT and GET of the configuration whose connection closed without an answer when a control host got SIGTERM while it waited for a majority. Announcements that it had begun to read were cut as well. Cause: the host closed its parts while requests waited for them, and the process ended right after the last part had closed. Nothing waited for the responses of the HTTP servers in platform/endpoints.ts. Then incomplete requests are refused (shuttingDown, 503) and the client of the control hosts closes, which ends what is pending: a change that may have reached the log with proposalUnknown (504), the rest with shuttingDown.

--- a/src/control/client.ts
+++ b/src/control/client.ts
@@ -118,7 +118,11 @@
 				await sleep(RETRY_PAUSE_MS);
 			}
 
-			return Either.left(createProblem(mayHaveCommitted && request.type === 'propose' ? 'proposalUnknown' : 'noQuorum', undefined, 1));
+			if (mayHaveCommitted && request.type === 'propose') {
+				return Either.left(createProblem('proposalUnknown', undefined, 1));
+			}
+
+			return Either.left(createProblem(this.#isClosed ? 'shuttingDown' : 'noQuorum', undefined, 1));
 		};
 	}
 
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -356,9 +356,14 @@
 		this.#applyState();
 	}
 
-	/** Transfers leadership to another control host, then closes. */
-	async stop(): Promise<void> {
+	/**
+	 * Transfers leadership to another control host, then closes. Requests that are still pending fail.
+	 *
+	 * @param finishRequests - Waits for the requests in progress, before this host closes.
+	 */
+	async stop(finishRequests: () => Promise<void>): Promise<void> {
 		this.#controlService.transferLeadership();
+		await finishRequests();
 		await this.close();
 	}
 
--- a/test/system.ts
+++ b/test/system.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {mkdtemp, rm} from 'node:fs/promises';
-import type http from 'node:http';
 import os from 'node:os';
 import path from 'node:path';
 import * as Either from 'fp-ts/lib/Either.js';
@@ -13,7 +12,7 @@
 import {waitUntil} from '../dev/fleet.js';
 import {findPort as findOwnPort} from '../dev/ports.js';
 import {PlatformProtocol} from '../platform/protocol.js';
-import {createControlHandler, startHttpServer} from '../platform/endpoints.js';
+import {createControlHandler, startHttpServer, type EndpointServer} from '../platform/endpoints.js';
 import {PlatformOrderTransport} from '../platform/orders.js';
 import {createClock} from '../src/base/clock.js';
 import {createSilentLoggers, type LogFields, type LoggerFactory} from '../src/base/logger.js';
@@ -98,12 +97,12 @@
 	}));
 	let control = await startControl(controlRegistry);
 	let isControlRunning = true;
-	let api: http.Server | undefined;
+	let api: EndpointServer | undefined;
 	const stopControl = async () => {
 		if (isControlRunning) {
 			isControlRunning = false;
 			if (api) {
-				closeServer(api);
+				api.close();
 			}
 
 			await control.close();
@@ -237,11 +236,6 @@
 	};
 }
 
-function closeServer(server: http.Server): void {
-	server.close();
-	server.closeAllConnections();
-}
-
 function unwrap<Value>(result: Either.Either<{readonly text: string}, Value>): Value {
 	if (Either.isLeft(result)) {
 		throw new Error(result.left.text);
