carawayhoistd answers the requests that have not ended when its shutdown does

Callers saw: a connection that closed without a response when their request had not ended after limits.shutdownMs, so that they could not tell whether it ran. Requests whose body arrived late in the shutdown were sent to an engine and cut, too. Cause: after the wait the host closed all connections, and the time left was not part of the decision to take a request. Once the listener has closed, a request is refused if less time is left than the deadline of its service or its caller, or than 1 s without one. A run whose response the server has ended writes no more and cancels its attempt (read in the code, not tested). Remains: a stream that has started is cut at the end, without an error event.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -46,6 +46,8 @@
 const DEFAULT_SHUTDOWN_MS = 600_000;
 /** Time that the load balancer may need to notice that this host is not ready. */
 const LOAD_BALANCER_DELAY_MS = 1000;
+/** Time within which the responses of aborted requests are handed to the operating system, in milliseconds. */
+const FLUSH_MS = 200;
 const POLL_MS = 50;
 
 /** A running host. Whoever starts it must stop it. */
@@ -248,6 +250,7 @@
 			}),
 			pool: this.#pool,
 			metrics,
+			clock,
 			logger: loggers('entry'),
 			isReady: () => this.#viewTask.isReady,
 			onAnnouncement: announcement => {
@@ -297,15 +300,14 @@
 	/** Reports not ready, tells the other hosts that it leaves, waits for the running requests and releases the view lease. */
 	async drain(timeoutMs: number): Promise<void> {
 		const {clock} = this.#options;
-		const deadlineMs = clock.monotonicMs() + timeoutMs;
+		const endMs = clock.monotonicMs() + timeoutMs;
 		this.#server.beginStop();
 		this.#gossip?.leave();
 		await sleep(LOAD_BALANCER_DELAY_MS);
-		this.#server.stopAccepting();
-		while (this.#server.activeCount > 0 && clock.monotonicMs() < deadlineMs) {
-			await sleep(POLL_MS);
-		}
-
+		this.#server.stopAccepting(endMs - FLUSH_MS);
+		await this.#waitUntilIdle(endMs - FLUSH_MS);
+		this.#server.abort();
+		await this.#waitUntilIdle(Math.max(endMs, clock.monotonicMs() + FLUSH_MS));
 		await this.#viewTask.releaseLease();
 	}
 
@@ -320,6 +322,13 @@
 		await this.#plainClient.close();
 	}
 
+	/** Waits until no request is in progress, or a monotonic time has come. */
+	async #waitUntilIdle(untilMs: number): Promise<void> {
+		while (this.#server.activeCount > 0 && this.#options.clock.monotonicMs() < untilMs) {
+			await sleep(POLL_MS);
+		}
+	}
+
 	#countRoleChanges(view: ResourceView): void {
 		for (const {name, specification, status} of view.list('change')) {
 			const isRoleDone = specification.kind === 'change' && specification.action === 'role' && status?.phase === 'done';
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -119,6 +119,10 @@
 
 	complete(finishReason: string, usage: Usage): void {
 		const {id, request, createdSeconds, response} = this.#options;
+		if (response.writableEnded) {
+			return;
+		}
+
 		const choice = request.api === APIS.chat
 			? {
 				index: 0, message: {role: 'assistant', content: this.#text, refusal: null}, logprobs: null, finish_reason: finishReason,
@@ -166,7 +170,7 @@
 
 	flush(): boolean {
 		const {response} = this.#options;
-		if (this.#batch !== '' && !response.destroyed) {
+		if (this.#batch !== '' && !response.destroyed && !response.writableEnded) {
 			this.#writeHead();
 			response.write(this.#batch);
 			this.#batch = '';
@@ -177,6 +181,10 @@
 
 	complete(finishReason: string, usage: Usage): void {
 		const {request, response} = this.#options;
+		if (response.writableEnded) {
+			return;
+		}
+
 		const reason = JSON.stringify(finishReason);
 		const choice = request.api === APIS.chat
 			? `{"index":0,"delta":{},"logprobs":null,"finish_reason":${reason}}`
--- a/src/entry/model.ts
+++ b/src/entry/model.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
 import * as Either from 'fp-ts/lib/Either.js';
 import {sleep, type Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
@@ -64,7 +65,8 @@
 	readonly outcome: string;
 };
 
-const DEFAULT_DEADLINE_MS = 120_000;
+/** Longest time that a completion may take, in milliseconds. */
+const MAX_DEADLINE_MS = 120_000;
 const MAX_ADMISSION_WAIT_MS = 10_000;
 const MAX_FIRST_EVENT_TIMEOUT_MS = 30_000;
 const MIN_FIRST_EVENT_TIMEOUT_MS = 3000;
@@ -217,6 +219,8 @@
 	#lastTokenMs = 0;
 	#attempts = 0;
 	#isCallerGone = false;
+	/** Whether this run has ended its response; the server ends that of an aborted request. */
+	#hasEnded = false;
 	#cancel: (() => void) | undefined;
 	#quarantineLock: QuarantineLock | undefined;
 	/** Number of tokens produced when the quarantine lock was acquired. */
@@ -284,8 +288,7 @@
 	}
 
 	#readDeadline(): number {
-		const header = Number(readHeader(this.#exchange.request, 'carawayhoist-deadline-ms'));
-		return Number.isFinite(header) && header > 0 ? Math.min(header, DEFAULT_DEADLINE_MS) : DEFAULT_DEADLINE_MS;
+		return readDeclaredDeadline(this.#exchange.request) ?? MAX_DEADLINE_MS;
 	}
 
 	#checkPoison(): Problem | undefined {
@@ -686,6 +689,7 @@
 			this.#clearSuspicion();
 		}
 
+		this.#hasEnded = true;
 		const promptTokens = result.promptTokens || this.#shape.promptTokens;
 		this.#writer.complete(result.finishReason, {
 			prompt_tokens: promptTokens, completion_tokens: this.#tokenCount, total_tokens: promptTokens + this.#tokenCount,
@@ -694,6 +698,11 @@
 
 	#sendError(problem: Problem): void {
 		const {response} = this.#exchange;
+		this.#hasEnded = true;
+		if (response.writableEnded) {
+			return;
+		}
+
 		if (!response.headersSent) {
 			sendProblem(this.#exchange, problem);
 			return;
@@ -705,7 +714,7 @@
 	}
 
 	#onCallerGone(): void {
-		if (!this.#exchange.response.writableFinished) {
+		if (!this.#hasEnded || !this.#exchange.response.writableFinished) {
 			this.#isCallerGone = true;
 			this.#cancel?.();
 			this.#handler.release(this.#exchange.id, this.#request.model);
@@ -740,3 +749,16 @@
 			running, waiting, prefillTokens: prefillTokens ?? 0, decodeTokens: decodeTokens ?? 0,
 		};
 }
+
+/**
+ * Returns the deadline that a caller has declared for its request, at most `MAX_DEADLINE_MS`; undefined without one.
+ *
+ * @example
+ * ```ts
+ * readDeclaredDeadline(request) ?? MAX_DEADLINE_MS;
+ * ```
+ */
+export function readDeclaredDeadline(request: IncomingMessage): number | undefined {
+	const deadlineMs = Number(readHeader(request, 'carawayhoist-deadline-ms'));
+	return Number.isFinite(deadlineMs) && deadlineMs > 0 ? Math.min(deadlineMs, MAX_DEADLINE_MS) : undefined;
+}
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -9,6 +9,7 @@
 import https from 'node:https';
 import type {AddressInfo, Socket} from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
+import type {Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {formatValidationErrors, validate} from '../base/validate.js';
@@ -19,7 +20,7 @@
 } from './exchange.js';
 import type {ServerPool} from './pool.js';
 import type {Metrics} from './metrics.js';
-import type {ModelHandler} from './model.js';
+import {readDeclaredDeadline, type ModelHandler} from './model.js';
 import {OPERATOR_PATH_PREFIX, type OperatorHandler} from './operator.js';
 import type {ServiceHandler} from './service.js';
 
@@ -35,12 +36,15 @@
 	readonly operators: OperatorHandler;
 	readonly pool: ServerPool;
 	readonly metrics: Metrics;
+	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly isReady: () => boolean;
 	readonly onAnnouncement: (announcement: Announcement) => void;
 };
 
 const KEEP_ALIVE_MS = 65_000;
+/** A request without a deadline that arrives at a host that stops is refused if less time is left, in milliseconds. */
+const MIN_SERVING_MS = 1000;
 const ANNOUNCE_PATH = '/backends/announce';
 
 /** The HTTP server of an entry host. Its creator must close it. */
@@ -50,6 +54,10 @@
 	readonly #connections: CallerConnections;
 	#nextRequestNumber = 1;
 	#isStopping = false;
+	/** The requests in progress, and whether they have been received completely. */
+	readonly #requests = new Map<Exchange, {isReceived: boolean}>();
+	/** Monotonic time at which the requests in progress are aborted, milliseconds; undefined while connections are accepted. */
+	#abortMs: number | undefined;
 
 	constructor(options: EntryServerOptions) {
 		this.#options = options;
@@ -92,11 +100,23 @@
 		this.#connections.startDraining();
 	}
 
-	/** Stops accepting connections and closes idle ones. */
-	stopAccepting(): void {
+	/**
+	 * Stops accepting connections and closes idle ones. Requests that still arrive are refused unless they end in time.
+	 *
+	 * @param abortMs - Monotonic time at which the requests in progress are aborted, milliseconds.
+	 */
+	stopAccepting(abortMs: number): void {
+		this.#abortMs = abortMs;
 		this.#server.close();
 	}
 
+	/** Ends the requests without a response with an error response. The others are cut by `close`. */
+	abort(): void {
+		for (const [exchange, {isReceived}] of this.#requests) {
+			sendProblem(exchange, isReceived ? createProblem('aborted') : createProblem('shuttingDown', undefined, 0));
+		}
+	}
+
 	/** Stops listening and closes all connections. */
 	close(): void {
 		this.#server.close();
@@ -113,15 +133,20 @@
 			path: url?.pathname ?? '/',
 			query: url?.searchParams ?? new URLSearchParams(),
 		};
+		const received = {isReceived: false};
+		this.#requests.set(exchange, received);
+		response.once('close', () => {
+			this.#requests.delete(exchange);
+		});
 		try {
-			await this.#dispatch(exchange);
+			await this.#dispatch(exchange, received);
 		} catch (error) {
 			this.#options.logger.error('Unexpected error while serving a request.', {request: exchange.id, error: String(error), stack: (error as Error).stack});
 			sendProblem(exchange, createProblem('internal', `Request ${exchange.id}.`));
 		}
 	}
 
-	async #dispatch(exchange: Exchange): Promise<void> {
+	async #dispatch(exchange: Exchange, received: {isReceived: boolean}): Promise<void> {
 		if (exchange.method === 'GET' && await this.#serveHealthOrMetrics(exchange)) {
 			return;
 		}
@@ -139,9 +164,29 @@
 			return;
 		}
 
+		if (exchange.response.writableEnded) {
+			return;
+		}
+
+		if (this.#endsTooLate(exchange)) {
+			sendProblem(exchange, createProblem('shuttingDown', undefined, 0));
+			return;
+		}
+
+		received.isReceived = true;
 		await (isOperator ? this.#options.operators.handle(exchange, body.right) : this.#serveCaller(exchange, body.right));
 	}
 
+	/** Whether a request may not end before the requests in progress are aborted. */
+	#endsTooLate({request, method, path}: Exchange): boolean {
+		if (this.#abortMs === undefined) {
+			return false;
+		}
+
+		const deadlineMs = this.#options.services.matchRoute(method, path)?.route.deadlineMs ?? readDeclaredDeadline(request) ?? MIN_SERVING_MS;
+		return this.#options.clock.monotonicMs() + deadlineMs > this.#abortMs;
+	}
+
 	/** Answers health checks and metrics requests of the platform. Returns false for any other request. */
 	async #serveHealthOrMetrics(exchange: Exchange): Promise<boolean> {
 		const {metrics, isReady} = this.#options;
