--- a/test/doorstop.test.ts
+++ b/test/doorstop.test.ts
@@ -1,34 +1,16 @@
 import assert from 'node:assert/strict';
-import net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {FakeEngine} from '../fakes/engine.js';
 import {sleep} from '../src/base/clock.js';
+import {sendBytes, type CallerConnection} from './caller.js';
 import {startFixture} from './fixture.js';
 
 const SHUTDOWN_MS = 4000;
 const BODY = JSON.stringify({model: 'chat-1', messages: [{role: 'user', content: 'hello'}], max_tokens: 100});
 
-/** Sends a request and collects what arrives until the connection is closed. */
-function send(url: string, text: string): {write: (rest: string) => void; closed: Promise<string>} {
-	const socket = net.connect({host: '127.0.0.1', port: Number(new URL(url).port)});
-	let received = '';
-	socket.on('data', chunk => {
-		received += String(chunk);
-	});
-	// A reset shows as a missing response.
-	socket.on('error', () => undefined);
-	socket.write(text);
-	return {
-		write(rest) {
-			socket.write(rest);
-		},
-		closed: new Promise(resolve => {
-			socket.once('close', () => {
-				resolve(received);
-			});
-		}),
-	};
+function send(url: string, text: string): CallerConnection {
+	return sendBytes({address: '127.0.0.1', port: Number(new URL(url).port)}, text);
 }
 
 function createRequest(headers = ''): string {
--- a/test/operatorstop.test.ts
+++ b/test/operatorstop.test.ts
@@ -2,7 +2,6 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -10,6 +9,7 @@
 import {waitUntil} from '../dev/fleet.js';
 import {findPort} from '../dev/ports.js';
 import {sleep} from '../src/base/clock.js';
+import {sendBytes} from './caller.js';
 
 const PROGRAM = path.resolve(import.meta.dirname, '../platform/main.js');
 const CONFIG = JSON.stringify({version: 1, routes: [], services: []});
@@ -17,28 +17,6 @@
 /** Time until the program has read a request, milliseconds. */
 const READ_MS = 300;
 
-/** Sends a request and collects what arrives until the connection is closed. */
-function send(port: number, text: string): {write: (rest: string) => void; closed: Promise<string>} {
-	const socket = net.connect({host: '127.0.0.1', port});
-	let received = '';
-	socket.on('data', chunk => {
-		received += String(chunk);
-	});
-	// A reset shows as a missing response.
-	socket.on('error', () => undefined);
-	socket.write(text);
-	return {
-		write(rest) {
-			socket.write(rest);
-		},
-		closed: new Promise(resolve => {
-			socket.once('close', () => {
-				resolve(received);
-			});
-		}),
-	};
-}
-
 function createPut(target: string, body: string): string {
 	return `PUT ${target} HTTP/1.1\r\nhost: a.example\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 }
@@ -78,11 +56,12 @@
 		await rm(folder, {recursive: true});
 	});
 	await waitUntil(async () => output.includes('Started as control host'), 'the program has started');
-	const put = send(port, createPut('/-/config', CONFIG));
-	const get = send(port, 'GET /-/config HTTP/1.1\r\nhost: a.example\r\n\r\n');
-	const partial = send(port, createPut('/-/config', CONFIG).slice(0, -4));
+	const address = {address: '127.0.0.1', port};
+	const put = sendBytes(address, createPut('/-/config', CONFIG));
+	const get = sendBytes(address, 'GET /-/config HTTP/1.1\r\nhost: a.example\r\n\r\n');
+	const partial = sendBytes(address, createPut('/-/config', CONFIG).slice(0, -4));
 	const announcement = createPut('/-/instances/s1', '{}');
-	const late = send(port, announcement.slice(0, -1));
+	const late = sendBytes(address, announcement.slice(0, -1));
 	await sleep(READ_MS);
 	child.kill('SIGTERM');
 	await waitUntil(async () => output.includes('Received SIGTERM'), 'the program is stopping');
--- a/test/relaystop.test.ts
+++ b/test/relaystop.test.ts
@@ -8,6 +8,7 @@
 import type {Address} from '../src/wire/connection.js';
 import {encodeFrame, FrameDecoder} from '../src/wire/frame.js';
 import {HostNetwork} from './network.js';
+import {accepts} from './caller.js';
 import {createResponseHeaders} from './stub.js';
 import {ROUTES, SERVICES, startSystem} from './system.js';
 
@@ -47,20 +48,6 @@
 	}
 }
 
-/** Whether a host still accepts connections of callers. */
-async function acceptsCallers({address, port}: Address): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = net.connect({host: address, port});
-		socket.once('connect', () => {
-			socket.destroy();
-			resolve(true);
-		});
-		socket.once('error', () => {
-			resolve(false);
-		});
-	});
-}
-
 for (const [peerName, hasMore] of [['a peer', false], ['a peer that sends more meanwhile', true]] as const) {
 	test(`a relay that stops sends the responses that ${peerName} has not read yet`, async t => {
 		const system = await startSystem(t, [{
@@ -86,7 +73,7 @@
 		}
 
 		const stopping = system.entry.stop();
-		await waitUntil(async () => !await acceptsCallers(system.callers), 'the host accepts no callers');
+		await waitUntil(async () => !await accepts(system.callers), 'the host accepts no callers');
 		peer.socket.on('data', () => {
 			if (hasMore) {
 				peer.sendControl(1);
@@ -134,7 +121,7 @@
 	const calls = [system.call('/book/slow', {}, 'seat'), system.call('/tell/slow', PROMPT), system.call('/ask/slow', PROMPT)];
 	await waitUntil(async () => held.length === calls.length, 'the requests are at servers');
 	const stops = system.entries.map(async entry => entry.stop());
-	await waitUntil(async () => (await Promise.all(system.callerAddresses.map(async address => acceptsCallers(address)))).every(accepts => !accepts), 'the hosts accept no callers');
+	await waitUntil(async () => (await Promise.all(system.callerAddresses.map(async address => accepts(address)))).every(accepts => !accepts), 'the hosts accept no callers');
 	for (const response of held) {
 		response.end('last');
 	}
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -2,11 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {EventEmitter} from 'node:events';
 import type {ServerResponse} from 'node:http';
-import net from 'node:net';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {FakeEngine} from '../fakes/engine.js';
-import type {Address} from '../src/wire/connection.js';
+import {accepts, CallerConnection} from './caller.js';
 import {startFixture} from './fixture.js';
 import {createResponseHeaders, type StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
@@ -23,10 +22,10 @@
 			return true;
 		},
 	}], {graceMs: 3000});
-	const caller = await connectCaller(system.callers);
+	const caller = new CallerConnection(system.callers);
 	caller.send('/tell/1', 'kept-1', SHORT_PROMPT);
 	await waitUntil(async () => caller.text.includes('data: first'), 'the stream has begun');
-	const other = await connectCaller(system.callers);
+	const other = new CallerConnection(system.callers);
 	other.send('/tell/1', 'other', SHORT_PROMPT);
 	await waitUntil(async () => other.text.includes('data: first'), 'the other stream has begun');
 	const stopped = system.entry.stop();
@@ -51,7 +50,7 @@
 			return true;
 		},
 	}], {graceMs: 20_000, maxResponseBytes: body.length});
-	const caller = await connectCaller(system.callers);
+	const caller = new CallerConnection(system.callers);
 	caller.pause();
 	caller.send('/book/1', 'slow');
 	await waitUntil(async () => system.entryLines.some(({fields}) => fields.request === 'slow' && 'status' in fields), 'the response has ended');
@@ -78,7 +77,7 @@
 			return true;
 		},
 	}], {graceMs: 3000});
-	const caller = await connectCaller(system.callers);
+	const caller = new CallerConnection(system.callers);
 	caller.send('/book/1', 'before');
 	await waitUntil(async () => held.listenerCount('release') === 1, 'the server has the request');
 	const stopped = system.entry.stop();
@@ -99,7 +98,7 @@
 			return true;
 		},
 	}], {graceMs: 60_000});
-	const caller = await connectCaller(system.callers);
+	const caller = new CallerConnection(system.callers);
 	caller.send('/book/1', 'gone-1');
 	caller.send('/book/1', 'gone-2');
 	await waitUntil(async () => closed.length === 2, 'the server has both requests');
@@ -135,7 +134,7 @@
 		const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept}, {
 			id: 'e1', service: 'llm', stage: 'decode', intercept,
 		}]);
-		const caller = await connectCaller(system.callers);
+		const caller = new CallerConnection(system.callers);
 		caller.send(target, 'ahead', headers);
 		await waitUntil(async () => held.listenerCount('release') === 1 && caller.text.endsWith(first === '' ? '' : `${first}\r\n`), 'the server has the request');
 		caller.write('GARBAGE\r\n\r\n');
@@ -148,7 +147,7 @@
 
 test('a request behind one that ends its connection does not reach a server', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain'}], {graceMs: 1000});
-	const caller = await connectCaller(system.callers);
+	const caller = new CallerConnection(system.callers);
 	const stopped = system.entry.stop();
 	caller.send('/book/1', 'pipelined-1');
 	caller.send('/book/1', 'pipelined-2');
@@ -165,7 +164,7 @@
 ]) {
 	test(`a request whose body arrives during a shutdown ${title}`, async t => {
 		const system = await startSystem(t, [{id: 'e1', service: 'llm', stage: 'decode'}], {graceMs});
-		const caller = await connectCaller(system.callers);
+		const caller = new CallerConnection(system.callers);
 		caller.write('POST /tell/1 HTTP/1.1\r\nhost: a.example\r\ncarawayhoist-attempt-id: half\r\ncontent-length: 8\r\n\r\nhalf');
 		await waitUntil(async () => (await system.metrics.active.get()).values[0]?.value === 1, 'the head has been read');
 		const stopped = system.entry.stop();
@@ -180,7 +179,7 @@
 
 test('a request that has not ended when the grace period does is answered and logged', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: () => true}], {graceMs: 1000});
-	const caller = await connectCaller(system.callers);
+	const caller = new CallerConnection(system.callers);
 	caller.send('/book/1', 'cut');
 	await waitUntil(async () => system.servers[0]!.receivedRequests.length === 1, 'the server has the request');
 	await system.entry.stop();
@@ -198,7 +197,7 @@
 		name: 'slow-1', entries, announceIntervalMs: 50, models: ['chat-1'], stepMs: 20,
 	}));
 	const {port} = new URL(fixture.url);
-	const caller = await connectCaller({address: '127.0.0.1', port: Number(port)});
+	const caller = new CallerConnection({address: '127.0.0.1', port: Number(port)});
 	const body = JSON.stringify({model: 'chat-1', messages: [{role: 'user', content: 'hello'}], max_tokens: 100});
 	caller.write(`POST /v1/chat/completions HTTP/1.1\r\nhost: a.example\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
 	await waitUntil(async () => engine.runningCount === 1, 'the request runs');
@@ -207,58 +206,3 @@
 	await stopped;
 	assert.match(caller.text, /^HTTP\/1\.1 200 OK\r\n[\s\S]*connection: close\r\n[\s\S]*\}$/iv);
 });
-
-/** Whether a host accepts connections. */
-async function accepts({address, port}: Address): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = net.connect({host: address, port});
-		socket.once('connect', () => {
-			socket.destroy();
-			resolve(true);
-		});
-		socket.once('error', () => {
-			resolve(false);
-		});
-	});
-}
-
-/** Opens a connection as a caller that sends several requests on it. */
-async function connectCaller({address, port}: Address) {
-	const socket = net.connect({host: address, port});
-	const chunks: Buffer[] = [];
-	let isClosed = false;
-	socket.on('data', chunk => {
-		chunks.push(chunk);
-	});
-	// A reset shows as a response that ends early.
-	socket.on('error', () => undefined);
-	socket.once('close', () => {
-		isClosed = true;
-	});
-	await new Promise(resolve => {
-		socket.once('connect', resolve);
-	});
-	return {
-		get text() {
-			return Buffer.concat(chunks).toString();
-		},
-		get isClosed() {
-			return isClosed;
-		},
-		write(text: string) {
-			socket.write(text);
-		},
-		send(target: string, id: string, headers = '') {
-			socket.write(`GET ${target} HTTP/1.1\r\nhost: a.example\r\ncarawayhoist-attempt-id: ${id}\r\n${headers}\r\n`);
-		},
-		disconnect() {
-			socket.destroy();
-		},
-		pause() {
-			socket.pause();
-		},
-		resume() {
-			socket.resume();
-		},
-	};
-}
