--- a/dev/generate.ts
+++ b/dev/generate.ts
@@ -126,8 +126,8 @@
 }
 
 /**
- * Renders a table from the `type` of each variant of a union to its validator, and validators of some of their parts. A single validator for the union would nest
- * the variants in one chain of branches, which the compiler's flow analysis follows recursively.
+ * Renders a table from the `type` of each variant of a union to its validator, and validators of some of their parts. A single
+ * validator for the union would nest the variants in one chain of branches, which the compiler's flow analysis follows recursively.
  */
 function renderUnionValidators(bundle: Record<string, Schema>, name: string, parts: readonly string[]): string {
 	const variants = (bundle[name]!.oneOf ?? []).map(({$ref}) => $ref!.replace('#/definitions/', ''));
