--- a/test/frame.test.ts
+++ b/test/frame.test.ts
@@ -31,29 +31,40 @@
 
 // What follows inflates, writes or decodes these bytes and would throw.
 test('a message with something else than bytes where bytes belong is rejected', () => {
-	const snapshot = {
-		index: 1, term: 1, configuration: {voters: [], next: null}, data: 5,
-	};
-	const values: unknown[] = [5, 'text', [1], {length: 1}, null, true, new Date(0), new Map([[1, 2]]), 5n, nest(500)];
-	for (const value of values) {
-		const messages = [
-			{type: 'relayData', id: 1, bytes: value},
-			{
-				type: 'relayRequest', id: 1, request: 'r', server: 's', service: 'a', method: 'GET', path: '/', headers: [], body: value,
-			},
-			{
-				type: 'feed', host: 'c1', whole: true, hasQuorum: true, isWarm: true, version: 1, publication: value, sightings: [], members: [], entries: 1,
+	const configuration = {voters: [], outgoing: [], learners: []};
+	const createMessages = (bytes: unknown) => [
+		{type: 'relayData', id: 1, bytes},
+		{
+			type: 'relayRequest', id: 1, request: 'r', server: 's', service: 'a', method: 'GET', path: '/', headers: [], body: bytes,
+		},
+		{
+			type: 'feed', host: 'c1', whole: true, hasQuorum: true, isWarm: true, version: 1, publication: bytes, sightings: [], members: [], entries: 1,
+		},
+		{
+			type: 'consensus', from: 'a', to: 'b', body: {
+				type: 'install-request', term: 1, round: 1, snapshot: {
+					index: 1, term: 1, configuration, data: bytes,
+				},
 			},
-			{
-				type: 'install-request', term: 1, round: 1, snapshot: {...snapshot, data: value},
+		},
+		{
+			type: 'consensus', from: 'a', to: 'b', body: {
+				type: 'append-request', term: 1, round: 1, previousIndex: 0, previousTerm: 0, commitIndex: 0, entries: [{
+					type: 'command', index: 1, term: 1, data: bytes,
+				}],
 			},
-		];
-		for (const message of messages) {
+		},
+	];
+	for (const message of createMessages(new Uint8Array([1]))) {
+		assert.ok(Either.isRight(pass(message)), message.type);
+	}
+
+	const values: unknown[] = [5, 'text', [1], {length: 1}, null, true, new Date(0), new Map([[1, 2]]), 5n, nest(500)];
+	for (const value of values) {
+		for (const message of createMessages(value)) {
 			assert.ok(Either.isLeft(pass(message)), `${message.type} ${String(value)}`);
 		}
 	}
-
-	assert.ok(Either.isRight(pass({type: 'relayData', id: 1, bytes: new Uint8Array([1])})));
 });
 
 test('bytes that are no message are rejected, whatever lengths, nesting and tags they have', () => {
