--- a/review/harness/deployment.js
+++ b/review/harness/deployment.js
@@ -3,6 +3,7 @@
  * settings templates of the deploy file. One address stands for one machine.
  */
 import {spawn} from 'node:child_process';
+import {closeSync, openSync} from 'node:fs';
 import {
 	mkdir, mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
@@ -13,7 +14,6 @@
 import {fetchText, findFreePort} from './network.js';
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
-const KILL_AFTER_MS = 8500;
 const START_TIMEOUT_MS = 10_000;
 
 /** Bounds of the Hrafnsvik deployment, as DEPLOY shows them in a settings file. */
@@ -44,6 +44,7 @@
 		this.child = undefined;
 		this.command = command;
 		this.settingsFile = settingsFile;
+		this.logFile = `${settingsFile}.log`;
 		this.record = record;
 	}
 
@@ -56,7 +57,9 @@
 			}
 		}
 
-		const child = spawn(program === 'node' ? process.execPath : program, parameters, {cwd: ROOT, env: environment, stdio: ['ignore', 'ignore', 'ignore']});
+		const log = openSync(this.logFile, 'a');
+		const child = spawn(program === 'node' ? process.execPath : program, parameters, {cwd: ROOT, env: environment, stdio: ['ignore', log, log]});
+		closeSync(log);
 		this.child = child;
 		this.exited = new Promise(resolve => {
 			child.once('exit', resolve);
@@ -79,7 +82,7 @@
 		if (this.child && this.child.exitCode === null && this.child.signalCode === null) {
 			this.child.kill('SIGCONT');
 			this.child.kill('SIGKILL');
-			await Promise.race([this.exited, sleep(KILL_AFTER_MS)]);
+			await this.exited;
 		}
 	}
 }
--- a/review/harness/server.js
+++ b/review/harness/server.js
@@ -51,7 +51,18 @@
 
 	/** Sends a heartbeat; the next control host is called if one doesn't acknowledge it within a second. */
 	async announce() {
-		const body = JSON.stringify({
+		return this.send(this.createHeartbeat());
+	}
+
+	/** Deregisters without having reported `draining`, and goes on serving. Returns whether that was acknowledged. */
+	async deregister() {
+		clearInterval(this.timer);
+		return this.send(undefined);
+	}
+
+	/** The next heartbeat, which may also be delivered later. */
+	createHeartbeat() {
+		return JSON.stringify({
 			service: this.service,
 			address: `${this.address}:${this.port}`,
 			zone: 'selfoss',
@@ -63,9 +74,13 @@
 			born: this.born,
 			...(this.stage !== undefined && {stage: this.stage, models: [{name: 'm', version: 1, adapters: []}]}),
 		});
+	}
+
+	/** Sends a heartbeat, or without one the end of the registration. */
+	async send(body) {
 		for (const [index] of this.controls.entries()) {
 			const control = this.controls[(this.sequence + index) % this.controls.length];
-			const answer = await fetchText(`http://${control}/-/instances/${this.id}`, {method: 'PUT', body, timeoutMs: 1000});
+			const answer = await fetchText(`http://${control}/-/instances/${this.id}`, {method: body === undefined ? 'DELETE' : 'PUT', body, timeoutMs: 1000});
 			if (answer.status >= 200 && answer.status < 300) {
 				return true;
 			}
