--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,10 +1,10 @@
 /** Clients take streams up again after the core was killed and came back. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {runCase} from '../harness/case.js';
-import {Stream} from '../harness/client.js';
-import {createConfiguration, HOST} from '../harness/configuration.js';
-import {BOUNDS, Deployment} from '../harness/deployment.js';
-import {Server} from '../harness/server.js';
+import {runCase} from '../case.js';
+import {Stream} from '../client.js';
+import {createConfiguration, HOST} from '../configuration.js';
+import {BOUNDS, Deployment} from '../deployment.js';
+import {Server} from '../server.js';
 
 const STREAMS = 24;
 const EVENTS = 55;
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,6 @@
 # The stand-ins are JavaScript and need no build; this checks that they can be read.
 set -eu
 cd "$(dirname "$0")"
-for file in harness/*.js ./*/run.js; do
-	[ ! -e "$file" ] || node --check "$file"
+for file in ./*.js ./*/run.js; do
+	node --check "$file"
 done
--- a/review/harness/deployment.js
+++ b/review/deployment.js
@@ -13,7 +13,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fetchText, findFreePort} from './network.js';
 
-const ROOT = path.resolve(import.meta.dirname, '../..');
+const ROOT = path.resolve(import.meta.dirname, '..');
 const START_TIMEOUT_MS = 10_000;
 
 /** Bounds of the Hrafnsvik deployment, as DEPLOY shows them in a settings file. */
