--- a/src/control/reconfigurator.ts
+++ b/src/control/reconfigurator.ts
@@ -23,6 +23,20 @@
 
 /** A restarting host returns within a few seconds, and replacing it would cost more than waiting that long. */
 export const DEFAULT_RECONFIGURATION_TIMING: ReconfigurationTiming = {replaceAfterMs: 8000, abandonAfterMs: 4000};
+
+/**
+ * Creates the timing of a deployment that counts on a successor a fixed time after its start. The first half of that time
+ * lets a restarting host return, the second half is left for the successor to catch up.
+ *
+ * @example
+ * ```ts
+ * createReconfigurationTiming(4000).replaceAfterMs; // 2000
+ * ```
+ */
+export function createReconfigurationTiming(catchUpMs: number): ReconfigurationTiming {
+	return {replaceAfterMs: catchUpMs / 2, abandonAfterMs: catchUpMs / 2};
+}
+
 /** Number of voters up to which joining hosts are added: five voters tolerate the failure of two. */
 export const TARGET_VOTERS = 5;
 
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -30,7 +30,7 @@
 } from './controller.js';
 import {describeReconfiguration, type ConfigurationStatus, type Reconfiguration} from './reconfiguration.js';
 import {HttpOrderTransport, type OrderTransport} from './order.js';
-import {Reconfigurator} from './reconfigurator.js';
+import {Reconfigurator, type ReconfigurationTiming} from './reconfigurator.js';
 import {ControlState, type ControlStateSnapshot} from './state.js';
 
 export type ControlServiceOptions = {
@@ -41,6 +41,7 @@
 	readonly random: Random;
 	readonly loggers: LoggerFactory;
 	readonly timing?: ReplicaTiming;
+	readonly reconfigurationTiming?: ReconfigurationTiming;
 	readonly onCommit?: () => void;
 	/** Called after committed commands have been applied or a snapshot has been restored. */
 	readonly onApplied?: () => void;
@@ -82,7 +83,7 @@
 	#state = new ControlState();
 	#node: ConsensusNode | undefined;
 	#controller: Controller | undefined;
-	#reconfigurator = new Reconfigurator();
+	#reconfigurator: Reconfigurator;
 	#timer: NodeJS.Timeout | undefined;
 	#joinTimer: NodeJS.Timeout | undefined;
 	#joinPool: ConnectionPool | undefined;
@@ -97,6 +98,7 @@
 		this.#logger = options.loggers('control');
 		this.#replica = replica;
 		this.#storage = storage;
+		this.#reconfigurator = new Reconfigurator(options.reconfigurationTiming);
 		this.#orderTransport = options.orderTransport ?? new HttpOrderTransport(options.clock);
 	}
 
@@ -162,6 +164,12 @@
 		return this.#node ? listMembers(this.#node.replica.configuration) : [];
 	}
 
+	/** Returns the voters of the current configuration, with those that a change still replaces; empty before there is one. */
+	listVoters(): Member[] {
+		const {configuration} = this.#node?.replica ?? {};
+		return configuration ? listMembers({...configuration, learners: []}) : [];
+	}
+
 	/** Proposes a command on this replica; fails with `notLeader` unless it leads. */
 	async propose(command: Command): Promise<Either.Either<Problem, CommitResult>> {
 		return this.#node ? this.#node.propose(encodeCbor(command)) : Either.left(createProblem('notLeader'));
@@ -359,12 +367,12 @@
 		if (role === 'leader') {
 			this.#leaderTerm = term;
 			this.#controller = new Controller(this.#options.clock.monotonicMs(), this.#options.controllerTiming, this.#options.orderSafeguards);
-			this.#reconfigurator = new Reconfigurator();
+			this.#reconfigurator = new Reconfigurator(this.#options.reconfigurationTiming);
 			return;
 		}
 
 		this.#controller = undefined;
-		this.#reconfigurator = new Reconfigurator();
+		this.#reconfigurator = new Reconfigurator(this.#options.reconfigurationTiming);
 		this.#subscribers.clear();
 	}
 
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -18,6 +18,7 @@
 } from '../control/controller.js';
 import type {OrderTransport} from '../control/order.js';
 import type {ControlMetrics} from '../control/metrics.js';
+import {createReconfigurationTiming} from '../control/reconfigurator.js';
 import {ControlService} from '../control/service.js';
 import {ANY_VERSION, excludesServer, PUBLICATION_NAME} from '../control/state.js';
 import type {
@@ -56,6 +57,8 @@
 	readonly leaseMs: number;
 	/** Interval between two announcements of a backend server, in milliseconds. */
 	readonly announceIntervalMs: number;
+	/** Time from the start of a control host until it must vote in place of one that is lost, in milliseconds; has a default. */
+	readonly catchUpMs?: number | undefined;
 };
 
 /** Deadlines of operator requests. Operators try another host after one second without a response. */
@@ -170,6 +173,7 @@
 			self: {host: peerAddress.address, ...peerAddress},
 			listPeers: () => holder.host?.listControlAddresses() ?? options.seeds,
 			canBootstrap: options.firstStart,
+			...(options.catchUpMs !== undefined && {reconfigurationTiming: createReconfigurationTiming(options.catchUpMs)}),
 			clock: options.clock,
 			random: options.random,
 			loggers: options.loggers,
@@ -209,6 +213,11 @@
 		return [...this.#subscription.listAddresses(), ...members];
 	}
 
+	/** Addresses of the control hosts that vote, as far as this host knows. */
+	listVoters(): Address[] {
+		return this.#controlService.listVoters().map(({address, port}) => ({address, port}));
+	}
+
 	/** Applies changed settings: adds the control hosts that they name. */
 	applySettings({seeds}: Pick<ControlHostOptions, 'seeds'>): void {
 		this.#subscription.addSeeds(seeds.filter(seed => !isSameAddress(seed, this.#options.peerAddress)));
