A control host that was replaced while it was away asks to join again

Seen: a control host that comes back after another one has taken its seat stays outside for good: it serves no announcements and no reads, and never takes the seat of the next one that is lost.

Cause: its own log still names it as a voter, since nobody sends it the later entries, and a voter sends no join requests.

Evidence: replacement.test.ts "a control host that was replaced while it was away takes the seat of the next one that is lost": red, not a voter within 8 s.

Change: a voter without a leader sends join requests as well.

--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -268,7 +268,10 @@
 		}
 	}
 
-	/** Sends join requests until this replica is a voter. There is no reply: the leader acts, the others ignore them. */
+	/**
+	 * Sends join requests while this replica is not a voter, or a voter without a leader: it may have been replaced meanwhile,
+	 * which its own log does not tell. There is no reply: the leader acts, the others ignore them.
+	 */
 	#requestJoin(): void {
 		const {self} = this.#options;
 		if (!self) {
@@ -280,7 +283,7 @@
 		this.#joinPool = pool;
 		this.#joinTimer = setInterval(() => {
 			const {configuration} = this.#node?.replica ?? {};
-			if (configuration && isVoter(configuration, this.#replica)) {
+			if (configuration && isVoter(configuration, this.#replica) && this.hasQuorum) {
 				pool.close();
 				return;
 			}
--- a/test/replacement.test.ts
+++ b/test/replacement.test.ts
@@ -38,6 +38,25 @@
 	});
 }
 
+// Guards against a control host that never votes again: it was replaced while it was unreachable, so its own log still
+// names it as a voter.
+test('a control host that was replaced while it was away takes the seat of the next one that is lost', async t => {
+	const core = await startCore(t);
+	const leader = await core.findLeader();
+	const [replaced, lost, witness] = [1, 2, 3].map(offset => (leader + offset) % VOTERS) as [number, number, number];
+	const awaitVoters = async (...indices: number[]) => waitUntil(async () => {
+		const voters = core.listVoters(witness);
+		return voters.length === VOTERS && indices.every(index => voters.includes(core.addresses[index]!.address));
+	}, `${indices.join(' and ')} vote`, CATCH_UP_MS * 2);
+	await core.stop(replaced);
+	await core.start(VOTERS);
+	await awaitVoters(VOTERS);
+	await core.start(replaced);
+	await core.stop(lost);
+	await awaitVoters(VOTERS, replaced);
+	await waitUntil(async () => core.listVoters(replaced).includes(core.addresses[VOTERS]!.address), 'the host that has come back knows who votes');
+});
+
 /** Starts control hosts in this process and waits until all are members. */
 async function startCore(t: TestContext) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'core-'));
@@ -100,6 +119,6 @@
 	};
 
 	return {
-		start, stop, listVoters, findLeader,
+		addresses, start, stop, listVoters, findLeader,
 	};
 }
