A joint configuration is left when its new voter is lost

Seen: if the successor of a control host is lost between its admission and its first write as a voter, the joint configuration stands for good: no other replica can be replaced any more, until that one comes back.

Cause: the leader waited for every new voter to have replicated the joint configuration. A new voter that is lost afterwards made the reconfiguration propose the same configuration on every tick.

Evidence: replica.test.ts "a joint configuration is left when its new voter is lost ..." and reconfigurator.test.ts "... proposes nothing more and is abandoned": both red before.

Change: a new voter that has not responded for two election timeouts is no longer waited for; the final configuration needs a majority of the new voters as before, and "finished" is still only said once the new voter holds all that is committed. A reconfiguration with nothing left to change proposes nothing.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -627,16 +627,22 @@
 		}
 	}
 
-	/** Proposes the final configuration once the joint one is committed and every new voter has replicated it. */
+	/** Proposes the final configuration once the joint one is committed and every new voter has replicated it or is lost. */
 	#leaveJointConfiguration(nowMs: number): void {
 		const {voters, outgoing, learners} = this.#configuration;
-		const isReplicatedToNewVoters = voters.every(member => outgoing.some(previous => previous.replica === member.replica)
-			|| this.#getMatchIndex(member.replica) >= this.#configurationIndex);
-		if (this.#role === REPLICA_ROLES.leader && outgoing.length > 0 && this.isConfigurationCommitted && isReplicatedToNewVoters) {
+		const isReady = (member: Member) => outgoing.some(previous => previous.replica === member.replica)
+			|| this.#getMatchIndex(member.replica) >= this.#configurationIndex
+			|| this.#isLost(member.replica, nowMs);
+		if (this.#role === REPLICA_ROLES.leader && outgoing.length > 0 && this.isConfigurationCommitted && voters.every(member => isReady(member))) {
 			this.#appendConfiguration({voters, outgoing: [], learners}, nowMs);
 		}
 	}
 
+	/** Whether a replica has not responded to this leader for two election timeouts. */
+	#isLost(replica: string, nowMs: number): boolean {
+		return nowMs - Math.max(this.#getConfirmedMs(replica, nowMs), this.#electedMs) > this.timing.electionMs * 2;
+	}
+
 	#onPropose(data: readonly Uint8Array[], nowMs: number): void {
 		if (this.#role !== REPLICA_ROLES.leader) {
 			return;
--- a/src/control/reconfiguration.ts
+++ b/src/control/reconfiguration.ts
@@ -105,6 +105,10 @@
 	const remainingLearners = learners.filter(member => member.replica !== add?.replica && member.replica !== reconfiguration.remove);
 	const nextVoters = computeNextVoters(configuration, reconfiguration);
 	const isSame = nextVoters.length === voters.length && nextVoters.every(member => voters.some(voter => voter.replica === member.replica));
+	if (isSame && remainingLearners.length === learners.length) {
+		return undefined;
+	}
+
 	return {voters: nextVoters, outgoing: isSame ? [] : voters, learners: remainingLearners};
 }
 
--- a/test/reconfigurator.test.ts
+++ b/test/reconfigurator.test.ts
@@ -45,6 +45,16 @@
 	assert.deepEqual(reconfigurator.planJoin(newMember, waiting, 6000), {add: newMember});
 });
 
+// Guards against a configuration that is proposed again every few milliseconds, as long as the new voter is unreachable.
+test('a reconfiguration whose new voter is lost before it has caught up proposes nothing more and is abandoned', () => {
+	const reconfigurator = new Reconfigurator();
+	const newMember = createMember('d', 4);
+	reconfigurator.start({add: newMember, remove: 'c'}, createStatus(THREE_VOTERS), 0);
+	const replaced = {...createStatus([...THREE_VOTERS.slice(0, 2), newMember], [], ['d']), getProgress: (replica: string) => ({matchIndex: replica === 'd' ? 5 : 10, alive: replica !== 'd'})};
+	assert.equal(reconfigurator.tick(replaced, 1000), undefined);
+	assert.equal(reconfigurator.tick(replaced, DEFAULT_RECONFIGURATION_TIMING.abandonAfterMs + 1)?.type, 'abandoned');
+});
+
 function createMember(replica: string, host: number): Member {
 	return {
 		replica, host: `10.0.0.${host}`, address: `10.0.0.${host}`, port: 7400,
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -275,6 +275,27 @@
 	assert.equal(cluster.replicas.get('d')!.commitIndex, leader.commitIndex);
 });
 
+// Guards against a joint configuration that stands for good, so that no other replica can be replaced any more.
+test('a joint configuration is left when its new voter is lost before it has replicated it', () => {
+	const cluster = new Cluster(THREE, ['a', 'b', 'c', 'd']);
+	cluster.replicas.set('d', new Replica({
+		replica: 'd', hard: EMPTY_PERSISTENT_STATE.hard, snapshot: EMPTY_SNAPSHOT, entries: [], nowMs: 0, random: createRandom(4),
+	}));
+	cluster.advance(3000);
+	const leader = cluster.leader!;
+	const removed = THREE.voters.find(member => member.replica !== leader.id)!;
+	cluster.step(leader.id, {type: 'propose-configuration', configuration: {...THREE, learners: [d]}});
+	cluster.advance(500);
+	cluster.disconnected.add('d');
+	const voters = [...THREE.voters.filter(member => member !== removed), d];
+	cluster.step(leader.id, {type: 'propose-configuration', configuration: {voters, outgoing: THREE.voters, learners: []}});
+	cluster.advance(leader.timing.electionMs);
+	assert.deepEqual(leader.configuration.outgoing, THREE.voters);
+	cluster.advance(leader.timing.electionMs * 2);
+	assert.deepEqual(leader.configuration, {voters, outgoing: [], learners: []});
+	assert.ok(leader.isConfigurationCommitted);
+});
+
 function createMember(replica: string): Member {
 	return {
 		replica, host: replica, address: '127.0.0.1', port: 1,
