--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -22,7 +22,7 @@
 import {ControlService} from '../control/service.js';
 import {ANY_VERSION, excludesServer, PUBLICATION_NAME} from '../control/state.js';
 import type {
-	Announcement, Fact, Message, Publication, PutCommand, ViewUpdate,
+	Announcement, Fact, Message, Publication, PutCommand, Resync, ViewUpdate,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedPublisher} from '../membership/feed.js';
@@ -76,6 +76,9 @@
 /** Duration of the startup phase of a system that starts for the first time, in milliseconds. Callers arrive later. */
 const STARTUP_MS = 10_000;
 
+/** Number of servers in a log line. */
+const LOGGED_SERVERS = 10;
+
 /** What `ControlHost.start` has started before. */
 type ControlHostParts = {
 	readonly service: ControlService;
@@ -319,6 +322,11 @@
 				break;
 			}
 
+			case 'resync': {
+				this.#takeOver(message);
+				break;
+			}
+
 			case 'permitRequest': {
 				const {id, priority} = message;
 				connection.send({type: 'permit', id, ...this.#limiter.request(message, priority, this.#options.clock.monotonicMs())});
@@ -397,6 +405,14 @@
 		}
 	}
 
+	/** Takes over what an entry host still knows and this host may have lost with its last process. */
+	#takeOver({host, servers}: Resync): void {
+		this.#logger.info(`Host ${host} reports ${servers.length} servers that have left.`, {from: host, servers: servers.slice(0, LOGGED_SERVERS).map(({announcement}) => announcement.server)});
+		for (const status of servers) {
+			this.#handleMergeResult(this.registry.mergeStatus(status, this.#options.clock.monotonicMs()), status.announcement);
+		}
+	}
+
 	/** Merges servers that told an entry host in a response that they are leaving. Unknown ones are left to their announcements. */
 	#mergeServers(facts: readonly Fact[]): void {
 		for (const fact of facts) {
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -9,11 +9,12 @@
 import type {Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
 import type {
-	Fact, Feed, Message, RelayingState,
+	Fact, Feed, Message, RelayingState, Resync,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {ServerDiscovery} from '../membership/discovery.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
+import {Resynchronizer} from '../membership/resync.js';
 import {FeedSubscription, inflatePublication} from '../membership/subscription.js';
 import {AvailabilityTracker} from '../routing/availability.js';
 import {ServiceRetryBudget, type RetryBudgetLimits} from '../routing/budget.js';
@@ -84,6 +85,7 @@
 	readonly #crashMonitor: CrashMonitor;
 	readonly #subscription: FeedSubscription;
 	readonly #discovery: ServerDiscovery;
+	readonly #resynchronizer: Resynchronizer;
 	readonly #retryBudget: ServiceRetryBudget;
 	readonly #gateway: Gateway;
 	readonly #placementClient: PlacementClient;
@@ -129,6 +131,13 @@
 			},
 		});
 		this.#discovery = new ServerDiscovery(this.#subscription);
+		this.#resynchronizer = new Resynchronizer({
+			random,
+			collect: control => this.#collectLostFacts(control),
+			send: (control, message) => {
+				this.#subscription.sendSeparately(control, message);
+			},
+		});
 		this.#placementClient = new PlacementClient({
 			hosts: this.#subscription, localScheduler: this.#localScheduler, localLimiter: this.#localLimiter, clock,
 		});
@@ -230,6 +239,7 @@
 
 	close(): void {
 		this.#gateway.close();
+		this.#resynchronizer.close();
 		this.#subscription.close();
 		this.#listener.close();
 		this.#relayClient.close();
@@ -281,6 +291,10 @@
 			this.#subscription.send(control, {type: 'rateLimits', facts: [...this.#rateLimits.listFacts()]});
 		}
 
+		if (feed.whole) {
+			this.#resynchronizer.schedule(control);
+		}
+
 		// A control host that has just started may know no other entry host yet.
 		if (feed.relays && feed.relays.length > 0) {
 			this.#relayClient.update(feed.relays);
@@ -308,6 +322,12 @@
 		return isCutOff || this.#isStopping ? {isCutOff} : {isCutOff, relay: this.#options.peerAddress};
 	}
 
+	/** Collects what a control host lacks that has restarted or was disconnected, besides crashes and rate limits. */
+	#collectLostFacts(control: string): Resync | undefined {
+		const servers = this.#discovery.listUnreportedDepartures(control, this.#options.clock.monotonicMs());
+		return servers.length === 0 ? undefined : {type: 'resync', host: this.#options.host, servers};
+	}
+
 	#createFactMessage(facts: readonly Fact[]): Message {
 		const {host, callerAddress} = this.#options;
 		return {type: 'gossip', from: {host, ...callerAddress}, facts: [...facts]};
--- a/src/membership/subscription.ts
+++ b/src/membership/subscription.ts
@@ -12,7 +12,9 @@
 import type {
 	Feed, Message, RelayingState, Watch,
 } from '../generated/types.js';
-import {connect, type Address, type Connection} from '../wire/connection.js';
+import {
+	connect, sendSeparately, type Address, type Connection,
+} from '../wire/connection.js';
 import {FEED_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS} from './feed.js';
 
 export type FeedSubscriptionOptions = {
@@ -107,6 +109,14 @@
 		return true;
 	}
 
+	/** Sends a message to one control host on a connection of its own. */
+	sendSeparately(control: string, message: Message): void {
+		const source = this.#sources.get(control);
+		if (source) {
+			sendSeparately(source.address, message);
+		}
+	}
+
 	/** Sends a message to all control hosts to which a connection is open. */
 	broadcast(message: Message): void {
 		for (const key of this.#sources.keys()) {
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -18,6 +18,8 @@
 export type MessageHandler = (message: Message, connection: Connection) => void;
 
 const CONNECT_TIMEOUT_MS = 1000;
+/** Longest time for which a connection for a single message stays open, milliseconds. */
+const SEPARATE_SEND_TIMEOUT_MS = 5000;
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 /** A connection to another process. The creator must close it. */
@@ -124,6 +126,27 @@
 	return new Connection(socket, onMessage);
 }
 
+/**
+ * Sends one message on a connection of its own. A process of an older version closes a connection on which it gets a message
+ * that it does not know; other connections to it are not affected.
+ *
+ * @example
+ * ```ts
+ * sendSeparately({address: '10.0.0.4', port: 7400}, {type: 'hello', id: 1});
+ * ```
+ */
+export function sendSeparately(target: Address, message: Message): void {
+	const connection = connect(target, () => undefined);
+	const timer = setTimeout(() => {
+		connection.close();
+	}, SEPARATE_SEND_TIMEOUT_MS).unref();
+	connection.onClose(() => {
+		clearTimeout(timer);
+	});
+	connection.send(message);
+	connection.finish();
+}
+
 /** Accepts connections. Closing the listener also closes the connections that it accepted. */
 export class Listener {
 	readonly #server: net.Server;
--- a/test/stub.ts
+++ b/test/stub.ts
@@ -87,13 +87,20 @@
 
 	/** Announces the server to a control host and returns the status code of the response. */
 	async announce(control: string, state = 'ready'): Promise<number> {
+		return this.sendAnnouncement(control, this.createAnnouncement(state));
+	}
+
+	/** Creates the body of the next announcement. */
+	createAnnouncement(state = 'ready'): string {
 		const engine = this.stage === undefined ? {} : {stage: this.stage, models: [{name: 'm', version: 1, adapters: []}]};
-		const response = await fetch(`http://${control}/-/instances/${this.#options.id}`, {
-			method: 'PUT',
-			body: JSON.stringify({
-				service: this.#options.service, address: this.address, zone: 'a', version: this.#options.software ?? 'v1', slots: 8, state, 'cold-remaining-ms': 0, sequence: ++this.#sequence, born: this.#startedAtMs, ...engine,
-			}),
+		return JSON.stringify({
+			service: this.#options.service, address: this.address, zone: 'a', version: this.#options.software ?? 'v1', slots: 8, state, 'cold-remaining-ms': 0, sequence: ++this.#sequence, born: this.#startedAtMs, ...engine,
 		});
+	}
+
+	/** Sends an announcement, which may have been created long before; returns the status of the response. */
+	async sendAnnouncement(control: string, body: string): Promise<number> {
+		const response = await fetch(`http://${control}/-/instances/${this.#options.id}`, {method: 'PUT', body});
 		return response.status;
 	}
 
--- a/test/system.ts
+++ b/test/system.ts
@@ -174,6 +174,8 @@
 		entry,
 		metrics,
 		controlRegistry,
+		/** Finds what the control host knows of a server. */
+		findRegistered: (id: string) => control.registry.findStatus(id),
 		entryLines: entryLog.lines,
 		servers,
 		get entries() {
@@ -213,6 +215,10 @@
 		async announceServers() {
 			await Promise.all(servers.filter(server => server.isRunning).map(async server => server.announce(address)));
 		},
+		/** Announces one server again. */
+		async announceOnly(id: string) {
+			await servers.find(server => server.id === id)?.announce(address);
+		},
 		/** Starts and announces one more server, at the port of a stopped one if one is given. */
 		async addServer(option: StubBackendOptions, port?: number) {
 			const server = new StubBackend(option);
