--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -406,10 +406,18 @@
 	}
 
 	/** Takes over what an entry host still knows and this host may have lost with its last process. */
-	#takeOver({host, servers}: Resync): void {
-		this.#logger.info(`Host ${host} reports ${servers.length} servers that have left.`, {from: host, servers: servers.slice(0, LOGGED_SERVERS).map(({announcement}) => announcement.server)});
+	#takeOver({host, servers, origins}: Resync): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		const streams = origins.reduce((count, {attempts}) => count + attempts.length, 0);
+		this.#logger.info(`Host ${host} reports ${servers.length} servers that have left and ${streams} streams.`, {from: host, servers: servers.slice(0, LOGGED_SERVERS).map(({announcement}) => announcement.server)});
 		for (const status of servers) {
-			this.#handleMergeResult(this.registry.mergeStatus(status, this.#options.clock.monotonicMs()), status.announcement);
+			this.#handleMergeResult(this.registry.mergeStatus(status, nowMs), status.announcement);
+		}
+
+		for (const {software, attempts} of origins) {
+			for (const attempt of attempts) {
+				this.#scheduler.recordOrigin(attempt, software, nowMs);
+			}
 		}
 	}
 
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -325,7 +325,14 @@
 	/** Collects what a control host lacks that has restarted or was disconnected, besides crashes and rate limits. */
 	#collectLostFacts(control: string): Resync | undefined {
 		const servers = this.#discovery.listUnreportedDepartures(control, this.#options.clock.monotonicMs());
-		return servers.length === 0 ? undefined : {type: 'resync', host: this.#options.host, servers};
+		const origins = this.#placementClient.listOrigins();
+		if (servers.length === 0 && origins.length === 0) {
+			return undefined;
+		}
+
+		return {
+			type: 'resync', host: this.#options.host, servers, origins,
+		};
 	}
 
 	#createFactMessage(facts: readonly Fact[]): Message {
--- a/src/routing/origins.ts
+++ b/src/routing/origins.ts
@@ -6,6 +6,8 @@
  * @module
  */
 
+import type {StreamOrigin} from '../generated/types.js';
+
 /** A stream that was started before and is resumed. */
 export type Resumption = {
 	/** Software version that started it, if it is known. */
@@ -46,6 +48,20 @@
 		this.#origins.delete(attempt);
 	}
 
+	/** Lists the recorded attempts, grouped by software version. */
+	list(nowMs: number): StreamOrigin[] {
+		const groups = new Map<string, string[]>();
+		for (const [attempt, {software, atMs}] of this.#origins) {
+			if (nowMs - atMs <= RETENTION_MS) {
+				const attempts = groups.get(software) ?? [];
+				groups.set(software, attempts);
+				attempts.push(attempt);
+			}
+		}
+
+		return [...groups].map(([software, attempts]) => ({software, attempts}));
+	}
+
 	findSoftware(attempt: string, nowMs: number): string | undefined {
 		const origin = this.#origins.get(attempt);
 		return origin && nowMs - origin.atMs <= RETENTION_MS ? origin.software : undefined;
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -6,8 +6,9 @@
 import {crc32} from 'node:zlib';
 import type {Clock} from '../base/clock.js';
 import type {ServerIncarnation} from '../base/incarnation.js';
-import type {Message, Permit} from '../generated/types.js';
+import type {Message, Permit, StreamOrigin} from '../generated/types.js';
 import type {PermitDecision, RateLimiter} from '../routing/limiter.js';
+import {StreamOrigins} from '../routing/origins.js';
 import {
 	MILESTONES, type MilestoneName, type PlacementDecision, type PlacementRequest,
 } from '../routing/request.js';
@@ -79,6 +80,8 @@
 	readonly #schedulerHosts = new Map<string, string>();
 	readonly #backups = new Map<string, Backup>();
 	readonly #avoidedUntilMs = new Map<string, number>();
+	/** Origins of the streams of which this host has forwarded events. Those at the local scheduler include streams that never began. */
+	readonly #begunStreams = new StreamOrigins();
 
 	constructor({hosts, localScheduler, localLimiter, clock}: PlacementClientOptions) {
 		this.#hosts = hosts;
@@ -184,9 +187,16 @@
 		});
 	}
 
-	/** Records the software version of the server that has sent the first event of a stream. */
+	/** Records the software version of a stream of which this host forwards an event, by the ID of the attempt that brought the first one. */
 	recordOrigin(id: string, software: string): void {
-		this.#localScheduler.recordOrigin(id, software, this.#clock.monotonicMs());
+		const nowMs = this.#clock.monotonicMs();
+		this.#localScheduler.recordOrigin(id, software, nowMs);
+		this.#begunStreams.record(id, software, nowMs);
+	}
+
+	/** Lists the software versions of the streams that are in progress here, or broke off here a moment ago. */
+	listOrigins(): StreamOrigin[] {
+		return this.#begunStreams.list(this.#clock.monotonicMs());
 	}
 
 	/** Reports the progress of a request to the host that placed it, and its end also to the backup host. */
@@ -200,6 +210,10 @@
 		} else {
 			this.#schedulerHosts.delete(id);
 			this.#backups.delete(id);
+			if (milestone === MILESTONES.done) {
+				this.#begunStreams.delete(id);
+			}
+
 			if (backup) {
 				const stage = backup.isOriginSure || milestone === MILESTONES.done ? MILESTONES.done : MILESTONES.refused;
 				this.#hosts.send(backup.host, {type: 'milestone', id, stage});
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -57,6 +57,7 @@
 	#hasFirstEvent = false;
 	/** Software version of the servers whose events the stream holds, once it is known. */
 	#software: string | undefined;
+	#isOriginRecorded = false;
 	/** Whether a retry has been acquired for the next run. */
 	#hasRetry = false;
 	#mayHaveRun = false;
@@ -430,9 +431,11 @@
 		}
 
 		const events = this.#splitter && isStream ? this.#splitter.push(chunk) : chunk;
-		if (isStream && events.length > 0 && this.#software === undefined) {
-			this.#software = server.software ?? '';
-			this.#context.placement.recordOrigin(head.id, this.#software);
+		if (isStream && events.length > 0 && !this.#isOriginRecorded) {
+			this.#isOriginRecorded = true;
+			this.#software ??= server.software ?? '';
+			const beganWith = head.lastEventId === undefined ? head.id : head.resumedAttempt ?? head.id;
+			this.#context.placement.recordOrigin(beganWith, this.#software);
 		}
 
 		const exchange = this.#exchange;
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -91,6 +91,35 @@
 	}
 });
 
+// Guards against streams that nobody can take up for a minute: the control hosts were killed together, and only the entry host
+// that carried the streams still knew which version had begun them.
+test('streams are taken up each at the version that began it, after the control host was killed and then their entry host', async t => {
+	const breakOff = new EventEmitter();
+	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
+	const system = await startSystem(t, engines, {routeTimeoutMs: 10_000});
+	await system.addEntry();
+	const texts: string[] = [];
+	const streaming = Array.from({length: 8}, async (_, index) => stream(system.callers, `begun-${index}`, {}, text => {
+		texts[index] = text;
+	}));
+	await waitUntil(async () => streaming.every((_, index) => texts[index]?.includes('id: 2\ndata: e') && texts[index].endsWith('\n\n')), 'all callers have two events');
+	await system.restartControl();
+	await system.announceServers();
+	await sleep(WARM_MS);
+	await system.announceServers();
+	system.entry.close();
+	const begun = await Promise.all(streaming);
+	const findVersion = (server: string | undefined) => engines.find(({id}) => id === server)?.software;
+	assert.deepEqual(new Set(begun.flatMap(({servers}) => servers.map(server => findVersion(server)))), new Set(['v1', 'v2']));
+	const taken = await Promise.all(begun.map(async (_, index) => stream(system.callerAddresses.at(-1)!, `next-${index}`, {resumes: `begun-${index}`, 'last-event-id': '2'})));
+	assert.deepEqual(
+		taken.map(({status, servers}) => ({status, software: servers.map(server => findVersion(server))})),
+		begun.map(({servers: [server]}) => ({status: 200, software: [findVersion(server), findVersion(server)]})),
+	);
+	assert.equal((await stream(system.callerAddresses.at(-1)!, 'unknown', {resumes: 'never-begun', 'last-event-id': '2'})).status, 503);
+	breakOff.emit('now');
+});
+
 test('a stream that breaks off while its entry host reaches no control host goes on at the version that began it, in one response', async t => {
 	const breakOff = new EventEmitter();
 	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
