A control host that has just started does not acknowledge the end of a server it does not know

Seen: a server that deregisters right after the control hosts were restarted gets an acknowledgement, but nothing is recorded.

Cause: the end of an unknown server was acknowledged without a record.

Evidence: departures.test.ts "a control host that has just started does not acknowledge the end ...": red, 200 where 503 is expected.

Change: until a control host has accepted announcements for two and a half intervals it refuses the end of a server that it does not know (503), so that the server asks another host or again. Afterwards no entry host uses such a server, and the end is acknowledged as before.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -106,6 +106,8 @@
 	readonly #timer: NodeJS.Timeout;
 	readonly #startedMs: number;
 	#routeTable: RouteTable | undefined;
+	/** When this host first had a majority, without which it refuses announcements, milliseconds of the monotonic clock. */
+	#acceptingSinceMs: number | undefined;
 	#lastRoleChangeMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(options: ControlHostOptions, {service, registry, listener, isNewSystem}: ControlHostParts) {
@@ -239,12 +241,19 @@
 		return Either.right(undefined);
 	}
 
-	/** Removes a server that stops for good. Refuses without a majority, like `handleAnnouncement`. */
+	/**
+	 * Removes a server that stops for good. Refuses without a majority, like `handleAnnouncement`, and a server that this host may not
+	 * have heard of yet: an end that is not recorded would not outlast a delayed announcement.
+	 */
 	deregister(server: string): Either.Either<Problem, void> {
 		if (!this.#controlService.hasQuorum) {
 			return Either.left(createProblem('noQuorum', undefined, 1));
 		}
 
+		if (!this.#hasHeardAllServers() && !this.registry.findStatus(server)) {
+			return Either.left(createProblem('notStarted', `Server ${server} is not known yet.`, 1));
+		}
+
 		if (this.registry.deregister(server)) {
 			this.#logger.info(`Server ${server} deregistered.`, {server});
 			this.#publisher.notify();
@@ -434,6 +443,12 @@
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceIntervalMs * WARM_INTERVALS;
 	}
 
+	/** Whether this host has accepted announcements long enough to have received one of every live server. */
+	#hasHeardAllServers(): boolean {
+		const {clock, announceIntervalMs} = this.#options;
+		return this.#acceptingSinceMs !== undefined && clock.monotonicMs() - this.#acceptingSinceMs > announceIntervalMs * WARM_INTERVALS;
+	}
+
 	#isStartup(): boolean {
 		const {firstStart, clock} = this.#options;
 		return firstStart && clock.monotonicMs() - this.#startedMs < STARTUP_MS;
@@ -483,6 +498,10 @@
 	}
 
 	#tick(): void {
+		if (this.#controlService.hasQuorum) {
+			this.#acceptingSinceMs ??= this.#options.clock.monotonicMs();
+		}
+
 		const silentServers = this.registry.expire(this.#options.clock.monotonicMs());
 		if (silentServers.length > 0) {
 			this.#logger.warn(`Servers stopped announcing themselves: ${silentServers.join(', ')}.`, {servers: silentServers});
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {waitUntil} from '../dev/fleet.js';
 import {sleep} from '../src/base/clock.js';
 import {startSystem} from './system.js';
 
@@ -29,4 +30,20 @@
 	});
 }
 
+// Guards against an acknowledged end that no host remembers: a late announcement would bring the server back.
+test('a control host that has just started does not acknowledge the end of a server that it does not know', async t => {
+	const system = await startSystem(t, [{id: 'p1', service: 'plain'}]);
+	await system.restartControl();
+	const deregister = async () => (await fetch(`http://${system.control}/-/instances/p1`, {method: 'DELETE'})).status;
+	assert.equal(await deregister(), 503);
+	await system.announceOnly('p1');
+	assert.equal(await deregister(), 200);
+	assert.equal(system.findRegistered('p1')?.gone, true);
+});
+
+test('a control host that has heard all servers acknowledges the end of one that it does not know', async t => {
+	const system = await startSystem(t, []);
+	await waitUntil(async () => (await fetch(`http://${system.control}/-/instances/p1`, {method: 'DELETE'})).status === 200, 'the control host has heard all servers');
+});
+
 type System = Awaited<ReturnType<typeof startSystem>>;
