A stream is continued only by a response that holds its rest

Seen by callers of systems like ours, and here in a test: a stream broke off, and the next server answered with an error under status 200. Its text stood in the middle of the stream, which then ended as complete. The same with an empty response, one that ended inside an event, and the stream from its beginning.

Cause: any response with status 200 was taken for the rest of the stream.

Evidence: takeup.test.ts on the code before: twelve of 28 kinds of responses (ten of them with neither length nor chunks) were forwarded or ended the stream as complete, with a length, chunks or neither; 16 other statuses held.

Change: what continues a stream must be a stream of events with at least one, must end between two events, and its first event must have an ID after the last one. Otherwise the attempt counts as broken off.

--- a/src/serving/events.ts
+++ b/src/serving/events.ts
@@ -15,12 +15,34 @@
 export class EventSplitter {
 	#incomplete: Buffer = Buffer.alloc(0);
 	#lastId: string | undefined;
+	/** ID after which the next event must come; undefined if any event may come. */
+	#previousId: string | undefined;
+	#isOutOfOrder = false;
+	#hasEvents = false;
 
 	/** ID of the last complete event that was returned. */
 	get lastEventId(): string | undefined {
 		return this.#lastId;
 	}
 
+	/** Whether any event has come from the current server. */
+	get hasEvents(): boolean {
+		return this.#hasEvents;
+	}
+
+	/** Whether the current server does not go on after the last event of the server before it. Its events are not returned. */
+	get isOutOfOrder(): boolean {
+		return this.#isOutOfOrder;
+	}
+
+	/** Removes an incomplete event. The events of the next server must go on after the last one that was returned. */
+	startNextServer(): void {
+		this.#incomplete = Buffer.alloc(0);
+		this.#previousId = this.#lastId;
+		this.#isOutOfOrder = false;
+		this.#hasEvents = false;
+	}
+
 	/**
 	 * Appends bytes and returns the events that they complete.
 	 *
@@ -34,6 +56,11 @@
 		const end = findLastBoundary(bytes);
 		this.#incomplete = bytes.subarray(end);
 		const whole = bytes.subarray(0, end);
+		this.#checkOrder(whole);
+		if (this.#isOutOfOrder) {
+			return Buffer.alloc(0);
+		}
+
 		this.#noteIds(whole);
 		return whole;
 	}
@@ -50,6 +77,22 @@
 		return incomplete;
 	}
 
+	/** Checks the first event of a server. Comments, which keep a connection open, are no events. */
+	#checkOrder(whole: Buffer): void {
+		if (this.#hasEvents || whole.length === 0) {
+			return;
+		}
+
+		const first = whole.toString('latin1').split(/\r?\n\r?\n/v).find(block => /^(?:data|event|id):/mv.test(block));
+		if (first === undefined) {
+			return;
+		}
+
+		this.#hasEvents = true;
+		const id = /^id: ?([^\r\n]*)/mv.exec(first)?.[1];
+		this.#isOutOfOrder = this.#previousId !== undefined && !(id !== undefined && isAfter(id, this.#previousId));
+	}
+
 	#noteIds(whole: Buffer): void {
 		if (whole.length === 0) {
 			return;
@@ -70,8 +113,20 @@
  * isUnframedStream(head) && splitter.takeIncomplete().length > 0; // the server broke it off
  * ```
  */
-export function isUnframedStream({status, framing, headers}: ResponseHead): boolean {
-	return status === HTTP_OK && framing === FRAMINGS.open && (headers['content-type'] ?? '').startsWith('text/event-stream');
+export function isUnframedStream(head: ResponseHead): boolean {
+	return head.framing === FRAMINGS.open && isEventStream(head);
+}
+
+/**
+ * Whether a response is a stream of events.
+ *
+ * @example
+ * ```ts
+ * isEventStream(head); // false for an error page with status 200
+ * ```
+ */
+export function isEventStream({status, headers}: ResponseHead): boolean {
+	return status === HTTP_OK && (headers['content-type'] ?? '').startsWith('text/event-stream');
 }
 
 /**
@@ -101,3 +156,9 @@
 
 	return 0;
 }
+
+/** Whether an event ID comes after another one. IDs that are no numbers have no known order, so they only must differ. */
+function isAfter(id: string, previous: string): boolean {
+	const [next, last] = [Number(id), Number(previous)];
+	return Number.isNaN(next) || Number.isNaN(last) ? id !== previous : next > last;
+}
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -15,7 +15,7 @@
 import type {
 	ResponseHead, Prompt, KvCacheHandle,
 } from './protocol.js';
-import {EventSplitter, isUnframedStream} from './events.js';
+import {EventSplitter, isEventStream, isUnframedStream} from './events.js';
 import type {PlacementResult} from './placement.js';
 import {sendPrefill} from './prefill.js';
 import {releaseKvCache} from './release.js';
@@ -327,13 +327,20 @@
 		(logFields.software ??= []).push(server.software ?? '');
 		const kvCache = this.#kvCache;
 		this.#kvCache = undefined;
-		this.#splitter?.takeIncomplete();
+		this.#splitter?.startNextServer();
+		const isContinued = caller.hasStartedResponse;
 		const lastEventId = this.#splitter?.lastEventId ?? this.#call.head.lastEventId;
 		return new Promise(resolve => {
 			let head: ResponseHead | undefined;
 			caller.onEnd(() => {
 				resolve({type: 'broken', hasResponded: false});
 			});
+			const breakOff = (reason: string) => {
+				this.#exchange?.cancel();
+				recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error(reason)});
+				resolve({type: 'broken', hasResponded: true});
+			};
+
 			this.#exchange = sendAttempt(context, this.#call, {
 				server,
 				phase: kvCache ? 'decode' : 'full',
@@ -375,9 +382,8 @@
 
 					if (!caller.hasStartedResponse) {
 						caller.startResponse(status, context.protocol.buildResponseHeaders(headers), head.framing);
-					} else if (status !== HTTP_OK) {
-						this.#exchange?.cancel();
-						resolve({type: 'broken', hasResponded: true});
+					} else if (!isEventStream(head)) {
+						breakOff(`The response has status ${status} and type ${headers['content-type'] ?? 'none'}, so it does not continue the stream.`);
 					}
 				},
 				onData: chunk => {
@@ -385,6 +391,11 @@
 						this.#forward(chunk, server, head.status === HTTP_OK);
 					}
 
+					if (this.#splitter?.isOutOfOrder) {
+						breakOff('The response does not go on after the last event of the stream.');
+						return;
+					}
+
 					if ((this.#splitter?.incompleteBytes ?? 0) > MAX_EVENT_BYTES) {
 						this.#exchange?.cancel();
 						recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error(`An event exceeds ${MAX_EVENT_BYTES} bytes.`)});
@@ -400,9 +411,13 @@
 
 					const incompleteEvent = this.#splitter?.takeIncomplete();
 					const hasIncompleteEvent = incompleteEvent !== undefined && incompleteEvent.length > 0;
-					if (hasIncompleteEvent && isUnframedStream(head)) {
-						recordAttemptFailure(context, this.#call, server, {failure: 'broken', error: new Error('The connection ended inside an event.')});
-						resolve({type: 'broken', hasResponded: true});
+					if (hasIncompleteEvent && (isContinued || isUnframedStream(head))) {
+						breakOff('The response ended inside an event.');
+						return;
+					}
+
+					if (isContinued && this.#splitter?.hasEvents === false) {
+						breakOff('The response has no events, so it does not continue the stream.');
 						return;
 					}
 
