A control host that was out of step infers no software version for a minute

Reported by operators of systems like ours, not seen here: after one host was cut off or stood still during a release, streams went on at another version.

Cause: a control host infers the version of a stream that nobody remembers from the servers it has seen for a minute, counted from its start. Time in which it could hear nobody counted as well: behind a cut, until the feeds of the others are back, and while its machine is suspended, which the monotonic clock does not show.

Change: the minute starts anew after over a second without a majority or standing still, checked on every tick and before each placement.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -10,6 +10,7 @@
 import type {Clock} from '../base/clock.js';
 import type {Logger, LoggerFactory} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
+import {StandstillDetector} from '../base/standstill.js';
 import type {Random} from '../base/random.js';
 import {hasIdentity} from '../consensus/storage.js';
 import {ControlClient} from '../control/client.js';
@@ -76,6 +77,11 @@
 /** Duration of the startup phase of a system that starts for the first time, in milliseconds. Callers arrive later. */
 const STARTUP_MS = 10_000;
 
+/**
+ * A control host that stood still, or was without a majority, for this long may have missed servers, milliseconds. Servers announce
+ * themselves about once a second, and the feeds of other control hosts end without a heartbeat for as long.
+ */
+const MAX_DEAFNESS_MS = 1000;
 /** Number of servers in a log line. */
 const LOGGED_SERVERS = 10;
 
@@ -105,6 +111,9 @@
 	readonly #rolePlanner = new RolePlanner();
 	readonly #timer: NodeJS.Timeout;
 	readonly #startedMs: number;
+	readonly #standstill: StandstillDetector;
+	/** When this host last had a majority, milliseconds of the monotonic clock. */
+	#lastQuorumMs: number;
 	#routeTable: RouteTable | undefined;
 	/** When this host first had a majority, without which it refuses announcements, milliseconds of the monotonic clock. */
 	#acceptingSinceMs: number | undefined;
@@ -117,6 +126,8 @@
 		this.registry = registry;
 		this.#listener = listener;
 		this.#startedMs = options.clock.monotonicMs();
+		this.#lastQuorumMs = this.#startedMs;
+		this.#standstill = new StandstillDetector(options.clock, MAX_DEAFNESS_MS);
 		// Servers that left before this host started may have begun streams, unless there was no system yet.
 		this.#scheduler = new Scheduler({limiter: this.#limiter, versionsKnownSinceMs: isNewSystem ? Number.NEGATIVE_INFINITY : this.#startedMs});
 		const {clock, host, dataCentre, seeds} = options;
@@ -349,6 +360,7 @@
 
 			case 'offer': {
 				const {bodyBytes = 0, connected = []} = message;
+				this.#noteDeafness();
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
 				this.#options.metrics.placementDecisions.inc({decision: decision.type});
 				connection.send(decision);
@@ -443,6 +455,20 @@
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceIntervalMs * WARM_INTERVALS;
 	}
 
+	/** Notes that servers may have come and begun streams unseen while this host stood still or was cut off from the other control hosts. */
+	#noteDeafness(): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		const isDeaf = nowMs - this.#lastQuorumMs > MAX_DEAFNESS_MS && this.#acceptingSinceMs !== undefined;
+		if (this.#standstill.hasStoodStill() || isDeaf) {
+			this.#scheduler.limitVersionKnowledge(nowMs);
+		}
+
+		if (this.#controlService.hasQuorum) {
+			this.#lastQuorumMs = nowMs;
+			this.#acceptingSinceMs ??= nowMs;
+		}
+	}
+
 	/** Whether this host has accepted announcements long enough to have received one of every live server. */
 	#hasHeardAllServers(): boolean {
 		const {clock, announceIntervalMs} = this.#options;
@@ -498,9 +524,7 @@
 	}
 
 	#tick(): void {
-		if (this.#controlService.hasQuorum) {
-			this.#acceptingSinceMs ??= this.#options.clock.monotonicMs();
-		}
+		this.#noteDeafness();
 
 		const silentServers = this.registry.expire(this.#options.clock.monotonicMs());
 		if (silentServers.length > 0) {
--- a/test/replacement.test.ts
+++ b/test/replacement.test.ts
@@ -14,11 +14,14 @@
 import {createRandom} from '../src/base/random.js';
 import {createControlMetrics} from '../src/control/metrics.js';
 import {ControlHost} from '../src/daemon/controlhost.js';
-import type {Address} from '../src/wire/connection.js';
+import type {Message} from '../src/generated/types.js';
+import type {Address, Connection} from '../src/wire/connection.js';
+import {createRequest} from './pool.js';
 
 const VOTERS = 5;
 /** The platform counts on a successor after this time, as on the users' sites. */
 const CATCH_UP_MS = 4000;
+const ANNOUNCE_MS = 1200;
 
 // Guards against an acknowledged configuration that is lost with two disks after a control host was replaced: until the
 // successor votes, the lost voter still counts, and two more losses leave no majority.
@@ -57,6 +60,36 @@
 	await waitUntil(async () => core.listVoters(replaced).includes(core.addresses[VOTERS]!.address), 'the host that has come back knows who votes');
 });
 
+// Guards against streams that are joined from two versions: a version may have come and begun them behind the cut.
+test('a control host that was without a majority does not take the only version that it knows for the one that began a stream', async t => {
+	const core = await startCore(t);
+	const [witness, ...others] = [0, 1, 2, 3] as const;
+	const host = core.getHost(witness);
+	const isOriginUnknown = () => {
+		const replies: Message[] = [];
+		const connection = {send: (message: Message) => replies.push(message)} as unknown as Connection;
+		host.receive({...createRequest('next', 100, {resumption: {}}), type: 'offer'} as Message, connection);
+		return replies.some(reply => reply.type === 'rejection' && reply.isOriginUnknown === true);
+	};
+
+	assert.ok(Either.isRight(host.handleAnnouncement({
+		server: 'e1', kind: 'engine', services: ['llm'], software: 'v1', address: '10.0.0.1', port: 80, incarnation: 1, sequence: 1,
+	})));
+	assert.equal(isOriginUnknown(), false);
+	for (const index of others) {
+		await core.stop(index);
+	}
+
+	await waitUntil(async () => !host.hasQuorum, 'the majority is lost');
+	await sleep(1500);
+	for (const index of others) {
+		await core.start(index);
+	}
+
+	await waitUntil(async () => host.hasQuorum, 'the majority is back');
+	assert.equal(isOriginUnknown(), true);
+});
+
 /** Starts control hosts in this process and waits until all are members. */
 async function startCore(t: TestContext) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'core-'));
@@ -85,7 +118,7 @@
 			protocol: new PlatformProtocol(),
 			createOrderTransport: findServer => new PlatformOrderTransport(`c${index}`, clock, findServer),
 			leaseMs: 500,
-			announceIntervalMs: 400,
+			announceIntervalMs: ANNOUNCE_MS,
 			catchUpMs: CATCH_UP_MS,
 		});
 		assert.ok(Either.isRight(host));
@@ -119,6 +152,6 @@
 	};
 
 	return {
-		addresses, start, stop, listVoters, findLeader,
+		addresses, start, stop, listVoters, findLeader, getHost: (index: number) => hosts.get(index)!,
 	};
 }
--- a/test/system.ts
+++ b/test/system.ts
@@ -14,7 +14,7 @@
 import {PlatformProtocol} from '../platform/protocol.js';
 import {createControlHandler, startHttpServer, type EndpointServer} from '../platform/endpoints.js';
 import {PlatformOrderTransport} from '../platform/orders.js';
-import {createClock} from '../src/base/clock.js';
+import {createClock, type Clock} from '../src/base/clock.js';
 import {createSilentLoggers, type LogFields, type LoggerFactory} from '../src/base/logger.js';
 import {createRandom} from '../src/base/random.js';
 import {createControlMetrics} from '../src/control/metrics.js';
@@ -55,6 +55,7 @@
 	/** How the entry hosts connect to servers, by the order in which they start. */
 	readonly connectServers?: readonly ServerConnector[];
 	readonly findPort?: () => Promise<number>;
+	readonly clock?: Clock;
 };
 
 type TestContext = {
@@ -65,7 +66,7 @@
  * Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. After the test,
  * everything that was started is stopped, also if the start failed.
  */
-export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, routeTimeoutMs, graceMs = 1000, connectServers = [], findPort = findOwnPort}: SystemOptions = {}) {
+export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, routeTimeoutMs, graceMs = 1000, connectServers = [], findPort = findOwnPort, clock = createClock()}: SystemOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
 	const cleanups: Array<() => Promise<void> | void> = [async () => rm(folder, {recursive: true, force: true})];
 	t.after(async () => {
@@ -73,7 +74,6 @@
 			await cleanUp();
 		}
 	});
-	const clock = createClock();
 	const loggers = createSilentLoggers();
 	const entryLog = createRecordingLoggers();
 	const dialect = new PlatformProtocol();
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -4,7 +4,7 @@
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
 import {decodeAnnouncement} from '../platform/announcement.js';
-import {sleep} from '../src/base/clock.js';
+import {createClock, sleep} from '../src/base/clock.js';
 import type {Message} from '../src/generated/types.js';
 import {connect, type Address} from '../src/wire/connection.js';
 import {createRequest} from './pool.js';
@@ -212,6 +212,24 @@
 	assert.ok(decisions.every(decision => decision.type === 'rejection' && decision.isOriginUnknown === true), JSON.stringify(decisions));
 });
 
+// Guards against streams that are joined from two versions: a version may have come and begun them while the control host stood still.
+test('a control host whose machine was suspended does not take the only version that it knows for the one that began a stream', async t => {
+	let suspendedMs = 0;
+	const {monotonicMs, wallMs} = createClock();
+	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')], {clock: {monotonicMs, wallMs: () => wallMs() + suspendedMs}});
+	for (const request of RESUMPTIONS) {
+		assert.equal((await stream(system.callers, 'a', request)).status, 200);
+	}
+
+	// The monotonic clock does not count the time of a suspension.
+	suspendedMs = 4000;
+	for (const request of RESUMPTIONS) {
+		// The host remembers the streams that it has taken up.
+		const {status, servers} = await stream(system.callers, 'b', request.resumes === undefined ? request : {...request, resumes: 'another'});
+		assert.deepEqual({status, servers}, {status: 503, servers: []}, JSON.stringify(request));
+	}
+});
+
 test('a host that has just started takes up streams of unknown origin while the control host has known one software version only', async t => {
 	const system = await startSystem(t, [createEngine('e1', 'v1'), createPlainServer('p1', 'v1')]);
 	await system.addEntry();
