--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -258,17 +258,7 @@
 });
 
 test('a voter is replaced through a learner and a joint configuration', () => {
-	const cluster = new Cluster(THREE, ['a', 'b', 'c', 'd']);
-	// The fourth replica starts without a configuration.
-	cluster.replicas.set('d', new Replica({
-		replica: 'd', hard: EMPTY_PERSISTENT_STATE.hard, snapshot: EMPTY_SNAPSHOT, entries: [], nowMs: 0, random: createRandom(4),
-	}));
-	cluster.advance(3000);
-	const leader = cluster.leader!;
-	const removed = THREE.voters.find(member => member.replica !== leader.id)!;
-	cluster.step(leader.id, {type: 'propose-configuration', configuration: {...THREE, learners: [d]}});
-	cluster.advance(500);
-	const voters = [...THREE.voters.filter(member => member !== removed), d];
+	const {cluster, leader, voters} = startReplacement();
 	cluster.step(leader.id, {type: 'propose-configuration', configuration: {voters, outgoing: THREE.voters, learners: []}});
 	cluster.advance(500);
 	assert.deepEqual(leader.configuration, {voters, outgoing: [], learners: []});
@@ -277,6 +267,18 @@
 
 // Guards against a joint configuration that stands for good, so that no other replica can be replaced any more.
 test('a joint configuration is left when its new voter is lost before it has replicated it', () => {
+	const {cluster, leader, voters} = startReplacement();
+	cluster.disconnected.add('d');
+	cluster.step(leader.id, {type: 'propose-configuration', configuration: {voters, outgoing: THREE.voters, learners: []}});
+	cluster.advance(leader.timing.electionMs);
+	assert.deepEqual(leader.configuration.outgoing, THREE.voters);
+	cluster.advance(leader.timing.electionMs * 2);
+	assert.deepEqual(leader.configuration, {voters, outgoing: [], learners: []});
+	assert.ok(leader.isConfigurationCommitted);
+});
+
+/** Lets a fourth replica, which starts without a configuration, catch up as a learner; returns the voters with it in place of another one. */
+function startReplacement() {
 	const cluster = new Cluster(THREE, ['a', 'b', 'c', 'd']);
 	cluster.replicas.set('d', new Replica({
 		replica: 'd', hard: EMPTY_PERSISTENT_STATE.hard, snapshot: EMPTY_SNAPSHOT, entries: [], nowMs: 0, random: createRandom(4),
@@ -286,15 +288,8 @@
 	const removed = THREE.voters.find(member => member.replica !== leader.id)!;
 	cluster.step(leader.id, {type: 'propose-configuration', configuration: {...THREE, learners: [d]}});
 	cluster.advance(500);
-	cluster.disconnected.add('d');
-	const voters = [...THREE.voters.filter(member => member !== removed), d];
-	cluster.step(leader.id, {type: 'propose-configuration', configuration: {voters, outgoing: THREE.voters, learners: []}});
-	cluster.advance(leader.timing.electionMs);
-	assert.deepEqual(leader.configuration.outgoing, THREE.voters);
-	cluster.advance(leader.timing.electionMs * 2);
-	assert.deepEqual(leader.configuration, {voters, outgoing: [], learners: []});
-	assert.ok(leader.isConfigurationCommitted);
-});
+	return {cluster, leader, voters: [...THREE.voters.filter(member => member !== removed), d]};
+}
 
 function createMember(replica: string): Member {
 	return {
