--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -81,7 +81,7 @@
  * A control host that stood still, or was without a majority, for this long may have missed servers, milliseconds. Servers announce
  * themselves about once a second, and the feeds of other control hosts end without a heartbeat for as long.
  */
-const MAX_DEAFNESS_MS = 1000;
+const MAX_OUT_OF_CONTACT_MS = 1000;
 /** Number of servers in a log line. */
 const LOGGED_SERVERS = 10;
 
@@ -127,7 +127,7 @@
 		this.#listener = listener;
 		this.#startedMs = options.clock.monotonicMs();
 		this.#lastQuorumMs = this.#startedMs;
-		this.#standstill = new StandstillDetector(options.clock, MAX_DEAFNESS_MS);
+		this.#standstill = new StandstillDetector(options.clock, MAX_OUT_OF_CONTACT_MS);
 		// Servers that left before this host started may have begun streams, unless there was no system yet.
 		this.#scheduler = new Scheduler({limiter: this.#limiter, versionsKnownSinceMs: isNewSystem ? Number.NEGATIVE_INFINITY : this.#startedMs});
 		const {clock, host, dataCentre, seeds} = options;
@@ -360,7 +360,7 @@
 
 			case 'offer': {
 				const {bodyBytes = 0, connected = []} = message;
-				this.#noteDeafness();
+				this.#limitVersionInference();
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
 				this.#options.metrics.placementDecisions.inc({decision: decision.type});
 				connection.send(decision);
@@ -455,11 +455,11 @@
 		return this.#options.clock.monotonicMs() - this.#startedMs > this.#options.announceIntervalMs * WARM_INTERVALS;
 	}
 
-	/** Notes that servers may have come and begun streams unseen while this host stood still or was cut off from the other control hosts. */
-	#noteDeafness(): void {
+	/** Infers no software version for a minute if servers may have come and begun streams unseen, while this host stood still or was cut off from the other control hosts. */
+	#limitVersionInference(): void {
 		const nowMs = this.#options.clock.monotonicMs();
-		const isDeaf = nowMs - this.#lastQuorumMs > MAX_DEAFNESS_MS && this.#acceptingSinceMs !== undefined;
-		if (this.#standstill.hasStoodStill() || isDeaf) {
+		const isOutOfContact = nowMs - this.#lastQuorumMs > MAX_OUT_OF_CONTACT_MS && this.#acceptingSinceMs !== undefined;
+		if (this.#standstill.hasStoodStill() || isOutOfContact) {
 			this.#scheduler.limitVersionKnowledge(nowMs);
 		}
 
@@ -524,7 +524,7 @@
 	}
 
 	#tick(): void {
-		this.#noteDeafness();
+		this.#limitVersionInference();
 
 		const silentServers = this.registry.expire(this.#options.clock.monotonicMs());
 		if (silentServers.length > 0) {
