Encoded and decoded bytes take only their own memory

Change: encodeCbor copies its result, and the decoder copies byte strings. Test: frame.test.ts, 'bytes that are encoded or decoded take only their own memory': red before, green after.

--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -13,10 +13,12 @@
 export const LENGTH_PREFIX_BYTES = 4;
 export const MAX_FRAME_BYTES = 256 * 1024 * 1024;
 
-const codec = new Encoder({useRecords: false, tagUint8Array: false});
+// Decoded bytes are copied: a view of the received bytes would keep all of them in memory.
+const codec = new Encoder({useRecords: false, tagUint8Array: false, copyBuffers: true});
 
 /**
- * Encodes any value as CBOR.
+ * Encodes any value as CBOR. The result has memory of its own and may be kept: the encoder returns a view of a buffer that it shares
+ * between many values.
  *
  * @example
  * ```ts
@@ -24,7 +26,7 @@
  * ```
  */
 export function encodeCbor(value: unknown): Uint8Array {
-	return codec.encode(value);
+	return new Uint8Array(codec.encode(value));
 }
 
 /**
--- a/test/frame.test.ts
+++ b/test/frame.test.ts
@@ -3,8 +3,11 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import * as Either from 'fp-ts/lib/Either.js';
-import type {Announcement, Message} from '../src/generated/types.js';
-import {encodeFrame, FrameDecoder, LENGTH_PREFIX_BYTES} from '../src/wire/frame.js';
+import type {Problem} from '../src/base/problem.js';
+import type {Announcement, CommandEntry, Message} from '../src/generated/types.js';
+import {
+	decodeCbor, encodeCbor, encodeFrame, FrameDecoder, LENGTH_PREFIX_BYTES,
+} from '../src/wire/frame.js';
 
 const SOUND: Announcement = {
 	server: 's1', kind: 'plain', address: '10.0.0.1', port: 80, incarnation: 10, sequence: 1, services: ['a'], leaving: false,
@@ -13,6 +16,25 @@
 	{...SOUND, server: 'a\nb'}, {...SOUND, address: '999.1.1.1'}, {...SOUND, port: 70_000}, {...SOUND, sequence: Number.POSITIVE_INFINITY}, {...SOUND, incarnation: 2 ** 64}, {...SOUND, services: ['x'.repeat(2_000_000)]}, {...SOUND, unknown: nest(500)}, null, 5, [],
 ];
 
+// Guards against logs whose entries keep the encoder's buffer, or the message that brought them, in memory: several times their size.
+test('bytes that are encoded or decoded take only their own memory', () => {
+	const entries = [0, 1].map(index => ({
+		type: 'command' as const, index: index + 1, term: 1, data: encodeCbor({body: 'x'.repeat(1000 + (100_000 * index))}),
+	}));
+	const message: Message = {
+		type: 'consensus', from: 'a', to: 'b', body: {
+			type: 'append-request', term: 1, round: 1, previousIndex: 0, previousTerm: 0, commitIndex: 0, entries,
+		},
+	};
+	const [received] = Either.getOrElse<Problem, Message[]>(() => [])(new FrameDecoder().push(encodeFrame(message)));
+	assert.ok(received?.type === 'consensus' && received.body.type === 'append-request');
+	const decoded = received.body.entries as CommandEntry[];
+	assert.deepEqual(decoded.map(({data}) => decodeCbor(data)), entries.map(({data}) => decodeCbor(data)));
+	for (const {data} of [...entries, ...decoded]) {
+		assert.equal(data.buffer.byteLength, data.byteLength);
+	}
+});
+
 // A host of another version may accept an entry that this one does not. Without the others, this host would follow no list.
 test('a feed with statuses that cannot be read keeps the others', () => {
 	const createFeed = (announcements: readonly unknown[]) => ({
