The replicated log, its messages and its queues are bounded in bytes

Cause: the log was compacted after 2,000 entries of any size, 512 entries of any size went into one message, entries were sent ahead of replies without a bound and once more for each later request that the peer rejected, and proposals waited for a disk without one. Change: createReplicationLimits derives the bounds of the log, of an append request, of the entries that a peer has not acknowledged and of what waits to be committed or synced from the memory and the disk of the machine (new settings resources.memoryMb and resources.diskMb of control hosts). A leader whose disk does not keep up refuses proposals as not run (code 5009, logBusy), and clients try again. A rejected append request sends the entries again once: the round tells the replies to them apart. The metrics carawayhoist_log_bytes and carawayhoist_log_unsynced_bytes show the sizes. The fuzzer draws small bounds in half of its runs.

--- a/dev/fuzz/control.ts
+++ b/dev/fuzz/control.ts
@@ -5,6 +5,7 @@
  */
 import * as Either from 'fp-ts/lib/Either.js';
 import {createRandom} from '../../src/base/random.js';
+import type {ReplicationLimits} from '../../src/consensus/limits.js';
 import {Replica, type ReplicaEffect, type LogRecord} from '../../src/consensus/replica.js';
 import {applyRecords, EMPTY_PERSISTENT_STATE, type PersistentState} from '../../src/consensus/storage.js';
 import {
@@ -32,6 +33,7 @@
 	readonly controls: Map<string, ControlProcess>;
 	readonly engines: Map<string, EngineProcess>;
 	readonly maxEntriesPerAppend: number;
+	readonly appendLimits: Pick<ReplicationLimits, 'appendBytes' | 'unacknowledgedBytes'>;
 	readonly timing: ControllerTiming;
 	/** Called when a replica's commit index rises. */
 	readonly onCommit?: (control: ControlProcess) => void;
@@ -196,6 +198,7 @@
 			random: createRandom(Math.floor(simulator.random() * 1e9)),
 			safeguards: createConsensusSafeguards(mutation),
 			maxEntriesPerAppend: this.#context.maxEntriesPerAppend,
+			limits: this.#context.appendLimits,
 		});
 		const tick = () => {
 			this.#tick();
--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -7,6 +7,7 @@
 import {
 	createRandom, pick, shuffle, type Random,
 } from '../../src/base/random.js';
+import {DEFAULT_REPLICATION_LIMITS} from '../../src/consensus/limits.js';
 import {DEFAULT_CONTROLLER_TIMING, type ControllerTiming} from '../../src/control/controller.js';
 import type {
 	Configuration, Member, CommandOutcome, Specification,
@@ -33,6 +34,8 @@
 const SHORT_TIMING: ControllerTiming = {
 	...DEFAULT_CONTROLLER_TIMING, orderTransitMs: 200, orderRetryMs: 200, claimGraceMs: 1000,
 };
+/** A few entries at a time, so that requests are split and replies awaited. */
+const SMALL_APPEND_LIMITS = {appendBytes: 1500, unacknowledgedBytes: 3000};
 const FAULT_PHASE_MS = 12_000;
 const RECOVERY_MS = 19_000;
 const MAX_PAUSE_MS = 9000;
@@ -63,6 +66,7 @@
 	readonly degradationWeight: number;
 	readonly transferWeight: number;
 	readonly entriesPerAppend: number;
+	readonly appendLimits: ControlContext['appendLimits'];
 	/** Probability that a new leader is killed right after its election. */
 	readonly leaderKillProbability: number;
 	/** Probability that a new leader can reach at most half of the others from its election on. */
@@ -107,7 +111,7 @@
 		const configuration = createConfiguration(this.#profile.controlCount);
 		this.#checker = new InvariantChecker(configuration, mutation);
 		const context = {
-			simulator: this.#simulator, checker: this.#checker, mutation, controls: this.#controls, engines: this.#engines, plainServers: this.#plainServers, maxEntriesPerAppend: this.#profile.entriesPerAppend, timing: this.#profile.timing, onLeader: (control: ControlProcess) => {
+			simulator: this.#simulator, checker: this.#checker, mutation, controls: this.#controls, engines: this.#engines, plainServers: this.#plainServers, maxEntriesPerAppend: this.#profile.entriesPerAppend, appendLimits: this.#profile.appendLimits, timing: this.#profile.timing, onLeader: (control: ControlProcess) => {
 				this.#onLeader(control);
 			},
 			onCommit: (control: ControlProcess) => {
@@ -174,6 +178,7 @@
 			orderPauseProbability: isOrderRun ? 0.3 : 0,
 			// Has a random source of its own, so that the schedules of the other runs do not depend on it.
 			replacesReplicas: createRandom(this.#seed * 31)() < 0.3,
+			appendLimits: createRandom(this.#seed * 37)() < 0.5 ? SMALL_APPEND_LIMITS : DEFAULT_REPLICATION_LIMITS,
 			timing: this.#random() < 0.5 && !isOrderRun ? DEFAULT_CONTROLLER_TIMING : SHORT_TIMING,
 			entriesPerAppend: isElectionRun ? 1 : (this.#random() < 0.5 ? 1 + draw(3) : 512),
 			degradedMaxDelayMs: this.#random() < 0.3 ? 1500 : 250,
--- a/src/consensus/log.ts
+++ b/src/consensus/log.ts
@@ -5,14 +5,31 @@
  */
 import type {Configuration, Entry, Snapshot} from '../generated/types.js';
 
+/** Approximate memory of an entry besides the bytes of its command. */
+const ENTRY_OVERHEAD_BYTES = 200;
+
+/**
+ * Returns the approximate memory that an entry takes, in bytes.
+ *
+ * @example
+ * ```ts
+ * getEntryBytes({type: 'command', index: 1, term: 1, data: new Uint8Array(800)}); // 1000
+ * ```
+ */
+export function getEntryBytes(entry: Entry): number {
+	return ENTRY_OVERHEAD_BYTES + (entry.type === 'command' ? entry.data.length : 0);
+}
+
 /** Holds the latest snapshot and the entries that follow it. */
 export class Log {
 	#snapshot: Snapshot;
 	#entries: Entry[];
+	#bytes: number;
 
 	constructor(snapshot: Snapshot, entries: readonly Entry[]) {
 		this.#snapshot = snapshot;
 		this.#entries = [...entries];
+		this.#bytes = sumBytes(entries);
 	}
 
 	get snapshot(): Snapshot {
@@ -31,6 +48,11 @@
 		return this.#entries.length;
 	}
 
+	/** Approximate memory of the entries, bytes. */
+	get bytes(): number {
+		return this.#bytes;
+	}
+
 	/** Returns the term of an entry, or undefined if the index is compacted or beyond the end of the log. */
 	getTerm(index: number): number | undefined {
 		if (index === this.#snapshot.index) {
@@ -44,22 +66,41 @@
 		return index > this.#snapshot.index ? this.#entries[index - this.#snapshot.index - 1] : undefined;
 	}
 
-	/** Returns the entries from one index to another, both inclusive, at most `limit` of them. */
-	slice(from: number, to: number, limit = Number.POSITIVE_INFINITY): Entry[] {
-		const start = from - this.#snapshot.index - 1;
-		const end = Math.min(to - this.#snapshot.index, start + limit);
-		return this.#entries.slice(Math.max(0, start), Math.max(0, end));
+	/** Returns the entries from one index to another, both inclusive. */
+	slice(from: number, to: number): Entry[] {
+		const offset = this.#snapshot.index;
+		return this.#entries.slice(Math.max(0, from - offset - 1), Math.max(0, to - offset));
+	}
+
+	/** Returns entries from an index on: at most `maxEntries`, and at most `maxBytes` of them unless the first one alone is larger. */
+	takeBatch(from: number, maxEntries: number, maxBytes: number): Entry[] {
+		const batch: Entry[] = [];
+		let bytes = 0;
+		for (let index = from; index <= this.lastIndex && batch.length < maxEntries; index++) {
+			const entry = this.getEntry(index)!;
+			bytes += getEntryBytes(entry);
+			if (batch.length > 0 && bytes > maxBytes) {
+				break;
+			}
+
+			batch.push(entry);
+		}
+
+		return batch;
 	}
 
 	append(entries: readonly Entry[]): void {
 		for (const entry of entries) {
 			this.#entries.push(entry);
 		}
+
+		this.#bytes += sumBytes(entries);
 	}
 
 	/** Removes the entry at an index and all entries after it. */
 	truncate(from: number): void {
-		this.#entries.length = Math.max(0, from - this.#snapshot.index - 1);
+		const removed = this.#entries.splice(Math.max(0, from - this.#snapshot.index - 1));
+		this.#bytes -= sumBytes(removed);
 	}
 
 	/**
@@ -69,6 +110,7 @@
 	compact(snapshot: Snapshot): void {
 		const matches = this.getTerm(snapshot.index) === snapshot.term;
 		this.#entries = matches ? this.slice(snapshot.index + 1, this.lastIndex) : [];
+		this.#bytes = sumBytes(this.#entries);
 		this.#snapshot = snapshot;
 	}
 
@@ -84,3 +126,7 @@
 		return {index: this.#snapshot.index, configuration: this.#snapshot.configuration};
 	}
 }
+
+function sumBytes(entries: readonly Entry[]): number {
+	return entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0);
+}
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -12,6 +12,8 @@
 	CommandEntry, Configuration, ConsensusMessage, ConsensusBody, Entry, Member,
 } from '../generated/types.js';
 import {ConnectionPool, type Connection} from '../wire/connection.js';
+import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
+import {getEntryBytes} from './log.js';
 import {
 	Replica, type ReplicaEffect, type ReplicaEvent, type LogRecord, type ReplicaRole, type ReplicaTiming,
 } from './replica.js';
@@ -50,6 +52,7 @@
 	readonly logger: Logger;
 	readonly timing?: ReplicaTiming;
 	readonly compactAfterEntries?: number;
+	readonly limits?: ReplicationLimits;
 	/** Whether waiting proposals are appended in one write (the default). The benchmark's baseline writes each on its own. */
 	readonly batchProposals?: boolean;
 	readonly onLeadershipChange: (leadership: Leadership) => void;
@@ -73,6 +76,7 @@
 /** A running replica. The caller must close it. */
 export class ConsensusNode {
 	readonly #options: NodeOptions;
+	readonly #limits: ReplicationLimits;
 	readonly #replica: Replica;
 	readonly #connectionPool: ConnectionPool;
 	readonly #inboundConnections = new Map<string, Connection>();
@@ -81,13 +85,20 @@
 	readonly #pendingProposals = new Map<number, PendingProposal>();
 	readonly #pendingReads = new Map<number, (result: Either.Either<Problem, number>) => void>();
 	readonly #timer: NodeJS.Timeout;
+	/** Sizes of the writes that are not synced, by sequence number. */
+	readonly #unsyncedWrites = new Map<number, number>();
+	#unsyncedBytes = 0;
+	/** Approximate memory of the entries that were applied since the last snapshot, bytes. */
+	#appliedBytes = 0;
 	#proposalQueue: QueuedProposal[] = [];
+	#queuedBytes = 0;
 	#nextReadId = 1;
 	#appliedIndex: number;
 	#isClosed = false;
 
 	constructor(options: NodeOptions) {
 		this.#options = options;
+		this.#limits = options.limits ?? DEFAULT_REPLICATION_LIMITS;
 		const {persistentState, stateMachine} = options;
 		this.#replica = new Replica({
 			replica: options.replica,
@@ -97,6 +108,7 @@
 			nowMs: options.clock.monotonicMs(),
 			random: options.random,
 			timing: options.timing,
+			limits: this.#limits,
 		});
 		this.#appliedIndex = persistentState.snapshot.index;
 		if (persistentState.snapshot.data.length > 0) {
@@ -121,6 +133,11 @@
 		return this.#appliedIndex;
 	}
 
+	/** Size of the records that are not synced to disk yet, bytes. */
+	get unsyncedBytes(): number {
+		return this.#unsyncedBytes;
+	}
+
 	/** Returns the current leader, or undefined if it is not known. */
 	findLeader(): Member | undefined {
 		const {configuration, leader} = this.#replica;
@@ -144,11 +161,21 @@
 
 	/** Reports that a write, and all writes before it, are synced to disk. */
 	markSynced(sequence: number): void {
+		for (const [write, bytes] of this.#unsyncedWrites) {
+			if (write > sequence) {
+				break;
+			}
+
+			this.#unsyncedWrites.delete(write);
+			this.#unsyncedBytes -= bytes;
+		}
+
 		this.#step({type: 'synced', sequence});
 	}
 
 	/**
-	 * Proposes a command and waits until it is committed and applied.
+	 * Proposes a command and waits until it is committed and applied. Fails with `logBusy` while too much waits to be committed or
+	 * written to disk.
 	 *
 	 * @example
 	 * ```ts
@@ -160,6 +187,10 @@
 			return Either.left(createProblem('notLeader'));
 		}
 
+		if (this.#isBusy()) {
+			return Either.left(createProblem('logBusy'));
+		}
+
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
 				resolve(Either.left(createProblem('proposalUnknown')));
@@ -176,6 +207,7 @@
 			}
 
 			this.#proposalQueue.push({data, settle});
+			this.#queuedBytes += data.length;
 		});
 	}
 
@@ -218,9 +250,16 @@
 		await this.#options.storage.close();
 	}
 
+	/** Whether proposals must wait until more is committed and synced. */
+	#isBusy(): boolean {
+		const uncommittedBytes = this.#replica.logBytes - this.#appliedBytes;
+		return Math.max(uncommittedBytes + this.#queuedBytes, this.#unsyncedBytes) > this.#limits.pendingBytes;
+	}
+
 	#flushProposals(): void {
 		const queue = this.#proposalQueue;
 		this.#proposalQueue = [];
+		this.#queuedBytes = 0;
 		const firstIndex = this.#replica.lastIndex + 1;
 		if (this.#replica.role !== 'leader' || this.#isClosed) {
 			for (const {settle} of queue) {
@@ -279,6 +318,7 @@
 			case 'restore': {
 				this.#options.stateMachine.restore(effect.snapshot.data);
 				this.#appliedIndex = effect.snapshot.index;
+				this.#appliedBytes = 0;
 				this.#options.onApplied();
 				break;
 			}
@@ -301,6 +341,9 @@
 	}
 
 	#write(sequence: number, records: readonly LogRecord[]): void {
+		const bytes = records.reduce((sum, record) => sum + getRecordBytes(record), 0);
+		this.#unsyncedWrites.set(sequence, bytes);
+		this.#unsyncedBytes += bytes;
 		this.#options.storage.write(sequence, records);
 	}
 
@@ -315,7 +358,10 @@
 		}
 
 		this.#resetIfUnresponsive(to);
-		this.#connectionPool.send(to, message);
+		// A message that is dropped is like one that was lost: the replica sends its entries again.
+		if (this.#connectionPool.getBufferedBytes(to) <= this.#limits.unacknowledgedBytes) {
+			this.#connectionPool.send(to, message);
+		}
 	}
 
 	/** Replaces a connection without replies for an election timeout: it may be dead without having been closed. */
@@ -338,6 +384,7 @@
 			}
 
 			this.#appliedIndex = entry.index;
+			this.#appliedBytes += getEntryBytes(entry);
 			this.#settleProposal(entry, outcome);
 		}
 
@@ -366,9 +413,26 @@
 	}
 
 	#compactIfNeeded(): void {
-		const limit = this.#options.compactAfterEntries ?? DEFAULT_COMPACT_AFTER_ENTRIES;
-		if (this.#appliedIndex - this.#replica.snapshotIndex >= limit) {
+		const maxEntries = this.#options.compactAfterEntries ?? DEFAULT_COMPACT_AFTER_ENTRIES;
+		if (this.#appliedIndex - this.#replica.snapshotIndex >= maxEntries || this.#appliedBytes >= this.#limits.logBytes) {
+			this.#appliedBytes = 0;
 			this.#step({type: 'compact', index: this.#appliedIndex, data: this.#options.stateMachine.createSnapshot()});
 		}
 	}
 }
+
+function getRecordBytes(record: LogRecord): number {
+	switch (record.type) {
+		case 'entries': {
+			return record.entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0);
+		}
+
+		case 'snapshot': {
+			return record.snapshot.data.length;
+		}
+
+		default: {
+			return 0;
+		}
+	}
+}
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -14,7 +14,8 @@
 import {
 	hasQuorum, isVoter, listMembers, findQuorumValue,
 } from './configuration.js';
-import {Log} from './log.js';
+import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
+import {getEntryBytes, Log} from './log.js';
 import {ALL_SAFEGUARDS, type Safeguards} from './safeguards.js';
 
 export const REPLICA_ROLES = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
@@ -75,6 +76,7 @@
 	readonly timing?: ReplicaTiming;
 	readonly safeguards?: Safeguards;
 	readonly maxEntriesPerAppend?: number;
+	readonly limits?: Pick<ReplicationLimits, 'appendBytes' | 'unacknowledgedBytes'>;
 };
 
 /** What the leader knows about the log of another replica. */
@@ -87,6 +89,10 @@
 	confirmedMs: number;
 	/** Until this time no other snapshot is sent, because one is assumed to be in transit. */
 	installUntilMs: number;
+	/** Append requests with entries that the peer has not acknowledged, in the order in which they were sent. */
+	unacknowledged: Array<{readonly lastIndex: number; readonly bytes: number}>;
+	/** Round in which `nextIndex` was last set back. Rejections of earlier requests tell nothing new. */
+	resentRound: number;
 };
 
 /** A read that waits until a quorum has acknowledged a round. */
@@ -107,6 +113,7 @@
 	readonly #safeguards: Safeguards;
 	readonly #random: Random;
 	readonly #maxEntriesPerAppend: number;
+	readonly #limits: Pick<ReplicationLimits, 'appendBytes' | 'unacknowledgedBytes'>;
 	readonly #log: Log;
 	#term: number;
 	#vote: string;
@@ -144,6 +151,7 @@
 		this.#safeguards = options.safeguards ?? ALL_SAFEGUARDS;
 		this.#random = options.random;
 		this.#maxEntriesPerAppend = options.maxEntriesPerAppend ?? DEFAULT_ENTRIES_PER_APPEND;
+		this.#limits = options.limits ?? DEFAULT_REPLICATION_LIMITS;
 		this.#log = new Log(options.snapshot, options.entries);
 		this.#term = options.hard.term;
 		this.#vote = options.hard.vote;
@@ -182,6 +190,11 @@
 		return this.#log.length;
 	}
 
+	/** Approximate memory of the entries that no snapshot covers, bytes. */
+	get logBytes(): number {
+		return this.#log.bytes;
+	}
+
 	get snapshotIndex(): number {
 		return this.#log.snapshot.index;
 	}
@@ -593,20 +606,26 @@
 		const peer = this.#getPeerProgress(from);
 		peer.round = Math.max(peer.round, reply.round);
 		peer.confirmedMs = Math.max(peer.confirmedMs, this.#roundSentMs.get(reply.round) ?? Number.NEGATIVE_INFINITY);
+		const isRejectedAnew = !reply.success && reply.round >= peer.resentRound;
 		if (reply.success) {
 			peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex);
 			peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
 			peer.installUntilMs = 0;
-		} else {
+			peer.unacknowledged = peer.unacknowledged.filter(({lastIndex}) => lastIndex > peer.matchIndex);
+		} else if (isRejectedAnew) {
 			peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(reply.matchIndex + 1, peer.nextIndex - 1));
+			peer.unacknowledged = [];
+			// A round of its own tells the replies to what is sent again from those to what was sent before.
+			this.#startRound(nowMs);
+			peer.resentRound = this.#round;
 		}
 
 		this.#completeReads();
 		this.#advanceCommitByQuorum(nowMs);
 		this.#leaveJointConfiguration(nowMs);
 		const member = this.#findMember(from);
-		const hasUnsentEntries = peer.nextIndex <= this.#log.lastIndex;
-		if (member && this.#role === REPLICA_ROLES.leader && (!reply.success || hasUnsentEntries)) {
+		const hasUnsentEntries = reply.success && peer.nextIndex <= this.#log.lastIndex;
+		if (member && this.#role === REPLICA_ROLES.leader && (isRejectedAnew || hasUnsentEntries)) {
 			this.#sendEntries(member, nowMs);
 		}
 	}
@@ -737,10 +756,14 @@
 		}
 	}
 
-	#broadcast(nowMs: number): void {
+	#startRound(nowMs: number): void {
 		this.#round++;
 		this.#roundSentMs.set(this.#round, nowMs);
 		this.#removeOldRounds(nowMs);
+	}
+
+	#broadcast(nowMs: number): void {
+		this.#startRound(nowMs);
 		this.#heartbeatDueMs = nowMs + this.timing.heartbeatMs;
 		for (const member of this.#listPeers()) {
 			this.#sendEntries(member, nowMs);
@@ -766,7 +789,7 @@
 			return;
 		}
 
-		const entries = this.#log.slice(peer.nextIndex, this.#log.lastIndex, this.#maxEntriesPerAppend);
+		const entries = this.#takeEntries(peer);
 		this.#effects.push({
 			type: 'send',
 			to: member,
@@ -784,6 +807,25 @@
 		peer.nextIndex += entries.length;
 	}
 
+	/** Takes the entries of the next append request; none while too much that was sent to the peer is not acknowledged. */
+	#takeEntries(peer: PeerProgress): Entry[] {
+		const {appendBytes, unacknowledgedBytes} = this.#limits;
+		const sentBytes = peer.unacknowledged.reduce((sum, {bytes}) => sum + bytes, 0);
+		if (sentBytes >= unacknowledgedBytes) {
+			return [];
+		}
+
+		const entries = this.#log.takeBatch(peer.nextIndex, this.#maxEntriesPerAppend, appendBytes);
+		if (entries.length > 0) {
+			peer.unacknowledged.push({
+				lastIndex: entries.at(-1)!.index,
+				bytes: entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0),
+			});
+		}
+
+		return entries;
+	}
+
 	#sendSnapshot(member: Member, peer: PeerProgress, nowMs: number): void {
 		if (nowMs < peer.installUntilMs) {
 			return;
@@ -893,7 +935,7 @@
 		let peer = this.#peers.get(replica);
 		if (!peer) {
 			peer = {
-				nextIndex: this.#log.lastIndex + 1, matchIndex: 0, round: 0, confirmedMs: Number.NEGATIVE_INFINITY, installUntilMs: 0,
+				nextIndex: this.#log.lastIndex + 1, matchIndex: 0, round: 0, confirmedMs: Number.NEGATIVE_INFINITY, installUntilMs: 0, unacknowledged: [], resentRound: 0,
 			};
 			this.#peers.set(replica, peer);
 		}
--- a/src/control/client.ts
+++ b/src/control/client.ts
@@ -6,7 +6,9 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
 import {sleep, type Clock} from '../base/clock.js';
-import {createProblem, findProblemName, type Problem} from '../base/problem.js';
+import {
+	createProblem, findProblemName, type Problem, type ProblemName,
+} from '../base/problem.js';
 import type {
 	Command, ReadReply, Member, MembersRequest, MembersReply, Message, ProposeReply, RefusalReply, RenewRequest, RenewReply,
 } from '../generated/types.js';
@@ -31,6 +33,8 @@
 
 const REPLY_TIMEOUT_MS = 1000;
 const RETRY_PAUSE_MS = 60;
+/** Refusals after which a request may succeed at the next try. */
+const RETRIED_REFUSALS: ReadonlySet<ProblemName | undefined> = new Set(['notLeader', 'proposalUnknown', 'noQuorum', 'logBusy']);
 export const DEFAULT_TIMEOUT_MS = 5000;
 
 /** A client of the control hosts. The caller must close it. */
@@ -109,7 +113,7 @@
 
 				const refusal = reply?.type === 'refused' ? reply : undefined;
 				const name = refusal ? findProblemName(refusal.code) : undefined;
-				if (refusal && name !== 'notLeader' && name !== 'proposalUnknown' && name !== 'noQuorum') {
+				if (refusal && !RETRIED_REFUSALS.has(name)) {
 					return Either.left({...createProblem(name ?? 'internal'), text: refusal.text});
 				}
 
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -17,6 +17,8 @@
 	readonly isLeader: Gauge;
 	readonly hasMajority: Gauge;
 	readonly publicationVersion: Gauge;
+	readonly logBytes: Gauge;
+	readonly unsyncedBytes: Gauge;
 };
 
 /**
@@ -52,5 +54,7 @@
 		isLeader: new Gauge({name: 'carawayhoist_leads', help: '1 on the host that leads the log and may order engines.', registers}),
 		hasMajority: new Gauge({name: 'carawayhoist_has_majority', help: '1 while a majority of the control hosts is in touch.', registers}),
 		publicationVersion: new Gauge({name: 'carawayhoist_publication_version', help: 'Version of the publication applied here.', registers}),
+		logBytes: new Gauge({name: 'carawayhoist_log_bytes', help: 'Approximate memory of the log entries that no snapshot covers.', registers}),
+		unsyncedBytes: new Gauge({name: 'carawayhoist_log_unsynced_bytes', help: 'Records of the log that wait for the disk.', registers}),
 	};
 }
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -13,6 +13,7 @@
 import {
 	ConsensusNode, type CommitResult, type Leadership, type StateMachine,
 } from '../consensus/node.js';
+import type {ReplicationLimits} from '../consensus/limits.js';
 import type {ReplicaTiming} from '../consensus/replica.js';
 import {
 	EMPTY_SNAPSHOT, loadOrCreateIdentity, Storage,
@@ -41,6 +42,7 @@
 	readonly random: Random;
 	readonly loggers: LoggerFactory;
 	readonly timing?: ReplicaTiming;
+	readonly limits?: ReplicationLimits;
 	readonly reconfigurationTiming?: ReconfigurationTiming;
 	readonly onCommit?: () => void;
 	/** Called after committed commands have been applied or a snapshot has been restored. */
@@ -144,6 +146,16 @@
 		return this.#node?.replica.commitIndex ?? 0;
 	}
 
+	/** Approximate memory of the log entries that no snapshot covers, bytes. */
+	get logBytes(): number {
+		return this.#node?.replica.logBytes ?? 0;
+	}
+
+	/** Size of the log records that are not synced to disk yet, bytes. */
+	get unsyncedBytes(): number {
+		return this.#node?.unsyncedBytes ?? 0;
+	}
+
 	/** Whether this replica leads with a valid lease, or has heard from the leader within an election timeout. */
 	get hasQuorum(): boolean {
 		return this.#node?.replica.hasQuorumContact(this.#options.clock.monotonicMs()) ?? false;
@@ -353,6 +365,7 @@
 			random: this.#options.random,
 			logger: this.#options.loggers('consensus'),
 			timing: this.#options.timing,
+			...(this.#options.limits && {limits: this.#options.limits}),
 			onLeadershipChange: leadership => {
 				this.#onLeadership(leadership);
 			},
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -12,6 +12,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import {StandstillDetector} from '../base/standstill.js';
 import type {Random} from '../base/random.js';
+import {createReplicationLimits, type MachineResources} from '../consensus/limits.js';
 import {hasIdentity} from '../consensus/storage.js';
 import {ControlClient} from '../control/client.js';
 import {
@@ -60,6 +61,8 @@
 	readonly announceIntervalMs: number;
 	/** Time from the start of a control host until it must vote in place of one that is lost, in milliseconds; has a default. */
 	readonly catchUpMs?: number | undefined;
+	/** Memory and disk of this host, from which the sizes of the log and its queues are derived; has a default. */
+	readonly resources?: MachineResources;
 };
 
 /** Deadlines of operator requests. Operators try another host after one second without a response. */
@@ -189,6 +192,7 @@
 			self: {host: peerAddress.address, ...peerAddress},
 			listPeers: () => holder.host?.listControlAddresses() ?? options.seeds,
 			canBootstrap: options.firstStart,
+			...(options.resources && {limits: createReplicationLimits(options.resources)}),
 			...(options.catchUpMs !== undefined && {reconfigurationTiming: createReconfigurationTiming(options.catchUpMs)}),
 			clock: options.clock,
 			random: options.random,
@@ -548,6 +552,8 @@
 		metrics.isLeader.set(this.#controlService.holdsLeaderLease ? 1 : 0);
 		metrics.hasMajority.set(this.#controlService.hasQuorum ? 1 : 0);
 		metrics.publicationVersion.set(this.#routeTable?.config.version ?? 0);
+		metrics.logBytes.set(this.#controlService.logBytes);
+		metrics.unsyncedBytes.set(this.#controlService.unsyncedBytes);
 	}
 
 	async #planRoles(): Promise<void> {
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -20,7 +20,8 @@
 const CONNECT_TIMEOUT_MS = 1000;
 /** Longest time for which a connection for a single message stays open, milliseconds. */
 const SEPARATE_SEND_TIMEOUT_MS = 5000;
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+/** A small part of the memory of the smallest hosts, since a host has many peers. */
+const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
 /** A connection to another process. The creator must close it. */
 export class Connection {
@@ -70,7 +71,7 @@
 	}
 
 	/**
-	 * Sends a message. Closes the connection if more than 64 MiB are buffered because the peer does not read.
+	 * Sends a message. Closes the connection if more than 16 MiB are buffered because the peer does not read.
 	 *
 	 * @param onWritten - Called once the message has been handed to the operating system, or the connection has closed.
 	 */
@@ -215,6 +216,12 @@
 		connection.send(message);
 	}
 
+	/** Bytes sent to a target that have not been handed to the operating system. */
+	getBufferedBytes(target: Address): number {
+		const connection = this.#connections.get(`${target.address}:${target.port}`);
+		return connection?.isOpen ? connection.bufferedBytes : 0;
+	}
+
 	/** Closes the connection to a target that no longer replies, so that the next message opens a new one. */
 	reset(target: Address): void {
 		const key = `${target.address}:${target.port}`;
