A new generation is applied once, and a failed write leaves no file open

Change: what cannot be removed is reported and left to the next generation; files are closed after failures. Tests: storage.test.ts, two tests, red on, green after.

--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -269,8 +269,17 @@
 		this.#validLength = length;
 		this.#generation = generation;
 		this.#state = state;
-		await previousFile.close();
-		await removeOtherGenerations(this.#folder, generation);
+		await this.#removePreviousGeneration(previousFile);
+	}
+
+	/** Removes what the current generation has replaced. What cannot be removed is left to the next generation. */
+	async #removePreviousGeneration(previousFile: FileHandle): Promise<void> {
+		try {
+			await previousFile.close();
+			await removeOtherGenerations(this.#folder, this.#generation);
+		} catch (error) {
+			this.#options.onWriteFailure(createProblem('storageFailed', `Files of the previous generation remain: ${String(error)}`));
+		}
 	}
 }
 
@@ -403,12 +412,20 @@
 /** Writes a file atomically: it exists under its final name only once it is complete and synced. */
 async function writeFileAtomically(folder: string, name: string, bytes: Uint8Array): Promise<void> {
 	const temporary = path.join(folder, `${name}.new`);
-	const file = await open(temporary, 'w');
-	await file.writeFile(bytes);
-	await file.sync();
-	await file.close();
+	await withFile(temporary, 'w', async file => {
+		await file.writeFile(bytes);
+		await file.sync();
+	});
 	await rename(temporary, path.join(folder, name));
-	const directory = await open(folder, 'r');
-	await directory.sync();
-	await directory.close();
+	await withFile(folder, 'r', async directory => directory.sync());
+}
+
+/** Opens a file, or a folder, and closes it again, also after a failure. */
+async function withFile(name: string, flags: string, use: (file: FileHandle) => Promise<void>): Promise<void> {
+	const file = await open(name, flags);
+	try {
+		await use(file);
+	} finally {
+		await file.close();
+	}
 }
--- a/test/storage.test.ts
+++ b/test/storage.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {EventEmitter, once} from 'node:events';
+import {rmdirSync} from 'node:fs';
 import {
-	mkdtemp, open, readdir, readFile, rm, writeFile,
+	mkdir, mkdtemp, open, readdir, readFile, rm, writeFile,
 } from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
@@ -109,6 +110,61 @@
 	});
 });
 
+// Guards against entries that are dropped from the log: the retry of a snapshot applied it a second time, to a log without its last entry.
+test('a new generation whose predecessor cannot be removed is written once, and keeps the entries after its snapshot', async () => {
+	await withFolder(async folder => {
+		// A folder cannot be removed like a file.
+		const obstacle = path.join(folder, 'log-0');
+		const failed: string[] = [];
+		const synced = new EventEmitter();
+		const opened = await Storage.open(folder, {
+			onSynced(sequence) {
+				synced.emit(String(sequence));
+			}, onWriteFailure(problem) {
+				failed.push(problem.text);
+				rmdirSync(obstacle);
+			},
+		});
+		assert.ok(Either.isRight(opened));
+		opened.right.write(1, [{type: 'entries', entries: [createEntry(1), createEntry(2), createEntry(3)]}]);
+		await once(synced, '1');
+		await mkdir(obstacle);
+		opened.right.write(2, [{type: 'snapshot', snapshot: {...EMPTY_SNAPSHOT, index: 1, term: 1}}]);
+		await once(synced, '2');
+		assert.equal(failed.length, 1);
+		assert.deepEqual(opened.right.persistentState.entries.map(({index}) => index), [2, 3]);
+		await opened.right.close();
+		assert.deepEqual((await openImage(folder)).entries.map(({index}) => index), [2, 3]);
+	});
+});
+
+// Guards against descriptors that run out while a disk is full: each failed write of a generation left one open.
+test('a write of a generation that fails leaves no file open', async t => {
+	await withFolder(async folder => {
+		const probe = await open(path.join(folder, 'probe'), 'w');
+		const prototype = Object.getPrototypeOf(probe) as typeof probe;
+		await probe.close();
+		const {sync} = prototype;
+		const files = new Set<typeof probe>();
+		let failures = 0;
+		t.mock.method(prototype, 'sync', async function (this: typeof probe) {
+			if (failures < 3 && (await readdir(folder)).includes('snapshot-2.new')) {
+				failures++;
+				files.add(this);
+				throw new Error('ENOSPC');
+			}
+
+			return sync.call(this);
+		});
+		await writeAll(folder, [
+			[{type: 'entries', entries: [createEntry(1), createEntry(2)]}],
+			[{type: 'snapshot', snapshot: {...EMPTY_SNAPSHOT, index: 1, term: 1}}],
+		]);
+		assert.equal(files.size, 3);
+		assert.deepEqual([...files].map(({fd}) => fd), [-1, -1, -1]);
+	});
+});
+
 test('the identity is created in the data folder and lost with it', async () => {
 	await withFolder(async folder => {
 		const first = await loadOrCreateIdentity(folder);
