Requests of one connection are served one after the other

Cause: all requests of a connection were passed on at once, but a response may end its connection, and only its server decides that. Change: CallerConnections serves a request once the responses before it have ended, or not at all if the connection ends with one of them. The connection ends with the 65th request that waits. The test of pipelined requests of a caller that disconnects expected both to be at the server; it now asserts that the first is cancelled and that the second never runs, which is more than before.

--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -62,9 +62,9 @@
 	constructor(options: EntryServerOptions) {
 		this.#options = options;
 		const listener: http.RequestListener = (request, response) => {
-			if (this.#connections.accept(request, response)) {
+			this.#connections.accept(request, response, () => {
 				void this.#serve(request, response);
-			}
+			});
 		};
 
 		const serverOptions = {maxHeaderSize: options.limits.headerBytes, keepAliveTimeout: KEEP_ALIVE_MS};
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -55,10 +55,11 @@
 		this.#options = options;
 		this.#startedMs = options.context.clock.monotonicMs();
 		this.#server = http.createServer({maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true}, (request, response) => {
-			if (this.#connections.accept(request, response)) {
+			const arrivedMs = options.context.clock.monotonicMs();
+			this.#connections.accept(request, response, () => {
 				keepAnnouncedTimeout(this.#server, request, response);
-				void this.#serve(request, response);
-			}
+				void this.#serve(request, response, arrivedMs);
+			});
 		});
 		this.#connections = new CallerConnections(this.#server);
 		this.#server.requestTimeout = 0;
@@ -120,9 +121,8 @@
 		this.#server.closeAllConnections();
 	}
 
-	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	async #serve(request: IncomingMessage, response: ServerResponse, arrivedMs: number): Promise<void> {
 		const {context} = this.#options;
-		const arrivedMs = context.clock.monotonicMs();
 		const caller = new Caller(request, response);
 		const served: {call?: Call} = {};
 		this.#requests.set(caller, served);
@@ -210,6 +210,10 @@
 			return Either.left(createProblem('shuttingDown', undefined, 0));
 		}
 
+		if (deadlineMs <= this.#options.context.clock.monotonicMs()) {
+			return Either.left(createProblem('tooLate', 'The requests before it on its connection took too long.', 0));
+		}
+
 		let fingerprint: string | undefined;
 		return Either.right({
 			...received,
--- a/src/wire/callers.ts
+++ b/src/wire/callers.ts
@@ -9,14 +9,20 @@
 type ConnectionState = {
 	/** Responses that have not been handed to the operating system completely, in the order of their requests. */
 	readonly open: Set<ServerResponse>;
+	/** Serve the requests that wait for the responses before them, in order. */
+	readonly waiting: Array<() => void>;
 	/** Bytes received when the last response ended; undefined before the first one. */
 	receivedBytes: number | undefined;
 	/** Whether the connection ends with the last open response; requests behind it are not served. */
 	isEnding: boolean;
 };
 
+/** Requests of one connection that wait for the responses before them. The connection ends with the last of them. */
+const MAX_WAITING_REQUESTS = 64;
+
 /**
- * Tracks the connections of one HTTP server.
+ * Tracks the connections of one HTTP server and serves the requests of each one after the other: a response may end its connection,
+ * and a request behind it would have run for nothing.
  *
  * Node's server counts a connection as idle once its response has ended, even if the caller has not taken all bytes yet, and
  * does not tell a caller whose request it has already received that the connection is about to be closed.
@@ -33,9 +39,9 @@
 	 * ```ts
 	 * const connections = new CallerConnections(server);
 	 * server.on('request', (request, response) => {
-	 * 	if (connections.accept(request, response)) {
+	 * 	connections.accept(request, response, () => {
 	 * 		response.end('served');
-	 * 	}
+	 * 	});
 	 * });
 	 * ```
 	 */
@@ -64,23 +70,30 @@
 		}
 	}
 
-	/** Registers a request. Returns false if its connection ends with an earlier one, so that it must not be served. */
-	accept({socket}: IncomingMessage, response: ServerResponse): boolean {
+	/**
+	 * Registers a request and calls `serve` once the responses before it on its connection have ended, or not at all if the connection
+	 * ends with one of them.
+	 */
+	accept({socket}: IncomingMessage, response: ServerResponse, serve: () => void): void {
 		const state = this.#track(socket);
 		if (state.isEnding) {
-			return false;
+			return;
 		}
 
 		state.open.add(response);
 		this.#openCount++;
-		if (this.#isDraining) {
+		if (this.#isDraining || state.waiting.length === MAX_WAITING_REQUESTS) {
 			end(state, response);
 		}
 
 		response.once('close', () => {
 			this.#remove(socket, state, response);
 		});
-		return true;
+		if (state.open.size === 1) {
+			serve();
+		} else {
+			state.waiting.push(serve);
+		}
 	}
 
 	/**
@@ -103,7 +116,9 @@
 			return known;
 		}
 
-		const state: ConnectionState = {open: new Set(), receivedBytes: undefined, isEnding: false};
+		const state: ConnectionState = {
+			open: new Set(), waiting: [], receivedBytes: undefined, isEnding: false,
+		};
 		this.#connections.set(socket, state);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -124,6 +139,8 @@
 		state.receivedBytes = socket.bytesRead;
 		if (state.isEnding && state.open.size === 0) {
 			socket.destroySoon();
+		} else if (!socket.destroyed && !socket.writableEnded) {
+			state.waiting.shift()?.();
 		}
 	}
 
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -4,6 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {waitUntil} from '../dev/fleet.js';
+import {sleep} from '../src/base/clock.js';
 import {FakeEngine} from '../fakes/engine.js';
 import {accepts, CallerConnection} from './caller.js';
 import {startFixture} from './fixture.js';
@@ -87,23 +88,24 @@
 	assert.match(caller.text, /^HTTP\/1\.1 200 OK\r\n[\s\S]*connection: close\r\n[\s\S]*held$/iv);
 });
 
-test('pipelined requests of a caller that disconnects are cancelled, and no shutdown waits for them', async t => {
-	const closed: boolean[] = [];
+test('of the pipelined requests of a caller that disconnects the one in progress is cancelled, the others do not run, and no shutdown waits for them', async t => {
+	let isCancelled = false;
 	const system = await startSystem(t, [{
 		id: 'p1', service: 'plain', intercept(_request, response) {
-			const index = closed.push(false) - 1;
 			response.once('close', () => {
-				closed[index] = true;
+				isCancelled = true;
 			});
 			return true;
 		},
 	}], {graceMs: 60_000});
+	const {receivedRequests} = system.servers[0]!;
 	const caller = new CallerConnection(system.callers);
 	caller.send('/book/1', 'gone-1');
 	caller.send('/book/1', 'gone-2');
-	await waitUntil(async () => closed.length === 2, 'the server has both requests');
+	await waitUntil(async () => receivedRequests.length === 1, 'the server has the first request');
 	caller.disconnect();
-	await waitUntil(async () => closed.every(Boolean), 'both requests are cancelled');
+	await waitUntil(async () => isCancelled, 'the request is cancelled');
+	assert.deepEqual(receivedRequests.map(({headers}) => headers['carawayhoist-attempt-id']), ['gone-1']);
 	await waitUntil(async () => (await system.metrics.active.get()).values[0]?.value === 0, 'no request is in progress');
 	await system.entry.stop();
 	assert.equal(system.entryLines.find(({message}) => message === 'Shutdown complete.')?.fields.unsent, 0);
@@ -177,6 +179,29 @@
 	});
 }
 
+// Guards against requests that are taken late in a shutdown, passed on, and cut at its end.
+for (const {target, headers} of [{target: '/book/late', headers: ''}, {target: '/tell/late', headers: SHORT_PROMPT}]) {
+	test(`a request to ${target} late in the grace period, on a connection from before it, is refused and not run`, async t => {
+		const graceMs = 2500;
+		const hold = () => true;
+		const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: hold}, {
+			id: 'e1', service: 'llm', stage: 'decode', intercept: hold,
+		}], {graceMs, routeTimeoutMs: graceMs});
+		const caller = new CallerConnection(system.callers);
+		// A host that has nothing to do ends before the grace period does.
+		const busy = system.call('/book/busy', {}, 'body');
+		await waitUntil(async () => system.servers[0]!.receivedRequests.length === 1, 'a request is in progress');
+		const stopped = system.entry.stop();
+		await sleep(graceMs * 0.75);
+		caller.send(target, 'late', headers);
+		await waitUntil(async () => caller.isClosed, 'the connection is closed');
+		await stopped;
+		assert.equal((await busy).status, 502);
+		assert.match(caller.text, /^HTTP\/1\.1 503 [\s\S]*carawayhoist-code: 3005\r\ncarawayhoist-outcome: not-run\r\n/v);
+		assert.deepEqual(system.servers.flatMap(({receivedRequests}) => receivedRequests.map(({path: target}) => target)), ['/book/busy']);
+	});
+}
+
 test('a request that has not ended when the grace period does is answered and logged', async t => {
 	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept: () => true}], {graceMs: 1000});
 	const caller = new CallerConnection(system.callers);
