--- a/src/consensus/limits.ts
+++ b/src/consensus/limits.ts
@@ -18,7 +18,7 @@
 	readonly appendBytes: number;
 	/** Entries that were sent to a peer and that it has not acknowledged. */
 	readonly unacknowledgedBytes: number;
-	/** Entries that are not committed, or records that are not synced to disk. A leader refuses proposals beyond that. */
+	/** Entries that are not committed, or not synced to disk. A leader refuses proposals beyond that. */
 	readonly pendingBytes: number;
 };
 
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -88,6 +88,9 @@
 	/** Sizes of the writes that are not synced, by sequence number. */
 	readonly #unsyncedWrites = new Map<number, number>();
 	#unsyncedBytes = 0;
+	#syncedSequence = 0;
+	/** Sequence number of the last write of a snapshot. */
+	#snapshotSequence = 0;
 	/** Approximate memory of the entries that were applied since the last snapshot, bytes. */
 	#appliedBytes = 0;
 	#proposalQueue: QueuedProposal[] = [];
@@ -133,7 +136,7 @@
 		return this.#appliedIndex;
 	}
 
-	/** Size of the records that are not synced to disk yet, bytes. */
+	/** Approximate memory of the entries that are not synced to disk yet, bytes. */
 	get unsyncedBytes(): number {
 		return this.#unsyncedBytes;
 	}
@@ -161,6 +164,7 @@
 
 	/** Reports that a write, and all writes before it, are synced to disk. */
 	markSynced(sequence: number): void {
+		this.#syncedSequence = sequence;
 		for (const [write, bytes] of this.#unsyncedWrites) {
 			if (write > sequence) {
 				break;
@@ -344,6 +348,10 @@
 		const bytes = records.reduce((sum, record) => sum + getRecordBytes(record), 0);
 		this.#unsyncedWrites.set(sequence, bytes);
 		this.#unsyncedBytes += bytes;
+		if (records.some(({type}) => type === 'snapshot')) {
+			this.#snapshotSequence = sequence;
+		}
+
 		this.#options.storage.write(sequence, records);
 	}
 
@@ -412,7 +420,12 @@
 		this.#options.onLeadershipChange({role, term, leader});
 	}
 
+	/** Compacts a log that is long enough, unless the snapshot before waits for the disk: snapshots would pile up in memory. */
 	#compactIfNeeded(): void {
+		if (this.#snapshotSequence > this.#syncedSequence) {
+			return;
+		}
+
 		const maxEntries = this.#options.compactAfterEntries ?? DEFAULT_COMPACT_AFTER_ENTRIES;
 		if (this.#appliedIndex - this.#replica.snapshotIndex >= maxEntries || this.#appliedBytes >= this.#limits.logBytes) {
 			this.#appliedBytes = 0;
@@ -422,17 +435,5 @@
 }
 
 function getRecordBytes(record: LogRecord): number {
-	switch (record.type) {
-		case 'entries': {
-			return record.entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0);
-		}
-
-		case 'snapshot': {
-			return record.snapshot.data.length;
-		}
-
-		default: {
-			return 0;
-		}
-	}
+	return record.type === 'entries' ? record.entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0) : 0;
 }
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -55,6 +55,6 @@
 		hasMajority: new Gauge({name: 'carawayhoist_has_majority', help: '1 while a majority of the control hosts is in touch.', registers}),
 		publicationVersion: new Gauge({name: 'carawayhoist_publication_version', help: 'Version of the publication applied here.', registers}),
 		logBytes: new Gauge({name: 'carawayhoist_log_bytes', help: 'Approximate memory of the log entries that no snapshot covers.', registers}),
-		unsyncedBytes: new Gauge({name: 'carawayhoist_log_unsynced_bytes', help: 'Records of the log that wait for the disk.', registers}),
+		unsyncedBytes: new Gauge({name: 'carawayhoist_log_unsynced_bytes', help: 'Approximate memory of the log entries that wait for the disk.', registers}),
 	};
 }
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -151,7 +151,7 @@
 		return this.#node?.replica.logBytes ?? 0;
 	}
 
-	/** Size of the log records that are not synced to disk yet, bytes. */
+	/** Approximate memory of the log entries that are not synced to disk yet, bytes. */
 	get unsyncedBytes(): number {
 		return this.#node?.unsyncedBytes ?? 0;
 	}
