--- a/test/logmemory.test.ts
+++ b/test/logmemory.test.ts
@@ -82,7 +82,7 @@
 			dataFolder: host.folder,
 			seeds: hosts.map(({address}) => `${address}:${operatorPort}`),
 			firstStart,
-			resources: RESOURCES,
+			resources: {memoryMb: [RESOURCES.memoryMb], diskMb: [RESOURCES.diskMb]},
 			bounds: BOUNDS,
 		}));
 		host.child = spawn(process.execPath, [...FLAGS, PROGRAM], {env: {[SETTINGS_VARIABLE]: file}, stdio: ['ignore', 'ignore', 'inherit']});
