--- a/src/base/bytes.ts
+++ b/src/base/bytes.ts
@@ -8,8 +8,8 @@
 const EMPTY = Buffer.alloc(0);
 
 /**
- * Bytes that arrive in pieces, kept as one run of memory: a list of pieces takes many times the size of its bytes if they
- * are short, and so does a piece that keeps the memory alive in which it was received.
+ * Collects bytes that arrive in pieces in one contiguous buffer. A list of short pieces would take many times the memory of
+ * its bytes, and each piece would keep the buffer alive in which it was received.
  */
 export class ByteCollector {
 	#memory: Buffer = EMPTY;
--- a/src/consensus/limits.ts
+++ b/src/consensus/limits.ts
@@ -23,7 +23,7 @@
 };
 
 const MIB = 1024 * 1024;
-/** Resources of a machine whose settings tell none: less than any machine that the system is built for. */
+/** Assumed if the settings do not state them: less than any machine that the system is built for. */
 export const DEFAULT_RESOURCES: MachineResources = {memoryBytes: 256 * MIB, diskBytes: 128 * MIB};
 
 const LOG_MEMORY_SHARE = 1 / 32;
@@ -51,5 +51,5 @@
 	};
 }
 
-/** Bounds of a replica whose settings tell no resources. */
+/** Bounds of a replica on a machine with the default resources. */
 export const DEFAULT_REPLICATION_LIMITS = createReplicationLimits(DEFAULT_RESOURCES);
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -91,7 +91,7 @@
 	installUntilMs: number;
 	/** Append requests with entries that the peer has not acknowledged, in the order in which they were sent. */
 	unacknowledged: Array<{readonly lastIndex: number; readonly bytes: number}>;
-	/** Round in which `nextIndex` was last set back. Rejections of earlier requests tell nothing new. */
+	/** Round in which `nextIndex` was last set back. Rejections of earlier rounds are ignored. */
 	resentRound: number;
 };
 
@@ -615,7 +615,7 @@
 		} else if (isRejectedAnew) {
 			peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(reply.matchIndex + 1, peer.nextIndex - 1));
 			peer.unacknowledged = [];
-			// A round of its own tells the replies to what is sent again from those to what was sent before.
+			// A new round distinguishes replies to the entries that are sent again from replies to earlier requests.
 			this.#startRound(nowMs);
 			peer.resentRound = this.#round;
 		}
--- a/test/fulldisks.test.ts
+++ b/test/fulldisks.test.ts
@@ -16,6 +16,8 @@
 /** The operator's bound for an acknowledgement, as on the users' sites. */
 const ACK_MS = 4000;
 const CHANGE_INTERVAL_MS = 40;
+/** The platform counts on a host this long after a disruption of its disk, as on the users' sites. */
+const CONTACT_MS = 3000;
 /** So little that configurations of some 10 KB are compacted every few changes. */
 const RESOURCES = {memoryBytes: 4e6, diskBytes: 2e6};
 
@@ -41,6 +43,7 @@
 		}
 
 		assert.ok(disks.failures > 0);
+		await sleep(CONTACT_MS);
 		for (let count = 0; count < VOTERS * 2; count++) {
 			const startedMs = performance.now();
 			const result = await publish();
