--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -98,7 +98,7 @@
 /** What each piece of a body may add to that: the size of a chunk, its extensions and line ends. */
 const MAX_FRAMING_BYTES_PER_PIECE = 256;
 /** Pieces that a body may have whatever their size. Beyond that they must not be tiny, since each one costs processing time. */
-const MAX_TINY_PIECES = 32_768;
+const MAX_TINY_PIECES = 131_072;
 /** A body whose pieces are shorter on average consists of tiny ones. */
 const MIN_MEAN_PIECE_BYTES = 16;
 /** A connection is closed after this number of requests, which bounds the IDs that it remembers. */
