--- a/dev/soak/run.ts
+++ b/dev/soak/run.ts
@@ -36,6 +36,12 @@
 	/** Changes of the leader outside the time around a lost disk, as seconds from the first configuration. */
 	readonly unexpectedLeaders: number[];
 	readonly leaders: number;
+	/** Role changes outside the time around a lost disk, by reason. */
+	readonly reasons: Readonly<Record<string, number>>;
+	/** Longest delays of an event loop at such a role change, milliseconds. */
+	readonly eventLoopDelaysMs: number[];
+	/** Connections between control hosts that were replaced because they were silent. */
+	readonly replacedConnections: number;
 	/** The highest term at the end. */
 	readonly term: number;
 	/** Time until each host that lost its disk had the newest configuration again, milliseconds. */
@@ -59,6 +65,7 @@
 const SETTLING_MS = 5000;
 const CATCH_UP_TIMEOUT_MS = 60_000;
 const STARTUP_MS = 3000;
+const LISTED_DELAYS = 10;
 
 /** Processes that do nothing but use the processor. Whoever starts them must stop them. */
 export function startBusyProcesses(count: number): {stop(): void} {
@@ -218,6 +225,8 @@
 		const elections = controls.flatMap(({log}) => log.filter(line => isElection(line)));
 		const leadersMs = elections.map(({time}) => Date.parse(time) - this.#startedMs).filter(atMs => atMs > 0);
 		const isExpected = (atMs: number) => this.#faultsMs.some(faultMs => atMs + this.#startedMs >= faultMs && atMs + this.#startedMs < faultMs + SETTLING_MS);
+		const roleChanges = controls.flatMap(({log}) => log.filter(line => line.msg.includes('Role is') && Date.parse(line.time) > this.#startedMs && !isExpected(Date.parse(line.time) - this.#startedMs)));
+		const replaced = await Promise.all(controls.map(async host => this.#site.readGauge(host, 'carawayhoist_peer_connections_replaced_total')));
 		const latencies = this.#latencies.toSorted((a, b) => a - b);
 		return {
 			sent: this.#nextVersion - 1,
@@ -226,6 +235,9 @@
 			longestMs: Math.round(latencies.at(-1) ?? Number.NaN),
 			unexpectedLeaders: leadersMs.filter(atMs => !isExpected(atMs)).map(atMs => atMs / 1000).toSorted((a, b) => a - b),
 			leaders: leadersMs.length,
+			reasons: countBy(roleChanges, ({role, reason}) => `${String(role)}: ${String(reason)}`),
+			eventLoopDelaysMs: roleChanges.map(({eventLoopDelayMs}) => Number(eventLoopDelayMs)).toSorted((a, b) => b - a).slice(0, LISTED_DELAYS),
+			replacedConnections: replaced.reduce((sum, count) => sum + count, 0),
 			term: Math.max(0, ...elections.map(({term}) => Number(term))),
 			catchUpsMs: this.#catchUpsMs,
 			peakMb: Math.round(this.#peakMb),
@@ -235,6 +247,16 @@
 	}
 }
 
+function countBy<Item>(items: readonly Item[], getKey: (item: Item) => string): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const item of items) {
+		const key = getKey(item);
+		counts[key] = (counts[key] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
 function isElection({role, msg}: LogLine): boolean {
 	return role === 'leader' && msg.includes('Role is leader');
 }
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -6,6 +6,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type {Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
+import {RecentMaximum} from '../base/maximum.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
 import type {
@@ -15,7 +16,7 @@
 import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
 import {getEntryBytes} from './log.js';
 import {
-	Replica, type ReplicaEffect, type ReplicaEvent, type LogRecord, type ReplicaRole, type ReplicaTiming,
+	Replica, type ReplicaEffect, type ReplicaEvent, type LogRecord, type ReplicaRole, type ReplicaTiming, type RoleReason,
 } from './replica.js';
 import type {PersistentState, Storage} from './storage.js';
 
@@ -57,8 +58,14 @@
 	readonly batchProposals?: boolean;
 	readonly onLeadershipChange: (leadership: Leadership) => void;
 	readonly onApplied: () => void;
+	readonly onEvent?: (event: ConsensusEvent) => void;
 };
 
+/** Something that happens rarely unless the host, its network or its peers are overloaded. */
+export type ConsensusEvent
+	= | {readonly type: 'election'; readonly reason: RoleReason}
+		| {readonly type: 'connection-replaced'; readonly peer: Member};
+
 type PendingProposal = {
 	readonly term: number;
 	readonly settle: (result: Either.Either<Problem, CommitResult>) => void;
@@ -71,6 +78,7 @@
 
 const TICK_MS = 20;
 const PROPOSAL_TIMEOUT_MS = 4000;
+const EVENT_LOOP_WINDOW_MS = 2000;
 const DEFAULT_COMPACT_AFTER_ENTRIES = 2000;
 
 /** A running replica. The caller must close it. */
@@ -95,6 +103,8 @@
 	#appliedBytes = 0;
 	#proposalQueue: QueuedProposal[] = [];
 	#queuedBytes = 0;
+	readonly #eventLoopDelay = new RecentMaximum(EVENT_LOOP_WINDOW_MS);
+	#lastTickMs: number;
 	#nextReadId = 1;
 	#appliedIndex: number;
 	#isClosed = false;
@@ -123,7 +133,9 @@
 				this.#onMessage(message);
 			}
 		});
+		this.#lastTickMs = options.clock.monotonicMs();
 		this.#timer = setInterval(() => {
+			this.#recordEventLoopDelay();
 			this.#step({type: 'tick'});
 		}, TICK_MS);
 	}
@@ -152,6 +164,11 @@
 		return this.#replica.getLeaseExpiryMs(this.#options.clock.monotonicMs());
 	}
 
+	/** Longest recent time for which this process did not run its timers although they were due, milliseconds. */
+	getEventLoopDelayMs(): number {
+		return this.#eventLoopDelay.get(this.#options.clock.monotonicMs());
+	}
+
 	/** Handles a message from an accepted connection. Replies to its sender go back on the same connection. */
 	receive(message: ConsensusMessage, connection: Connection): void {
 		if (message.to !== this.#options.replica || this.#isClosed) {
@@ -254,6 +271,12 @@
 		await this.#options.storage.close();
 	}
 
+	#recordEventLoopDelay(): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		this.#eventLoopDelay.record(Math.max(0, nowMs - this.#lastTickMs - TICK_MS), nowMs);
+		this.#lastTickMs = nowMs;
+	}
+
 	/** Whether proposals must wait until more is committed and synced. */
 	#isBusy(): boolean {
 		const uncommittedBytes = this.#replica.logBytes - this.#appliedBytes;
@@ -381,6 +404,7 @@
 		if (nowMs - Math.max(lastMessageMs, lastResetMs) > limitMs) {
 			this.#lastResetMs.set(member.replica, nowMs);
 			this.#connectionPool.reset(member);
+			this.#options.onEvent?.({type: 'connection-replaced', peer: member});
 		}
 	}
 
@@ -414,9 +438,15 @@
 		settle?.(result);
 	}
 
-	#onRoleChange(effect: Leadership): void {
-		const {role, term, leader} = effect;
-		this.#options.logger.info(`Role is ${role} in term ${term}.`, {role, term, leader});
+	#onRoleChange({role, term, leader, reason}: Leadership & {readonly reason: RoleReason}): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		this.#options.logger.info(`Role is ${role} in term ${term}: ${reason}.`, {
+			role, term, leader, reason, eventLoopDelayMs: Math.round(this.getEventLoopDelayMs()), unsyncedBytes: this.#unsyncedBytes, silenceMs: Math.round(nowMs - Math.max(...this.#lastMessageMs.values())),
+		});
+		if (role !== 'follower') {
+			this.#options.onEvent?.({type: 'election', reason});
+		}
+
 		this.#options.onLeadershipChange({role, term, leader});
 	}
 
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -21,6 +21,18 @@
 export const REPLICA_ROLES = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
 export type ReplicaRole = keyof typeof REPLICA_ROLES;
 
+/** Why a replica took its role, or learned of another leader. */
+export const ROLE_REASONS = {
+	electionTimeout: 'election timeout',
+	elected: 'elected',
+	quorumLost: 'quorum lost',
+	transferFailed: 'transfer failed',
+	higherTerm: 'higher term',
+	leaderHeard: 'leader heard',
+	removed: 'removed',
+} as const;
+export type RoleReason = typeof ROLE_REASONS[keyof typeof ROLE_REASONS];
+
 /** Timing of elections and heartbeats; durations in milliseconds of monotonic time. */
 export type ReplicaTiming = {
 	readonly heartbeatMs: number;
@@ -51,7 +63,7 @@
 		| {readonly type: 'send'; readonly to: Member; readonly body: ConsensusBody}
 		| {readonly type: 'commit'; readonly entries: readonly Entry[]}
 		| {readonly type: 'restore'; readonly snapshot: Snapshot}
-		| {readonly type: 'role'; readonly role: ReplicaRole; readonly term: number; readonly leader: string}
+		| {readonly type: 'role'; readonly role: ReplicaRole; readonly term: number; readonly leader: string; readonly reason: RoleReason}
 		| {readonly type: 'read'; readonly id: number; readonly index: number}
 		| {readonly type: 'read-refused'; readonly id: number};
 
@@ -316,7 +328,7 @@
 		// After a failed leadership transfer the leader has no lease, so it steps down to trigger an election.
 		const isTransferTimedOut = nowMs - this.#transferStartedMs >= this.timing.electionMs;
 		if (hasLostQuorum || isTransferTimedOut) {
-			this.#becomeFollower(this.#term, NO_REPLICA, nowMs);
+			this.#becomeFollower(this.#term, nowMs, hasLostQuorum ? ROLE_REASONS.quorumLost : ROLE_REASONS.transferFailed);
 			return;
 		}
 
@@ -332,7 +344,7 @@
 		this.#votes = new Set([this.id]);
 		if (!options.preVote) {
 			this.#setTerm(this.#term + 1, this.id);
-			this.#setRole(REPLICA_ROLES.candidate, NO_REPLICA);
+			this.#setRole(REPLICA_ROLES.candidate, NO_REPLICA, ROLE_REASONS.electionTimeout);
 			this.#deferSelfVote();
 		}
 
@@ -383,12 +395,13 @@
 		this.#electedMs = nowMs;
 		this.#round = 0;
 		this.#roundSentMs = new Map();
-		this.#setRole(REPLICA_ROLES.leader, this.id);
+		this.#setRole(REPLICA_ROLES.leader, this.id, ROLE_REASONS.elected);
 		this.#appendAsLeader([{type: 'noop', index: this.#log.lastIndex + 1, term: this.#term}]);
 		this.#broadcast(nowMs);
 	}
 
-	#becomeFollower(term: number, leader: string, nowMs: number): void {
+	/** Becomes a follower that does not know a leader. */
+	#becomeFollower(term: number, nowMs: number, reason: RoleReason): void {
 		if (term > this.#term) {
 			this.#setTerm(term, NO_REPLICA);
 		}
@@ -396,7 +409,7 @@
 		this.#refuseReads();
 		this.#isPreVoting = false;
 		this.#resetElectionTimer(nowMs);
-		this.#setRole(REPLICA_ROLES.follower, leader);
+		this.#setRole(REPLICA_ROLES.follower, NO_REPLICA, reason);
 	}
 
 	#onMessage(from: string, body: ConsensusBody, nowMs: number): void {
@@ -408,7 +421,7 @@
 		// A granted pre-vote carries the requested term, which no replica has entered yet.
 		const isPreVoteGrant = body.type === 'vote-reply' && body.preVote && body.granted;
 		if (body.term > this.#term && !isPreVoteGrant) {
-			this.#becomeFollower(body.term, NO_REPLICA, nowMs);
+			this.#becomeFollower(body.term, nowMs, ROLE_REASONS.higherTerm);
 		}
 
 		switch (body.type) {
@@ -458,7 +471,7 @@
 		}
 
 		if (!request.preVote && request.term > this.#term) {
-			this.#becomeFollower(request.term, NO_REPLICA, nowMs);
+			this.#becomeFollower(request.term, nowMs, ROLE_REASONS.higherTerm);
 		}
 
 		const isCurrent = request.preVote ? request.term > this.#term : request.term === this.#term;
@@ -548,7 +561,7 @@
 		this.#resetElectionTimer(nowMs);
 		this.#isPreVoting = false;
 		if (this.#role !== REPLICA_ROLES.follower || this.#leader !== leader) {
-			this.#setRole(REPLICA_ROLES.follower, leader);
+			this.#setRole(REPLICA_ROLES.follower, leader, ROLE_REASONS.leaderHeard);
 		}
 	}
 
@@ -642,7 +655,7 @@
 		if (this.isConfigurationCommitted && !isVoter(this.#configuration, this.id)) {
 			// This last broadcast tells the others that the configuration without this replica is committed.
 			this.#broadcast(nowMs);
-			this.#becomeFollower(this.#term, NO_REPLICA, nowMs);
+			this.#becomeFollower(this.#term, nowMs, ROLE_REASONS.removed);
 		}
 	}
 
@@ -894,11 +907,11 @@
 		this.#write(this.#safeguards.persistHardState ? [{type: 'hard', state: {term, vote}}] : []);
 	}
 
-	#setRole(role: ReplicaRole, leader: string): void {
+	#setRole(role: ReplicaRole, leader: string, reason: RoleReason): void {
 		this.#role = role;
 		this.#leader = leader;
 		this.#effects.push({
-			type: 'role', role, term: this.#term, leader,
+			type: 'role', role, term: this.#term, leader, reason,
 		});
 	}
 
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -11,6 +11,8 @@
 	readonly announcements: Counter<'outcome'>;
 	readonly placementDecisions: Counter<'decision'>;
 	readonly roleChanges: Counter<'role'>;
+	readonly elections: Counter<'reason'>;
+	readonly replacedConnections: Counter;
 	readonly openPlacements: Gauge;
 	readonly usableServers: Gauge;
 	readonly feedEntryHosts: Gauge;
@@ -19,6 +21,7 @@
 	readonly publicationVersion: Gauge;
 	readonly logBytes: Gauge;
 	readonly unsyncedBytes: Gauge;
+	readonly eventLoopDelayMs: Gauge;
 };
 
 /**
@@ -48,6 +51,10 @@
 		roleChanges: new Counter({
 			name: 'carawayhoist_role_changes_total', help: 'Role changes planned here, by the new role.', labelNames: ['role'], registers,
 		}),
+		elections: new Counter({
+			name: 'carawayhoist_elections_total', help: 'Times that this host became a candidate or the leader, by reason.', labelNames: ['reason'], registers,
+		}),
+		replacedConnections: new Counter({name: 'carawayhoist_peer_connections_replaced_total', help: 'Connections to other control hosts that were replaced because they were silent.', registers}),
 		openPlacements: new Gauge({name: 'carawayhoist_placed_open', help: 'Streamed requests placed here that have not ended.', registers}),
 		usableServers: new Gauge({name: 'carawayhoist_servers_usable', help: 'Backend servers that take new work.', registers}),
 		feedEntryHosts: new Gauge({name: 'carawayhoist_feed_entry_hosts', help: 'Entry hosts that are fed from here.', registers}),
@@ -56,5 +63,6 @@
 		publicationVersion: new Gauge({name: 'carawayhoist_publication_version', help: 'Version of the publication applied here.', registers}),
 		logBytes: new Gauge({name: 'carawayhoist_log_bytes', help: 'Approximate memory of the log entries that no snapshot covers.', registers}),
 		unsyncedBytes: new Gauge({name: 'carawayhoist_log_unsynced_bytes', help: 'Approximate memory of the log entries that wait for the disk.', registers}),
+		eventLoopDelayMs: new Gauge({name: 'carawayhoist_event_loop_delay_ms', help: 'Longest delay of a timer in the last seconds, milliseconds.', registers}),
 	};
 }
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -11,7 +11,7 @@
 import type {Random} from '../base/random.js';
 import {isVoter, listMembers} from '../consensus/configuration.js';
 import {
-	ConsensusNode, type CommitResult, type Leadership, type StateMachine,
+	ConsensusNode, type CommitResult, type ConsensusEvent, type Leadership, type StateMachine,
 } from '../consensus/node.js';
 import type {ReplicationLimits} from '../consensus/limits.js';
 import type {ReplicaTiming} from '../consensus/replica.js';
@@ -45,6 +45,8 @@
 	readonly limits?: ReplicationLimits;
 	readonly reconfigurationTiming?: ReconfigurationTiming;
 	readonly onCommit?: () => void;
+	/** Called for elections and replaced connections. */
+	readonly onConsensusEvent?: (event: ConsensusEvent) => void;
 	/** Called after committed commands have been applied or a snapshot has been restored. */
 	readonly onApplied?: () => void;
 	/** Returns the engines that are currently announced, for planning role changes. */
@@ -156,6 +158,11 @@
 		return this.#node?.unsyncedBytes ?? 0;
 	}
 
+	/** Longest recent time for which this process did not run its timers although they were due, milliseconds. */
+	get eventLoopDelayMs(): number {
+		return this.#node?.getEventLoopDelayMs() ?? 0;
+	}
+
 	/** Whether this replica leads with a valid lease, or has heard from the leader within an election timeout. */
 	get hasQuorum(): boolean {
 		return this.#node?.replica.hasQuorumContact(this.#options.clock.monotonicMs()) ?? false;
@@ -372,6 +379,9 @@
 			onApplied: () => {
 				this.#onApplied();
 			},
+			onEvent: event => {
+				this.#options.onConsensusEvent?.(event);
+			},
 		});
 	}
 
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -205,6 +205,13 @@
 			onApplied() {
 				holder.host?.handleStateChange();
 			},
+			onConsensusEvent(event) {
+				if (event.type === 'election') {
+					options.metrics.elections.inc({reason: event.reason});
+				} else {
+					options.metrics.replacedConnections.inc();
+				}
+			},
 		});
 		if (Either.isLeft(service)) {
 			return service;
@@ -554,6 +561,7 @@
 		metrics.publicationVersion.set(this.#routeTable?.config.version ?? 0);
 		metrics.logBytes.set(this.#controlService.logBytes);
 		metrics.unsyncedBytes.set(this.#controlService.unsyncedBytes);
+		metrics.eventLoopDelayMs.set(this.#controlService.eventLoopDelayMs);
 	}
 
 	async #planRoles(): Promise<void> {
