Fuzzer: the operator who replaces a replica by a spare does not add it again

Cause: between the end of the reconfiguration and its next poll, the harness saw the replaced host as missing and added it again, then emptied its disk as planned; a second lost disk then left two of four voters, which no product can survive. The check is as strict as before: only a schedule is excluded in which one operator does two contradictory things.

--- a/dev/fuzz/run.ts
+++ b/dev/fuzz/run.ts
@@ -474,7 +474,9 @@
 		const {voters} = leader?.replica?.configuration ?? {voters: []};
 		for (const control of this.#controls.values()) {
 			const old = voters.find(member => member.host === control.host);
-			const isMissing = control.process.isAlive && !this.#spares.has(control) && !voters.some(member => member.replica === control.identity);
+			// The operator who replaces a replica by a spare does not add it again; its host is stopped and emptied next.
+			const isReplaced = this.#spares.has(control) || control.identity === this.#replacement?.replica;
+			const isMissing = control.process.isAlive && !isReplaced && !voters.some(member => member.replica === control.identity);
 			if (leader && isMissing) {
 				const add = createMember(control.host, control.identity);
 				if (leader.beginReconfiguration(old ? {add, remove: old.replica} : {add})) {
