--- a/dev/fuzz/control.ts
+++ b/dev/fuzz/control.ts
@@ -6,7 +6,8 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {createRandom} from '../../src/base/random.js';
 import type {ReplicationLimits} from '../../src/consensus/limits.js';
-import {Replica, type ReplicaEffect, type LogRecord} from '../../src/consensus/replica.js';
+import type {LogRecord, ReplicaEffect} from '../../src/consensus/effects.js';
+import {Replica} from '../../src/consensus/replica.js';
 import {applyRecords, EMPTY_PERSISTENT_STATE, type PersistentState} from '../../src/consensus/storage.js';
 import {
 	Controller, type ControllerEffect, type ControllerTiming, type OrderReport,
--- a/dev/site.ts
+++ b/dev/site.ts
@@ -119,7 +119,7 @@
 	async kill(host: SiteHost): Promise<void> {
 		const {child} = host;
 		host.isStopped = true;
-		if (child && child.exitCode === null && child.signalCode === null) {
+		if (child?.exitCode === null && child.signalCode === null) {
 			await new Promise(resolve => {
 				child.once('exit', resolve);
 				child.kill('SIGKILL');
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -12,12 +12,15 @@
 import type {
 	CommandEntry, Configuration, ConsensusMessage, ConsensusBody, Entry, Member,
 } from '../generated/types.js';
-import {ConnectionPool, type Connection} from '../wire/connection.js';
+import type {Connection} from '../wire/connection.js';
+import {listMembers} from './configuration.js';
+import {
+	CHANNELS, type Channel, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason,
+} from './effects.js';
 import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
+import {PeerLink} from './link.js';
 import {getEntryBytes} from './log.js';
-import {
-	Replica, type ReplicaEffect, type ReplicaEvent, type LogRecord, type ReplicaRole, type ReplicaTiming, type RoleReason,
-} from './replica.js';
+import {Replica} from './replica.js';
 import type {PersistentState, Storage} from './storage.js';
 
 /** The replicated state machine that committed entries are applied to. */
@@ -64,7 +67,7 @@
 /** Something that happens rarely unless the host, its network or its peers are overloaded. */
 export type ConsensusEvent
 	= | {readonly type: 'election'; readonly reason: RoleReason}
-		| {readonly type: 'connection-replaced'; readonly peer: Member};
+		| {readonly type: 'connection-replaced'; readonly peer: Member; readonly channel: Channel};
 
 type PendingProposal = {
 	readonly term: number;
@@ -86,10 +89,9 @@
 	readonly #options: NodeOptions;
 	readonly #limits: ReplicationLimits;
 	readonly #replica: Replica;
-	readonly #connectionPool: ConnectionPool;
+	readonly #links = new Map<string, PeerLink>();
+	/** The connections on which the peers last sent a request, by replica. */
 	readonly #inboundConnections = new Map<string, Connection>();
-	readonly #lastMessageMs = new Map<string, number>();
-	readonly #lastResetMs = new Map<string, number>();
 	readonly #pendingProposals = new Map<number, PendingProposal>();
 	readonly #pendingReads = new Map<number, (result: Either.Either<Problem, number>) => void>();
 	readonly #timer: NodeJS.Timeout;
@@ -128,11 +130,6 @@
 			stateMachine.restore(persistentState.snapshot.data);
 		}
 
-		this.#connectionPool = new ConnectionPool(message => {
-			if (message.type === 'consensus') {
-				this.#onMessage(message);
-			}
-		});
 		this.#lastTickMs = options.clock.monotonicMs();
 		this.#timer = setInterval(() => {
 			this.#recordEventLoopDelay();
@@ -263,7 +260,10 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		clearInterval(this.#timer);
-		this.#connectionPool.close();
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+
 		for (const pending of this.#pendingProposals.values()) {
 			pending.settle(Either.left(createProblem('proposalUnknown')));
 		}
@@ -308,7 +308,6 @@
 
 	#onMessage(message: ConsensusMessage): void {
 		if (message.to === this.#options.replica && !this.#isClosed) {
-			this.#lastMessageMs.set(message.from, this.#options.clock.monotonicMs());
 			this.#step({type: 'message', from: message.from, body: message.body});
 		}
 	}
@@ -333,7 +332,7 @@
 			}
 
 			case 'send': {
-				this.#send(effect.to, effect.body);
+				this.#send(effect.to, effect.body, effect.channel);
 				break;
 			}
 
@@ -378,33 +377,55 @@
 		this.#options.storage.write(sequence, records);
 	}
 
-	#send(to: Member, body: ConsensusBody): void {
+	#send(to: Member, body: ConsensusBody, channel: Channel): void {
 		const message: ConsensusMessage = {
 			type: 'consensus', from: this.#options.replica, to: to.replica, body,
 		};
-		const inbound = this.#inboundConnections.get(to.replica);
 		if (body.type.endsWith('-reply')) {
-			inbound?.send(message);
+			this.#inboundConnections.get(to.replica)?.send(message);
 			return;
 		}
 
-		this.#resetIfUnresponsive(to);
-		// A message that is dropped is like one that was lost: the replica sends its entries again.
-		if (this.#connectionPool.getBufferedBytes(to) <= this.#limits.unacknowledgedBytes) {
-			this.#connectionPool.send(to, message);
+		const link = this.#getLink(to);
+		// A request that is dropped is like one that was lost: the replica sends its entries again.
+		if (body.type !== 'append-request' || channel === CHANNELS.liveness || link.logBufferedBytes <= this.#limits.unacknowledgedBytes) {
+			link.send(channel, message);
 		}
 	}
 
-	/** Replaces a connection without replies for an election timeout: it may be dead without having been closed. */
-	#resetIfUnresponsive(member: Member): void {
-		const nowMs = this.#options.clock.monotonicMs();
-		const limitMs = this.#replica.timing.electionMs;
-		const lastMessageMs = this.#lastMessageMs.get(member.replica) ?? Number.NEGATIVE_INFINITY;
-		const lastResetMs = this.#lastResetMs.get(member.replica) ?? Number.NEGATIVE_INFINITY;
-		if (nowMs - Math.max(lastMessageMs, lastResetMs) > limitMs) {
-			this.#lastResetMs.set(member.replica, nowMs);
-			this.#connectionPool.reset(member);
-			this.#options.onEvent?.({type: 'connection-replaced', peer: member});
+	#getLink(peer: Member): PeerLink {
+		const existing = this.#links.get(peer.replica);
+		if (existing) {
+			return existing;
+		}
+
+		this.#closeFormerLinks();
+		const link = new PeerLink({
+			peer,
+			clock: this.#options.clock,
+			silenceMs: this.#replica.timing.electionMs,
+			onMessage: message => {
+				this.#onMessage(message);
+			},
+			onLogChannelClosed: () => {
+				this.#step({type: 'log-channel-closed', peer: peer.replica});
+			},
+			onReplaced: channel => {
+				this.#options.onEvent?.({type: 'connection-replaced', peer, channel});
+			},
+		});
+		this.#links.set(peer.replica, link);
+		return link;
+	}
+
+	/** Closes the links to replicas that are not members any more. */
+	#closeFormerLinks(): void {
+		const members = new Set(listMembers(this.#replica.configuration).map(({replica}) => replica));
+		for (const [replica, link] of this.#links) {
+			if (!members.has(replica)) {
+				link.close();
+				this.#links.delete(replica);
+			}
 		}
 	}
 
@@ -439,9 +460,8 @@
 	}
 
 	#onRoleChange({role, term, leader, reason}: Leadership & {readonly reason: RoleReason}): void {
-		const nowMs = this.#options.clock.monotonicMs();
 		this.#options.logger.info(`Role is ${role} in term ${term}: ${reason}.`, {
-			role, term, leader, reason, eventLoopDelayMs: Math.round(this.getEventLoopDelayMs()), unsyncedBytes: this.#unsyncedBytes, silenceMs: Math.round(nowMs - Math.max(...this.#lastMessageMs.values())),
+			role, term, leader, reason, eventLoopDelayMs: Math.round(this.getEventLoopDelayMs()), unsyncedBytes: this.#unsyncedBytes,
 		});
 		if (role !== 'follower') {
 			this.#options.onEvent?.({type: 'election', reason});
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -14,70 +14,15 @@
 import {
 	hasQuorum, isVoter, listMembers, findQuorumValue,
 } from './configuration.js';
+import {
+	CHANNELS, DEFAULT_REPLICA_TIMING, REPLICA_ROLES, ROLE_REASONS, type HardState, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason,
+} from './effects.js';
 import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
-import {getEntryBytes, Log} from './log.js';
+import {Log} from './log.js';
+import {PeerProgress} from './progress.js';
+import {SilenceDetector} from './silence.js';
 import {ALL_SAFEGUARDS, type Safeguards} from './safeguards.js';
 
-export const REPLICA_ROLES = {follower: 'follower', candidate: 'candidate', leader: 'leader'} as const;
-export type ReplicaRole = keyof typeof REPLICA_ROLES;
-
-/** Why a replica took its role, or learned of another leader. */
-export const ROLE_REASONS = {
-	electionTimeout: 'election timeout',
-	elected: 'elected',
-	quorumLost: 'quorum lost',
-	transferFailed: 'transfer failed',
-	higherTerm: 'higher term',
-	leaderHeard: 'leader heard',
-	removed: 'removed',
-} as const;
-export type RoleReason = typeof ROLE_REASONS[keyof typeof ROLE_REASONS];
-
-/** Timing of elections and heartbeats; durations in milliseconds of monotonic time. */
-export type ReplicaTiming = {
-	readonly heartbeatMs: number;
-	/** Minimum election timeout; also the duration of the leader lease. */
-	readonly electionMs: number;
-	/** Fraction of the lease that the leader does not use, because clocks run at different rates. */
-	readonly clockDrift: number;
-};
-
-export const DEFAULT_REPLICA_TIMING: ReplicaTiming = {heartbeatMs: 100, electionMs: 600, clockDrift: 0.05};
-
-/** Raft's hard state: must be synced to disk before a replica sends a message that depends on it. */
-export type HardState = {
-	readonly term: number;
-	readonly vote: string;
-};
-
-/** One record of the write-ahead log. */
-export type LogRecord
-	= | {readonly type: 'hard'; readonly state: HardState}
-		| {readonly type: 'truncate'; readonly from: number}
-		| {readonly type: 'entries'; readonly entries: readonly Entry[]}
-		| {readonly type: 'snapshot'; readonly snapshot: Snapshot};
-
-/** An effect that the caller must execute, in the order in which a step returns them. */
-export type ReplicaEffect
-	= | {readonly type: 'write'; readonly sequence: number; readonly records: readonly LogRecord[]}
-		| {readonly type: 'send'; readonly to: Member; readonly body: ConsensusBody}
-		| {readonly type: 'commit'; readonly entries: readonly Entry[]}
-		| {readonly type: 'restore'; readonly snapshot: Snapshot}
-		| {readonly type: 'role'; readonly role: ReplicaRole; readonly term: number; readonly leader: string; readonly reason: RoleReason}
-		| {readonly type: 'read'; readonly id: number; readonly index: number}
-		| {readonly type: 'read-refused'; readonly id: number};
-
-/** An input of the state machine. */
-export type ReplicaEvent
-	= | {readonly type: 'tick'}
-		| {readonly type: 'synced'; readonly sequence: number}
-		| {readonly type: 'message'; readonly from: string; readonly body: ConsensusBody}
-		| {readonly type: 'propose'; readonly data: readonly Uint8Array[]}
-		| {readonly type: 'propose-configuration'; readonly configuration: Configuration}
-		| {readonly type: 'read'; readonly id: number}
-		| {readonly type: 'compact'; readonly index: number; readonly data: Uint8Array}
-		| {readonly type: 'transfer-leadership'};
-
 export type ReplicaOptions = {
 	readonly replica: string;
 	readonly hard: HardState;
@@ -91,22 +36,6 @@
 	readonly limits?: Pick<ReplicationLimits, 'appendBytes' | 'unacknowledgedBytes'>;
 };
 
-/** What the leader knows about the log of another replica. */
-type PeerProgress = {
-	nextIndex: number;
-	matchIndex: number;
-	/** Highest round of append requests that the peer has acknowledged. */
-	round: number;
-	/** Time at which that round was sent. */
-	confirmedMs: number;
-	/** Until this time no other snapshot is sent, because one is assumed to be in transit. */
-	installUntilMs: number;
-	/** Append requests with entries that the peer has not acknowledged, in the order in which they were sent. */
-	unacknowledged: Array<{readonly lastIndex: number; readonly bytes: number}>;
-	/** Round in which `nextIndex` was last set back. Rejections of earlier rounds are ignored. */
-	resentRound: number;
-};
-
 /** A read that waits until a quorum has acknowledged a round. */
 type PendingRead = {
 	readonly id: number;
@@ -115,7 +44,6 @@
 };
 
 const DEFAULT_ENTRIES_PER_APPEND = 512;
-const INSTALL_RETRY_MS = 2000;
 const NO_REPLICA = '';
 
 /** State machine of one Raft replica. */
@@ -134,7 +62,10 @@
 	#commitIndex: number;
 	#configuration: Configuration;
 	#configurationIndex: number;
+	readonly #silence: SilenceDetector;
 	#electionDeadlineMs = 0;
+	/** When this replica last heard its leader, milliseconds. */
+	#leaderHeardMs = 0;
 	/** Until this time the current leader's lease may be valid, so votes are denied. */
 	#denyVotesUntilMs: number;
 	#heartbeatDueMs = 0;
@@ -152,6 +83,8 @@
 	#writeSequence = 0;
 	#syncedSequence = 0;
 	#syncedIndex: number;
+	/** Sequence number of the last write of the hard state. */
+	#hardStateSequence = 0;
 	readonly #pendingWrites: Array<{sequence: number; lastIndex: number}> = [];
 	/** Messages that wait until a write is synced. */
 	#deferredSends: Array<{sequence: number; effect: ReplicaEffect}> = [];
@@ -161,6 +94,7 @@
 		this.id = options.replica;
 		this.timing = options.timing ?? DEFAULT_REPLICA_TIMING;
 		this.#safeguards = options.safeguards ?? ALL_SAFEGUARDS;
+		this.#silence = new SilenceDetector(this.timing, options.nowMs);
 		this.#random = options.random;
 		this.#maxEntriesPerAppend = options.maxEntriesPerAppend ?? DEFAULT_ENTRIES_PER_APPEND;
 		this.#limits = options.limits ?? DEFAULT_REPLICATION_LIMITS;
@@ -243,8 +177,7 @@
 			return Number.NEGATIVE_INFINITY;
 		}
 
-		const confirmedMs = findQuorumValue(this.#configuration, replica => this.#getConfirmedMs(replica, nowMs));
-		return confirmedMs + (this.timing.electionMs * (1 - this.timing.clockDrift));
+		return this.#getQuorumContactMs(nowMs) + (this.timing.electionMs * (1 - this.timing.clockDrift));
 	}
 
 	/** Returns how far a replica has replicated the log and whether it responds, as seen by the leader. */
@@ -308,23 +241,29 @@
 				this.#transferLeadership(nowMs);
 				break;
 			}
+
+			case 'log-channel-closed': {
+				this.#onLogChannelClosed(event.peer, nowMs);
+				break;
+			}
 		}
 	}
 
 	#tick(nowMs: number): void {
+		this.#silence.recordTick(nowMs);
 		if (this.#role === REPLICA_ROLES.leader) {
 			this.#tickLeader(nowMs);
 			return;
 		}
 
-		if (nowMs >= this.#electionDeadlineMs && isVoter(this.#configuration, this.id)) {
+		if (this.#silence.hasPassed(this.#electionDeadlineMs, nowMs) && isVoter(this.#configuration, this.id)) {
 			this.#startElection(nowMs, {preVote: true, transfer: false});
 		}
 	}
 
 	#tickLeader(nowMs: number): void {
-		const quorumContactMs = findQuorumValue(this.#configuration, replica => this.#getConfirmedMs(replica, nowMs));
-		const hasLostQuorum = nowMs - Math.max(quorumContactMs, this.#electedMs) >= this.timing.electionMs;
+		const quorumContactMs = Math.max(this.#getQuorumContactMs(nowMs), this.#electedMs);
+		const hasLostQuorum = this.#silence.hasPassed(quorumContactMs + this.#silence.getTimeoutMs(nowMs), nowMs);
 		// After a failed leadership transfer the leader has no lease, so it steps down to trigger an election.
 		const isTransferTimedOut = nowMs - this.#transferStartedMs >= this.timing.electionMs;
 		if (hasLostQuorum || isTransferTimedOut) {
@@ -527,6 +466,17 @@
 
 		const matchIndex = Math.max(request.previousIndex + request.entries.length, this.#log.snapshot.index);
 		this.#advanceCommit(Math.min(request.commitIndex, matchIndex));
+		const isSynced = this.#syncedSequence >= this.#hardStateSequence && matchIndex <= this.#syncedIndex;
+		if (isSynced) {
+			this.#send(member, reply(true, matchIndex));
+			return;
+		}
+
+		if (request.entries.length > 0 && this.#syncedSequence >= this.#hardStateSequence) {
+			// Confirms the leader, and that the request has arrived, before the disk has taken its entries.
+			this.#send(member, reply(true, this.#syncedIndex));
+		}
+
 		this.#sendAfterSync(member, reply(true, matchIndex));
 	}
 
@@ -544,6 +494,7 @@
 		this.#followLeader(from, nowMs);
 		const {snapshot} = request;
 		if (snapshot.index > this.#commitIndex) {
+			this.#limitSynced(this.#commitIndex);
 			this.#log.compact(snapshot);
 			this.#commitIndex = snapshot.index;
 			this.#updateConfiguration();
@@ -557,6 +508,11 @@
 	}
 
 	#followLeader(leader: string, nowMs: number): void {
+		if (this.#leader === leader) {
+			this.#silence.recordSilence(nowMs - this.#leaderHeardMs, nowMs);
+		}
+
+		this.#leaderHeardMs = nowMs;
 		this.#denyVotesUntilMs = nowMs + this.timing.electionMs;
 		this.#resetElectionTimer(nowMs);
 		this.#isPreVoting = false;
@@ -587,9 +543,14 @@
 
 	#truncate(from: number): void {
 		this.#log.truncate(from);
-		this.#syncedIndex = Math.min(this.#syncedIndex, from - 1);
+		this.#limitSynced(from - 1);
+	}
+
+	/** Excludes entries after an index, which are replaced, from those that are synced or will be. */
+	#limitSynced(index: number): void {
+		this.#syncedIndex = Math.min(this.#syncedIndex, index);
 		for (const write of this.#pendingWrites) {
-			write.lastIndex = Math.min(write.lastIndex, from - 1);
+			write.lastIndex = Math.min(write.lastIndex, index);
 		}
 	}
 
@@ -617,32 +578,47 @@
 		}
 
 		const peer = this.#getPeerProgress(from);
-		peer.round = Math.max(peer.round, reply.round);
-		peer.confirmedMs = Math.max(peer.confirmedMs, this.#roundSentMs.get(reply.round) ?? Number.NEGATIVE_INFINITY);
+		this.#recordContact(peer, reply.round, nowMs);
 		const isRejectedAnew = !reply.success && reply.round >= peer.resentRound;
 		if (reply.success) {
-			peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex);
-			peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
-			peer.installUntilMs = 0;
-			peer.unacknowledged = peer.unacknowledged.filter(({lastIndex}) => lastIndex > peer.matchIndex);
+			peer.recordMatch(reply.matchIndex);
 		} else if (isRejectedAnew) {
-			peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(reply.matchIndex + 1, peer.nextIndex - 1));
-			peer.unacknowledged = [];
-			// A new round distinguishes replies to the entries that are sent again from replies to earlier requests.
-			this.#startRound(nowMs);
-			peer.resentRound = this.#round;
+			peer.setBack(reply.matchIndex);
+			this.#startResendRound(peer, nowMs);
 		}
 
 		this.#completeReads();
 		this.#advanceCommitByQuorum(nowMs);
 		this.#leaveJointConfiguration(nowMs);
 		const member = this.#findMember(from);
-		const hasUnsentEntries = reply.success && peer.nextIndex <= this.#log.lastIndex;
-		if (member && this.#role === REPLICA_ROLES.leader && (isRejectedAnew || hasUnsentEntries)) {
+		if (member && this.#role === REPLICA_ROLES.leader && peer.nextIndex <= this.#log.lastIndex) {
 			this.#sendEntries(member, nowMs);
 		}
 	}
 
+	#recordContact(peer: PeerProgress, round: number, nowMs: number): void {
+		const previousContactMs = this.#getQuorumContactMs(nowMs);
+		peer.round = Math.max(peer.round, round);
+		peer.confirmedMs = Math.max(peer.confirmedMs, this.#roundSentMs.get(round) ?? Number.NEGATIVE_INFINITY);
+		if (previousContactMs > this.#electedMs && this.#getQuorumContactMs(nowMs) > previousContactMs) {
+			this.#silence.recordSilence(nowMs - previousContactMs, nowMs);
+		}
+	}
+
+	/** Starts a round that distinguishes replies to entries that are sent again from replies to earlier requests. */
+	#startResendRound(peer: PeerProgress, nowMs: number): void {
+		this.#startRound(nowMs);
+		peer.resentRound = this.#round;
+	}
+
+	/** Makes what may be lost due with the next heartbeat, so that a peer that is down is not tried without a pause. */
+	#onLogChannelClosed(replica: string, nowMs: number): void {
+		const peer = this.#peers.get(replica);
+		if (this.#role === REPLICA_ROLES.leader && peer?.recordLoss()) {
+			this.#startResendRound(peer, nowMs);
+		}
+	}
+
 	#advanceCommitByQuorum(nowMs: number): void {
 		const quorumIndex = findQuorumValue(this.#configuration, replica => this.#getMatchIndex(replica));
 		const isOwnTerm = this.#log.getTerm(quorumIndex) === this.#term || !this.#safeguards.commitOwnTermOnly;
@@ -684,7 +660,10 @@
 		this.#appendAsLeader(data.map((bytes, offset) => ({
 			type: 'command', index: firstIndex + offset, term: this.#term, data: bytes,
 		})));
-		this.#broadcast(nowMs);
+		this.#startRound(nowMs);
+		for (const member of this.#listPeers()) {
+			this.#sendEntries(member, nowMs);
+		}
 	}
 
 	#onProposeConfiguration(configuration: Configuration, nowMs: number): void {
@@ -765,7 +744,7 @@
 		if (successor) {
 			// The successor's election ignores the lease, so this leader must not rely on it any longer.
 			this.#transferStartedMs = nowMs;
-			this.#effects.push({type: 'send', to: successor, body: {type: 'timeout-now', term: this.#term}});
+			this.#send(successor, {type: 'timeout-now', term: this.#term});
 		}
 	}
 
@@ -779,10 +758,26 @@
 		this.#startRound(nowMs);
 		this.#heartbeatDueMs = nowMs + this.timing.heartbeatMs;
 		for (const member of this.#listPeers()) {
-			this.#sendEntries(member, nowMs);
+			this.#sendHeartbeat(member);
+			if (this.#getPeerProgress(member.replica).matchIndex < this.#log.lastIndex) {
+				this.#sendEntries(member, nowMs, {probe: true});
+			}
 		}
 	}
 
+	/** Sends an append request that the peer accepts whatever is still in transit: it refers to entries that the peer is known to have. */
+	#sendHeartbeat(member: Member): void {
+		const {matchIndex} = this.#getPeerProgress(member.replica);
+		const matchTerm = this.#log.getTerm(matchIndex);
+		this.#send(member, this.#createAppendRequest(matchTerm === undefined ? 0 : matchIndex, matchTerm ?? 0, []));
+	}
+
+	#createAppendRequest(previousIndex: number, previousTerm: number, entries: Entry[]): AppendRequest {
+		return {
+			type: 'append-request', term: this.#term, round: this.#round, previousIndex, previousTerm, commitIndex: this.#commitIndex, entries,
+		};
+	}
+
 	#removeOldRounds(nowMs: number): void {
 		for (const [round, sentMs] of this.#roundSentMs) {
 			if (nowMs - sentMs < this.timing.electionMs * 2) {
@@ -793,7 +788,11 @@
 		}
 	}
 
-	#sendEntries(member: Member, nowMs: number): void {
+	/**
+	 * Sends the entries that the peer lacks, as far as the limits allow, or the snapshot. Entries are assumed to arrive. If they are lost,
+	 * the peer rejects the next request on the log channel; with `probe`, a request is sent for that even if it is empty.
+	 */
+	#sendEntries(member: Member, nowMs: number, {probe = false} = {}): void {
 		const peer = this.#getPeerProgress(member.replica);
 		const previousIndex = peer.nextIndex - 1;
 		const previousTerm = this.#log.getTerm(previousIndex);
@@ -803,39 +802,22 @@
 		}
 
 		const entries = this.#takeEntries(peer);
-		this.#effects.push({
-			type: 'send',
-			to: member,
-			body: {
-				type: 'append-request',
-				term: this.#term,
-				round: this.#round,
-				previousIndex,
-				previousTerm,
-				commitIndex: this.#commitIndex,
-				entries,
-			},
-		});
-		// Assume that the entries arrive (pipelining); if they are lost, the next append request is rejected.
-		peer.nextIndex += entries.length;
+		if (probe || entries.length > 0) {
+			this.#effects.push({
+				type: 'send', to: member, channel: CHANNELS.log, body: this.#createAppendRequest(previousIndex, previousTerm, entries),
+			});
+		}
 	}
 
 	/** Takes the entries of the next append request; none while too much that was sent to the peer is not acknowledged. */
 	#takeEntries(peer: PeerProgress): Entry[] {
 		const {appendBytes, unacknowledgedBytes} = this.#limits;
-		const sentBytes = peer.unacknowledged.reduce((sum, {bytes}) => sum + bytes, 0);
-		if (sentBytes >= unacknowledgedBytes) {
+		if (peer.unacknowledgedBytes >= unacknowledgedBytes) {
 			return [];
 		}
 
 		const entries = this.#log.takeBatch(peer.nextIndex, this.#maxEntriesPerAppend, appendBytes);
-		if (entries.length > 0) {
-			peer.unacknowledged.push({
-				lastIndex: entries.at(-1)!.index,
-				bytes: entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0),
-			});
-		}
-
+		peer.recordSent(entries);
 		return entries;
 	}
 
@@ -844,10 +826,10 @@
 			return;
 		}
 
-		peer.installUntilMs = nowMs + INSTALL_RETRY_MS;
 		const {snapshot} = this.#log;
+		peer.recordInstall(snapshot.index, nowMs);
 		this.#effects.push({
-			type: 'send', to: member, body: {
+			type: 'send', to: member, channel: CHANNELS.log, body: {
 				type: 'install-request', term: this.#term, round: this.#round, snapshot,
 			},
 		});
@@ -881,8 +863,16 @@
 		this.#effects.push({type: 'write', sequence: this.#writeSequence, records});
 	}
 
+	#send(to: Member, body: ConsensusBody): void {
+		this.#effects.push({
+			type: 'send', to, body, channel: CHANNELS.liveness,
+		});
+	}
+
 	#sendAfterSync(to: Member, body: ConsensusBody): void {
-		const effect: ReplicaEffect = {type: 'send', to, body};
+		const effect: ReplicaEffect = {
+			type: 'send', to, body, channel: CHANNELS.liveness,
+		};
 		if (this.#safeguards.syncBeforeReply && this.#writeSequence > this.#syncedSequence) {
 			this.#deferredSends.push({sequence: this.#writeSequence, effect});
 			return;
@@ -905,6 +895,7 @@
 		this.#term = term;
 		this.#vote = vote;
 		this.#write(this.#safeguards.persistHardState ? [{type: 'hard', state: {term, vote}}] : []);
+		this.#hardStateSequence = this.#writeSequence;
 	}
 
 	#setRole(role: ReplicaRole, leader: string, reason: RoleReason): void {
@@ -916,7 +907,7 @@
 	}
 
 	#resetElectionTimer(nowMs: number): void {
-		this.#electionDeadlineMs = nowMs + (this.timing.electionMs * (1 + this.#random()));
+		this.#electionDeadlineMs = nowMs + this.#silence.getTimeoutMs(nowMs) + (this.timing.electionMs * this.#random());
 	}
 
 	#updateConfiguration(): void {
@@ -947,9 +938,7 @@
 	#getPeerProgress(replica: string): PeerProgress {
 		let peer = this.#peers.get(replica);
 		if (!peer) {
-			peer = {
-				nextIndex: this.#log.lastIndex + 1, matchIndex: 0, round: 0, confirmedMs: Number.NEGATIVE_INFINITY, installUntilMs: 0, unacknowledged: [], resentRound: 0,
-			};
+			peer = new PeerProgress(this.#log.lastIndex + 1);
 			this.#peers.set(replica, peer);
 		}
 
@@ -968,6 +957,11 @@
 		return replica === this.id ? nowMs : this.#peers.get(replica)?.confirmedMs ?? Number.NEGATIVE_INFINITY;
 	}
 
+	/** Returns when the latest round was sent that a quorum has acknowledged. */
+	#getQuorumContactMs(nowMs: number): number {
+		return findQuorumValue(this.#configuration, replica => this.#getConfirmedMs(replica, nowMs));
+	}
+
 	#getConfirmedRound(replica: string): number {
 		return replica === this.id ? this.#round : this.#peers.get(replica)?.round ?? 0;
 	}
--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -20,7 +20,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Configuration, Entry, Snapshot} from '../generated/types.js';
 import {decodeCbor, encodeCbor} from '../wire/frame.js';
-import type {HardState, LogRecord} from './replica.js';
+import type {HardState, LogRecord} from './effects.js';
 
 /** State that a replica recovers from its files after a restart. */
 export type PersistentState = {
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -144,6 +144,11 @@
 	readonly #timing: ControllerTiming;
 	readonly #safeguards: OrderSafeguards;
 	readonly #electedMs: number;
+	/**
+	 * Since when this leader has heard of entry hosts and servers without a gap. While it stood still or was cut off, they may have
+	 * renewed and announced what it has not read yet.
+	 */
+	#informedSinceMs: number;
 	readonly #sessions = new Map<string, Session>();
 	readonly #observations = new Map<string, ServerObservation>();
 	readonly #orderAttempts = new Map<string, OrderAttempt>();
@@ -159,6 +164,7 @@
 
 	constructor(electedMs: number, timing = DEFAULT_CONTROLLER_TIMING, safeguards = ALL_ORDER_SAFEGUARDS) {
 		this.#electedMs = electedMs;
+		this.#informedSinceMs = electedMs;
 		this.#timing = timing;
 		this.#safeguards = safeguards;
 		this.#loadLimiter = new TokenBucket({perSecond: 1, burst: 2}, electedMs);
@@ -235,6 +241,10 @@
 
 	/** Runs the control loop once for changes, orders and claims. */
 	tick(state: ControlState, clock: LeaseClock): ControllerEffect[] {
+		if (clock.nowMs >= clock.leaseUntilMs) {
+			this.#informedSinceMs = clock.nowMs;
+		}
+
 		return [
 			...this.#advanceChanges(state, clock),
 			...this.#advanceOrders(state, clock),
@@ -379,7 +389,7 @@
 	 * idle. Returns undefined before that.
 	 */
 	#describeFinishedDrain(resource: Resource, change: ChangeSpecification, nowMs: number): string | undefined {
-		const haveEarlierLeasesExpired = nowMs - this.#electedMs >= this.#timing.viewLeaseMs || !this.#safeguards.awaitViewAcknowledgements;
+		const haveEarlierLeasesExpired = nowMs - this.#informedSinceMs >= this.#timing.viewLeaseMs || !this.#safeguards.awaitViewAcknowledgements;
 		if (!haveEarlierLeasesExpired) {
 			return undefined;
 		}
@@ -406,7 +416,7 @@
 		const observation = this.#observations.get(server);
 		if (!observation || nowMs - observation.atMs > this.#timing.serverTimeoutMs) {
 			// A server that has been silent for so long is considered down, so no running work can be interrupted.
-			return nowMs - this.#electedMs >= this.#timing.serverTimeoutMs;
+			return nowMs - this.#informedSinceMs >= this.#timing.serverTimeoutMs;
 		}
 
 		const {sequence, incarnation, load} = observation.announcement;
@@ -488,7 +498,7 @@
 
 	#closeAbandonedClaims(state: ControlState, {nowMs, wallMs}: LeaseClock): ControllerEffect[] {
 		const graceMs = this.#timing.viewLeaseMs + this.#timing.claimGraceMs;
-		if (nowMs - this.#electedMs < graceMs) {
+		if (nowMs - this.#informedSinceMs < graceMs) {
 			return [];
 		}
 
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -14,7 +14,7 @@
 	ConsensusNode, type CommitResult, type ConsensusEvent, type Leadership, type StateMachine,
 } from '../consensus/node.js';
 import type {ReplicationLimits} from '../consensus/limits.js';
-import type {ReplicaTiming} from '../consensus/replica.js';
+import type {ReplicaTiming} from '../consensus/effects.js';
 import {
 	EMPTY_SNAPSHOT, loadOrCreateIdentity, Storage,
 } from '../consensus/storage.js';
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -9,6 +9,9 @@
 /** Modules without I/O: they use no sockets, files or timers of Node.js. */
 const MODULES_WITHOUT_IO = [
 	'consensus/replica',
+	'consensus/effects',
+	'consensus/progress',
+	'consensus/silence',
 	'consensus/log',
 	'consensus/configuration',
 	'control/state',
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -3,7 +3,8 @@
 import {createRandom} from '../src/base/random.js';
 import {hasQuorum, findQuorumValue} from '../src/consensus/configuration.js';
 import {ALL_SAFEGUARDS, type Safeguards} from '../src/consensus/safeguards.js';
-import {Replica, type ReplicaEffect, type ReplicaEvent} from '../src/consensus/replica.js';
+import type {ReplicaEffect, ReplicaEvent} from '../src/consensus/effects.js';
+import {Replica} from '../src/consensus/replica.js';
 import {EMPTY_PERSISTENT_STATE, EMPTY_SNAPSHOT} from '../src/consensus/storage.js';
 import type {Configuration, ConsensusBody, Member} from '../src/generated/types.js';
 
--- a/test/replication.test.ts
+++ b/test/replication.test.ts
@@ -7,7 +7,8 @@
 import {createReplicationLimits, type ReplicationLimits} from '../src/consensus/limits.js';
 import {getEntryBytes} from '../src/consensus/log.js';
 import {ConsensusNode} from '../src/consensus/node.js';
-import {Replica, type ReplicaEffect} from '../src/consensus/replica.js';
+import type {ReplicaEffect} from '../src/consensus/effects.js';
+import {Replica} from '../src/consensus/replica.js';
 import {EMPTY_PERSISTENT_STATE, EMPTY_SNAPSHOT} from '../src/consensus/storage.js';
 import type {AppendRequest, Configuration, Member} from '../src/generated/types.js';
 import {waitUntil} from '../dev/fleet.js';
@@ -106,16 +107,22 @@
 		},
 	}, nowMs));
 	const acknowledge = ({round, previousIndex, entries}: AppendRequest) => reply(round, true, previousIndex + entries.length);
-	run(replica.step({type: 'tick'}, nowMs));
+	for (let tickMs = 100; tickMs <= nowMs; tickMs += 100) {
+		run(replica.step({type: 'tick'}, tickMs));
+	}
+
 	const grant = (preVote: boolean) => run(replica.step({
 		type: 'message', from: 'b', body: {
 			type: 'vote-reply', term: 1, preVote, granted: true,
 		},
 	}, nowMs));
 	grant(true);
-	const [first] = grant(false);
+	const first = grant(false);
 	assert.equal(replica.role, 'leader');
-	acknowledge(first!);
+	for (const request of first) {
+		acknowledge(request);
+	}
+
 	return {
 		acknowledge,
 		propose: (count: number, bytes = COMMAND_BYTES) => run(replica.step({type: 'propose', data: Array.from({length: count}, () => new Uint8Array(bytes))}, nowMs)),
--- a/test/storage.test.ts
+++ b/test/storage.test.ts
@@ -8,7 +8,7 @@
 import path from 'node:path';
 import {test} from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
-import type {LogRecord} from '../src/consensus/replica.js';
+import type {LogRecord} from '../src/consensus/effects.js';
 import {EMPTY_SNAPSHOT, loadOrCreateIdentity, Storage} from '../src/consensus/storage.js';
 import type {CommandEntry} from '../src/generated/types.js';
 
