Configurations that a newer one has overtaken are not sent, appended or parsed

What callers saw: in a quick succession of large configurations on a busy machine each took longer than the one before, up to 12 s, and the leader's memory grew to 250 MB of 346.

Cause: each configuration was replicated though only the newest has an effect; a client sent its whole body again after 1 s, to hosts that refused it, and the leader appended the copy; a busy log was asked again each 60 ms; and each version was parsed on each host as it was committed.

Change: a control host has one configuration on its way, and tries carry the newest; the others are acknowledged with it. A leader answers a stored version from its state, and one that is on its way with that one's result. A client follows the leader that its own replica knows: it moves on at once when that changes, and gives a living leader 2 s instead of 1 s. Configurations that are committed together are parsed once, and not again on the host that received them. A view is not pushed on a connection that holds 32 KB unsent. A host asks to join each 100 ms instead of 500. A reconfiguration is abandoned also if its new replica responds and gets nothing.

--- a/src/control/client.ts
+++ b/src/control/client.ts
@@ -27,12 +27,20 @@
 	/** Control hosts to try before the leader has sent a list. */
 	readonly seeds: readonly Address[];
 	readonly clock: Clock;
+	/** Returns the leader with which this process is in contact as a control host; undefined if it knows none. */
+	readonly findLeader?: () => Address | undefined;
 	/** Called when the leader pushes a view update that was not requested. */
 	readonly onViewPushed: (message: RenewReply) => void;
 };
 
 const REPLY_TIMEOUT_MS = 1000;
 const RETRY_PAUSE_MS = 60;
+/** The pause doubles with each refusal of the same request by a leader whose log is busy, up to this. */
+const MAX_RETRY_PAUSE_MS = 480;
+/** Interval at which a request that waits checks whether the leader has changed. */
+const LEADER_CHECK_MS = 50;
+/** A leader that is known to be alive gets this many times as long to reply. */
+const LEADER_PATIENCE_FACTOR = 2;
 /** Refusals after which a request may succeed at the next try. */
 const RETRIED_REFUSALS: ReadonlySet<ProblemName | undefined> = new Set(['notLeader', 'proposalUnknown', 'noQuorum', 'logBusy']);
 export const DEFAULT_TIMEOUT_MS = 5000;
@@ -77,20 +85,25 @@
 	 * ```
 	 */
 	propose(command: Command, timeoutMs = DEFAULT_TIMEOUT_MS): TaskEither<Problem, ProposeReply> {
-		return this.#sendWithRetry({type: 'propose', command}, 'proposed', timeoutMs);
+		return this.#sendWithRetry(() => ({type: 'propose', command}), 'proposed', timeoutMs);
+	}
+
+	/** Like `propose`, with a command that is asked for at each try, so that a retry carries the newest one. */
+	proposeNewest(getCommand: () => Command, timeoutMs: number): TaskEither<Problem, ProposeReply> {
+		return this.#sendWithRetry(() => ({type: 'propose', command: getCommand()}), 'proposed', timeoutMs);
 	}
 
 	/** Returns all resource changes since a version. The read is linearizable: a majority confirms the leader first. */
 	readResources(from: number, timeoutMs = DEFAULT_TIMEOUT_MS): TaskEither<Problem, ReadReply> {
-		return this.#sendWithRetry({type: 'read', from}, 'listing', timeoutMs);
+		return this.#sendWithRetry(() => ({type: 'read', from}), 'listing', timeoutMs);
 	}
 
 	renewViewLease(message: Omit<RenewRequest, 'id'>, timeoutMs = REPLY_TIMEOUT_MS): TaskEither<Problem, RenewReply> {
-		return this.#sendWithRetry(message, 'renewed', timeoutMs);
+		return this.#sendWithRetry(() => message, 'renewed', timeoutMs);
 	}
 
 	manageMembers(message: Omit<MembersRequest, 'id'>): TaskEither<Problem, MembersReply> {
-		return this.#sendWithRetry(message, 'members-reply', DEFAULT_TIMEOUT_MS);
+		return this.#sendWithRetry(() => message, 'members-reply', DEFAULT_TIMEOUT_MS);
 	}
 
 	close(): void {
@@ -98,15 +111,17 @@
 		this.#connection?.close();
 	}
 
-	#sendWithRetry<Type extends Reply['type']>(request: ControlRequest, expected: Type, timeoutMs: number): TaskEither<Problem, Extract<Reply, {type: Type}>> {
+	#sendWithRetry<Type extends Reply['type']>(createRequest: () => ControlRequest, expected: Type, timeoutMs: number): TaskEither<Problem, Extract<Reply, {type: Type}>> {
 		return async () => {
 			const {clock} = this.#options;
 			const deadlineMs = clock.monotonicMs() + timeoutMs;
 			let mayHaveCommitted = false;
+			let pauseMs = RETRY_PAUSE_MS;
 			while (clock.monotonicMs() < deadlineMs && !this.#isClosed) {
 				const id = this.#nextId++;
+				this.#followLeader();
 				const generation = this.#targetGeneration;
-				const reply = await this.#sendOnce({...request, id}, id, Math.min(REPLY_TIMEOUT_MS, deadlineMs - clock.monotonicMs()));
+				const reply = await this.#sendOnce({...createRequest(), id}, id, deadlineMs);
 				if (reply?.type === expected) {
 					return Either.right(reply as Extract<Reply, {type: Type}>);
 				}
@@ -119,10 +134,11 @@
 
 				mayHaveCommitted ||= name === undefined || name === 'proposalUnknown';
 				this.#switchTarget(refusal, generation);
-				await sleep(RETRY_PAUSE_MS);
+				await sleep(pauseMs);
+				pauseMs = name === 'logBusy' ? Math.min(pauseMs * 2, MAX_RETRY_PAUSE_MS) : RETRY_PAUSE_MS;
 			}
 
-			if (mayHaveCommitted && request.type === 'propose') {
+			if (mayHaveCommitted && expected === 'proposed') {
 				return Either.left(createProblem('proposalUnknown', undefined, 1));
 			}
 
@@ -130,13 +146,19 @@
 		};
 	}
 
-	async #sendOnce(message: Message, id: number, timeoutMs: number): Promise<Reply | undefined> {
+	/** Sends a request and waits for the reply as long as its target may still give one; undefined if there is none. */
+	async #sendOnce(message: Message, id: number, deadlineMs: number): Promise<Reply | undefined> {
+		const {clock} = this.#options;
+		const sentMs = clock.monotonicMs();
 		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				finish(undefined);
-			}, timeoutMs);
+			const timer = setInterval(() => {
+				const nowMs = clock.monotonicMs();
+				if (nowMs >= deadlineMs || !this.#isReplyExpected(sentMs, nowMs)) {
+					finish(undefined);
+				}
+			}, LEADER_CHECK_MS);
 			const finish = (reply: Reply | undefined) => {
-				clearTimeout(timer);
+				clearInterval(timer);
 				this.#pendingRequests.delete(id);
 				resolve(reply);
 			};
@@ -146,6 +168,27 @@
 		});
 	}
 
+	/**
+	 * Whether the target may still reply. A leader that is known to be alive gets more time: it has the request already, and a second copy
+	 * would only add to its work.
+	 */
+	#isReplyExpected(sentMs: number, nowMs: number): boolean {
+		const leader = this.#options.findLeader?.();
+		if (!leader) {
+			return nowMs - sentMs < REPLY_TIMEOUT_MS;
+		}
+
+		return isSameAddress(leader, this.#targets[this.#target]) && nowMs - sentMs < REPLY_TIMEOUT_MS * LEADER_PATIENCE_FACTOR;
+	}
+
+	/** Makes the leader that this process knows the target of the next requests. */
+	#followLeader(): void {
+		const leader = this.#options.findLeader?.();
+		if (leader && !isSameAddress(leader, this.#targets[this.#target])) {
+			this.#useTarget(this.#findOrAddTarget(leader));
+		}
+	}
+
 	#getConnection(): Connection {
 		if (this.#connection?.isOpen) {
 			return this.#connection;
@@ -201,8 +244,13 @@
 			return;
 		}
 
+		this.#useTarget(next);
+	}
+
+	/** Directs requests to a target, on a new connection. Those that wait for another target's replies are sent again. */
+	#useTarget(target: number): void {
 		this.#targetGeneration++;
-		this.#target = next;
+		this.#target = target;
 		const connection = this.#connection;
 		this.#connection = undefined;
 		connection?.close();
@@ -210,13 +258,13 @@
 	}
 
 	#findNextTarget(refusal: RefusalReply | undefined): number {
-		if (!refusal?.leader) {
-			return (this.#target + 1) % this.#targets.length;
-		}
+		const leader = this.#options.findLeader?.() ?? refusal?.leader;
+		return leader ? this.#findOrAddTarget(leader) : (this.#target + 1) % this.#targets.length;
+	}
 
-		const {address, port} = refusal.leader;
-		const namedIndex = this.#targets.findIndex(target => isSameAddress(target, refusal.leader));
-		return namedIndex === -1 ? this.#targets.push({address, port}) - 1 : namedIndex;
+	#findOrAddTarget({address, port}: Address): number {
+		const index = this.#targets.findIndex(target => isSameAddress(target, {address, port}));
+		return index === -1 ? this.#targets.push({address, port}) - 1 : index;
 	}
 
 	#failPendingRequests(): void {
--- a/src/control/reconfigurator.ts
+++ b/src/control/reconfigurator.ts
@@ -51,6 +51,8 @@
 	readonly #lastAliveMs = new Map<string, number>();
 	#current: Reconfiguration | undefined;
 	#lastProgressMs = 0;
+	/** How much of the log the new replica of the current reconfiguration had when it last got more. */
+	#matchIndex = 0;
 
 	constructor(timing = DEFAULT_RECONFIGURATION_TIMING) {
 		this.#timing = timing;
@@ -66,6 +68,7 @@
 		if (Either.isRight(validated)) {
 			this.#current = reconfiguration;
 			this.#lastProgressMs = nowMs;
+			this.#matchIndex = 0;
 		}
 
 		return validated;
@@ -115,9 +118,9 @@
 			return {type: 'propose-configuration', configuration};
 		}
 
-		const isNewReplicaDown = reconfiguration.add !== undefined && !status.getProgress(reconfiguration.add.replica).alive;
+		this.#recordProgress(reconfiguration, status, nowMs);
 		const isStable = status.isCommitted && status.configuration.outgoing.length === 0;
-		if (isNewReplicaDown && isStable && nowMs - this.#lastProgressMs > this.#timing.abandonAfterMs) {
+		if (reconfiguration.add && isStable && nowMs - this.#lastProgressMs > this.#timing.abandonAfterMs) {
 			this.#current = undefined;
 			return {type: 'abandoned', reconfiguration};
 		}
@@ -125,6 +128,15 @@
 		return undefined;
 	}
 
+	/** Records that the new replica got more of the log. One that responds but gets nothing would block every other repair. */
+	#recordProgress({add}: Reconfiguration, status: ConfigurationStatus, nowMs: number): void {
+		const progress = add && status.getProgress(add.replica);
+		if (progress?.alive && progress.matchIndex > this.#matchIndex) {
+			this.#matchIndex = progress.matchIndex;
+			this.#lastProgressMs = nowMs;
+		}
+	}
+
 	#recordAliveVoters(status: ConfigurationStatus, nowMs: number): void {
 		for (const {replica} of status.configuration.voters) {
 			if (status.getProgress(replica).alive || !this.#lastAliveMs.has(replica)) {
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -32,7 +32,8 @@
 import {describeReconfiguration, type ConfigurationStatus, type Reconfiguration} from './reconfiguration.js';
 import {HttpOrderTransport, type OrderTransport} from './order.js';
 import {Reconfigurator, type ReconfigurationTiming} from './reconfigurator.js';
-import {ControlState, type ControlStateSnapshot} from './state.js';
+import {PendingPublication} from './publications.js';
+import {ControlState, PUBLICATION_NAME, type ControlStateSnapshot} from './state.js';
 
 export type ControlServiceOptions = {
 	readonly host: string;
@@ -69,10 +70,13 @@
 	sentVersion: number;
 };
 
+/** No view is pushed while this much is unsent on the connection; a slow entry host then gets only the newest. */
+const MAX_BUFFERED_VIEW_BYTES = 32 * 1024;
+
 const CONTROLLER_TICK_MS = 50;
 const BOOTSTRAP_RETRY_MS = 100;
 const HELLO_TIMEOUT_MS = 500;
-const JOIN_INTERVAL_MS = 500;
+const JOIN_INTERVAL_MS = 100;
 /** A larger change of the offset between the wall clock and the monotonic clock means a suspended machine or a clock step. */
 const CLOCK_JUMP_THRESHOLD_MS = 100;
 
@@ -84,6 +88,7 @@
 	readonly #storage: Storage;
 	readonly #orderTransport: OrderTransport;
 	readonly #subscribers = new Map<string, ViewSubscriber>();
+	readonly #pendingPublication = new PendingPublication<Either.Either<Problem, CommitResult>>();
 	#state = new ControlState();
 	#node: ConsensusNode | undefined;
 	#controller: Controller | undefined;
@@ -173,6 +178,11 @@
 		return this.#holdsLeaderLease();
 	}
 
+	/** The leader with which this replica is in contact, or this replica if it leads with a valid lease. */
+	findLeader(): Member | undefined {
+		return this.hasQuorum ? this.#node?.findLeader() : undefined;
+	}
+
 	/** The control state after the last entry that this replica has applied. */
 	get state(): ControlState {
 		return this.#state;
@@ -410,9 +420,13 @@
 		}
 
 		for (const subscriber of this.#subscribers.values()) {
-			if (subscriber.sentVersion < this.#state.viewVersion) {
-				this.#sendView(subscriber, 0, 0);
-			}
+			this.#pushView(subscriber);
+		}
+	}
+
+	#pushView(subscriber: ViewSubscriber): void {
+		if (subscriber.sentVersion < this.#state.viewVersion && subscriber.connection.bufferedBytes < MAX_BUFFERED_VIEW_BYTES) {
+			this.#sendView(subscriber, 0, 0);
 		}
 	}
 
@@ -516,8 +530,7 @@
 			return;
 		}
 
-		const command = {...message.command, at: this.#options.clock.wallMs()};
-		const result = await node.propose(encodeCbor(command));
+		const result = await this.#proposeOnce(message.command, node);
 		if (Either.isLeft(result)) {
 			this.#refuse(message.id, result.left, connection);
 			return;
@@ -529,6 +542,23 @@
 		});
 	}
 
+	/** Proposes a command, unless it is a publication that a stored one or one on its way has overtaken. */
+	async #proposeOnce(command: Command, node: ConsensusNode): Promise<Either.Either<Problem, CommitResult>> {
+		const propose = async () => node.propose(encodeCbor({...command, at: this.#options.clock.wallMs()}));
+		if (command.type !== 'put' || command.specification.kind !== 'publication') {
+			return propose();
+		}
+
+		const {version} = command.specification;
+		const stored = this.#state.findResource('publication', PUBLICATION_NAME);
+		if (stored?.specification.kind === 'publication' && stored.specification.version >= version) {
+			const outcome: CommandOutcome = {type: 'accepted', version: stored.version};
+			return Either.right({index: stored.version, outcome});
+		}
+
+		return this.#pendingPublication.findResult(version) ?? this.#pendingPublication.track(version, propose());
+	}
+
 	async #onRead(message: ReadRequest, connection: Connection): Promise<void> {
 		const read = this.#node ? await this.#node.awaitReadIndex() : Either.left(createProblem('notLeader'));
 		if (Either.isLeft(read)) {
@@ -547,6 +577,15 @@
 
 		const leaseMs = this.#controller.renewViewLease(message, this.#options.clock.monotonicMs());
 		const subscriber: ViewSubscriber = {connection, sentVersion: message.version};
+		if (this.#subscribers.get(message.host)?.connection !== connection) {
+			connection.onDrain(() => {
+				const current = this.#subscribers.get(message.host);
+				if (current?.connection === connection && this.#controller && this.#holdsLeaderLease()) {
+					this.#pushView(current);
+				}
+			});
+		}
+
 		this.#subscribers.set(message.host, subscriber);
 		this.#sendView(subscriber, message.id, leaseMs);
 		if (message.leaving) {
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -22,9 +22,10 @@
 import type {ControlMetrics} from '../control/metrics.js';
 import {createReconfigurationTiming} from '../control/reconfigurator.js';
 import {ControlService} from '../control/service.js';
-import {ANY_VERSION, excludesServer, PUBLICATION_NAME} from '../control/state.js';
+import {PublicationQueue} from '../control/publications.js';
+import {excludesServer, PUBLICATION_NAME} from '../control/state.js';
 import type {
-	Announcement, Fact, Message, Publication, PutCommand, Resync, ViewUpdate,
+	Announcement, Fact, Message, Publication, Resync, ViewUpdate,
 } from '../generated/types.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedPublisher} from '../membership/feed.js';
@@ -104,6 +105,7 @@
 	readonly #logger: Logger;
 	readonly #controlService: ControlService;
 	readonly #controlClient: ControlClient;
+	readonly #publications: PublicationQueue;
 	readonly #publisher: FeedPublisher;
 	readonly #subscription: FeedSubscription;
 	readonly #listener: Listener;
@@ -118,6 +120,9 @@
 	/** When this host last had a majority, milliseconds of the monotonic clock. */
 	#lastQuorumMs: number;
 	#routeTable: RouteTable | undefined;
+	#pendingApply: NodeJS.Immediate | undefined;
+	/** The last publication that an operator sent to this host, with its parsed form. */
+	#received: {readonly text: string; readonly config: RoutingConfig} | undefined;
 	/** When this host first had a majority, without which it refuses announcements, milliseconds of the monotonic clock. */
 	#acceptingSinceMs: number | undefined;
 	#lastRoleChangeMs = Number.NEGATIVE_INFINITY;
@@ -134,7 +139,14 @@
 		// Servers that left before this host started may have begun streams, unless there was no system yet.
 		this.#scheduler = new Scheduler({limiter: this.#limiter, versionsKnownSinceMs: isNewSystem ? Number.NEGATIVE_INFINITY : this.#startedMs});
 		const {clock, host, dataCentre, seeds} = options;
-		this.#controlClient = new ControlClient({seeds: [options.peerAddress, ...seeds.filter(seed => !isSameAddress(seed, options.peerAddress))], clock, onViewPushed: () => undefined});
+		this.#controlClient = new ControlClient({
+			seeds: [options.peerAddress, ...seeds.filter(seed => !isSameAddress(seed, options.peerAddress))], clock, findLeader: () => service.findLeader(), onViewPushed: () => undefined,
+		});
+		this.#publications = new PublicationQueue({
+			propose: (getCommand, timeoutMs) => this.#controlClient.proposeNewest(getCommand, timeoutMs),
+			wallMs: () => clock.wallMs(),
+			timeoutMs: PUBLISH_DEADLINE_MS,
+		});
 		this.#publisher = new FeedPublisher({
 			host,
 			registry,
@@ -299,26 +311,19 @@
 		}
 
 		const {version} = config.right;
+		this.#received = {text, config: config.right};
 		const current = this.#controlService.state.publication;
 		if (current && current.version >= version) {
 			metrics.publications.inc({outcome: 'superseded'});
 			return Either.right(undefined);
 		}
 
-		const command: PutCommand = {
-			type: 'put',
-			at: this.#options.clock.wallMs(),
-			requestId: `publish-${version}`,
-			name: PUBLICATION_NAME,
-			seen: ANY_VERSION,
-			specification: {kind: 'publication', version, body: text},
-		};
-		const result = await this.#controlClient.propose(command, PUBLISH_DEADLINE_MS)();
+		const result = await this.#publications.publish({kind: 'publication', version, body: text});
 		metrics.publications.inc({outcome: Either.isRight(result) ? 'accepted' : 'unanswered'});
 		this.#logger.info(`Publication ${version} is ${Either.isRight(result) ? 'accepted' : 'not accepted'}.`, {
 			version, bytes: text.length, reason: Either.isLeft(result) ? result.left.text : undefined,
 		});
-		return Either.isLeft(result) ? result : Either.right(undefined);
+		return result;
 	}
 
 	/** Returns the publication in force. The read is linearizable: a majority confirms it. */
@@ -400,9 +405,12 @@
 		}
 	}
 
-	/** Applies the control state after an entry of the replicated log was applied to it. */
+	/** Applies the control state after entries of the replicated log were applied to it, once for all that arrive together. */
 	handleStateChange(): void {
-		this.#applyState();
+		this.#pendingApply ??= setImmediate(() => {
+			this.#pendingApply = undefined;
+			this.#applyState();
+		});
 	}
 
 	/**
@@ -418,6 +426,7 @@
 
 	async close(): Promise<void> {
 		clearInterval(this.#timer);
+		clearImmediate(this.#pendingApply);
 		this.#controlClient.close();
 		this.#publisher.close();
 		this.#subscription.close();
@@ -508,7 +517,9 @@
 			return;
 		}
 
-		const config = this.#options.protocol.parseRoutingConfig(publication.body);
+		const config = this.#received?.text === publication.body
+			? Either.right(this.#received.config)
+			: this.#options.protocol.parseRoutingConfig(publication.body);
 		if (Either.isLeft(config)) {
 			this.#logger.error(`Publication ${publication.version} is not a valid routing configuration.`, {version: publication.version, reason: config.left.text});
 			return;
--- a/test/reconfigurator.test.ts
+++ b/test/reconfigurator.test.ts
@@ -55,6 +55,28 @@
 	assert.equal(reconfigurator.tick(replaced, DEFAULT_RECONFIGURATION_TIMING.abandonAfterMs + 1)?.type, 'abandoned');
 });
 
+// Guards against a new replica that responds but gets nothing of the log, and blocks the replacement of the next lost voter.
+test('a reconfiguration whose new replica responds without catching up is abandoned; one that catches up slowly is not', () => {
+	const newMember = createMember('d', 4);
+	const {abandonAfterMs} = DEFAULT_RECONFIGURATION_TIMING;
+	const run = (getMatchIndex: (nowMs: number) => number) => {
+		const reconfigurator = new Reconfigurator();
+		reconfigurator.start({add: newMember}, createStatus(THREE_VOTERS), 0);
+		reconfigurator.tick(createStatus(THREE_VOTERS), 0);
+		for (let nowMs = 500; nowMs <= abandonAfterMs * 2; nowMs += 500) {
+			const waiting = {...createStatus(THREE_VOTERS, [newMember]), commitIndex: 1000, getProgress: () => ({matchIndex: getMatchIndex(nowMs), alive: true})};
+			if (reconfigurator.tick(waiting, nowMs)?.type === 'abandoned') {
+				return nowMs;
+			}
+		}
+
+		return undefined;
+	};
+
+	assert.equal(run(() => 0), abandonAfterMs + 500);
+	assert.equal(run(nowMs => nowMs / 100), undefined);
+});
+
 function createMember(replica: string, host: number): Member {
 	return {
 		replica, host: `10.0.0.${host}`, address: `10.0.0.${host}`, port: 7400,
