--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -22,6 +22,7 @@
 		wipes: {type: 'string', default: '3'},
 		wipe: {type: 'string', default: 'any'},
 		during: {type: 'boolean', default: false},
+		freezes: {type: 'string', default: '0'},
 		busy: {type: 'string', default: '0'},
 		seed: {type: 'string', default: '1'},
 	},
@@ -38,6 +39,7 @@
 		wipes: Number(values.wipes),
 		wipesLeader: values.wipe === 'leader',
 		wipesDuringChanges: values.during,
+		freezes: Number(values.freezes),
 		seed: Number(values.seed) + index,
 	})));
 	for (const report of reports) {
--- a/dev/soak/run.ts
+++ b/dev/soak/run.ts
@@ -25,6 +25,8 @@
 	readonly wipesLeader: boolean;
 	/** Whether the disks are lost while configurations are sent, not after them. */
 	readonly wipesDuringChanges: boolean;
+	/** Number of times that the leader stands still while configurations are sent. */
+	readonly freezes: number;
 	readonly seed: number;
 };
 
@@ -59,6 +61,8 @@
 /** Time for which the operator asks a host for the configuration at the end. */
 const READ_BACK_MS = 6000;
 const DOWN_MS = 1000;
+const FREEZE_MS = 2000;
+const FREEZE_INTERVAL_MS = 6000;
 /** The next disk is lost this long after the one before. */
 const WIPE_INTERVAL_MS = 10_000;
 /** A host is counted on again this long after a fault. */
@@ -114,7 +118,7 @@
 		await sleep(STARTUP_MS);
 		this.#startedMs = Date.now();
 		const {wipesDuringChanges} = this.#options;
-		await Promise.all([this.#sendChanges(), ...(wipesDuringChanges ? [this.#loseDisks()] : [])]);
+		await Promise.all([this.#sendChanges(), this.#freezeLeaders(), ...(wipesDuringChanges ? [this.#loseDisks()] : [])]);
 		if (!wipesDuringChanges) {
 			await this.#loseDisks();
 		}
@@ -160,6 +164,17 @@
 		return undefined;
 	}
 
+	async #freezeLeaders(): Promise<void> {
+		for (let freeze = 0; freeze < this.#options.freezes; freeze++) {
+			await sleep(FREEZE_INTERVAL_MS);
+			const leader = await this.#site.findLeader();
+			this.#faultsMs.push(Date.now());
+			leader?.child?.kill('SIGSTOP');
+			await sleep(FREEZE_MS);
+			leader?.child?.kill('SIGCONT');
+		}
+	}
+
 	async #loseDisks(): Promise<void> {
 		for (let wipe = 0; wipe < this.#options.wipes; wipe++) {
 			const startedMs = performance.now();
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -16,7 +16,7 @@
 } from '../routing/roles.js';
 import {QUARANTINE_PREFIX} from './ledger.js';
 import {
-	excludesServer, CHANGE_PHASES, type ControlState, type OpenOrder,
+	excludesServer, CHANGE_PHASES, isOpenChange, type ControlState, type OpenOrder,
 } from './state.js';
 
 /** Name of the policy resource that configures automatic role changes. */
@@ -154,6 +154,8 @@
 	readonly #orderAttempts = new Map<string, OrderAttempt>();
 	/** For each draining change, the announcement that its server had made at the first idle check. */
 	readonly #drainBaselines = new Map<string, {readonly sequence: number; readonly incarnation: number}>();
+	/** Names of the changes whose server counted as idle because it was silent. */
+	readonly #drainedSilently = new Set<string>();
 	readonly #lastProposedMs = new Map<string, number>();
 	readonly #loadLimiter: TokenBucket;
 	readonly #demands = new Map<string, readonly ModelDemand[]>();
@@ -346,6 +348,7 @@
 	}
 
 	#advanceChanges(state: ControlState, clock: LeaseClock): ControllerEffect[] {
+		this.#forgetFinishedChanges(state);
 		const effects: ControllerEffect[] = [];
 		for (const resource of state.listOpenChanges()) {
 			const command = this.#advanceChange(resource, state, clock);
@@ -357,6 +360,16 @@
 		return effects;
 	}
 
+	#forgetFinishedChanges(state: ControlState): void {
+		for (const name of this.#drainedSilently) {
+			const change = state.findResource('change', name);
+			if (!change || !isOpenChange(change)) {
+				this.#drainedSilently.delete(name);
+				this.#drainBaselines.delete(name);
+			}
+		}
+	}
+
 	#advanceChange(resource: Resource, state: ControlState, clock: LeaseClock): Command | undefined {
 		const change = resource.specification as ChangeSpecification;
 		if (resource.status?.phase === CHANGE_PHASES.draining) {
@@ -416,10 +429,15 @@
 		const observation = this.#observations.get(server);
 		if (!observation || nowMs - observation.atMs > this.#timing.serverTimeoutMs) {
 			// A server that has been silent for so long is considered down, so no running work can be interrupted.
-			return nowMs - this.#informedSinceMs >= this.#timing.serverTimeoutMs;
+			const isDown = nowMs - this.#informedSinceMs >= this.#timing.serverTimeoutMs;
+			if (isDown) {
+				this.#drainedSilently.add(name);
+			}
+
+			return isDown;
 		}
 
-		const {sequence, incarnation, load} = observation.announcement;
+		const {sequence, incarnation} = observation.announcement;
 		const baseline = this.#drainBaselines.get(name);
 		if (baseline?.incarnation !== incarnation) {
 			this.#drainBaselines.set(name, {sequence, incarnation});
@@ -427,13 +445,35 @@
 		}
 
 		const hasFreshReport = sequence >= baseline.sequence + 2;
-		return hasFreshReport && (load?.running ?? 0) === 0 && (load?.waiting ?? 0) === 0;
+		return hasFreshReport && isLoadZero(observation.announcement);
+	}
+
+	/**
+	 * Whether an order would interrupt no work. A server that counted as down at its drain may have stood still instead, and go on with
+	 * its work; it must announce itself again and report that it is idle first.
+	 */
+	#interruptsNothing(order: OpenOrder, state: ControlState, nowMs: number): boolean {
+		const change = state.findResource('change', order.change)?.specification;
+		const observation = this.#observations.get(order.server);
+		if (!this.#safeguards.awaitIdle || change?.kind !== 'change' || change.server !== order.server || !observation) {
+			return true;
+		}
+
+		if (nowMs - observation.atMs > this.#timing.serverTimeoutMs) {
+			return false;
+		}
+
+		if (this.#drainedSilently.has(order.change) && this.#isIdle(order.change, order.server, nowMs)) {
+			this.#drainedSilently.delete(order.change);
+		}
+
+		return !this.#drainedSilently.has(order.change) && isLoadZero(observation.announcement);
 	}
 
 	#advanceOrders(state: ControlState, clock: LeaseClock): ControllerEffect[] {
 		const effects: ControllerEffect[] = [];
 		for (const order of state.listOpenOrders()) {
-			const effect = this.#advanceOrder(order, clock);
+			const effect = this.#advanceOrder(order, state, clock);
 			if (effect) {
 				effects.push(effect);
 			}
@@ -442,7 +482,7 @@
 		return effects;
 	}
 
-	#advanceOrder(order: OpenOrder, {nowMs, leaseUntilMs}: LeaseClock): ControllerEffect | undefined {
+	#advanceOrder(order: OpenOrder, state: ControlState, {nowMs, leaseUntilMs}: LeaseClock): ControllerEffect | undefined {
 		const observation = this.#observations.get(order.server);
 		if (!observation) {
 			return undefined;
@@ -472,6 +512,10 @@
 			return undefined;
 		}
 
+		if (!this.#interruptsNothing(order, state, nowMs)) {
+			return undefined;
+		}
+
 		attempt.state = 'sent';
 		attempt.lastTryMs = nowMs;
 		return {
@@ -605,6 +649,10 @@
 	};
 }
 
+function isLoadZero({load}: Announcement): boolean {
+	return (load?.running ?? 0) === 0 && (load?.waiting ?? 0) === 0;
+}
+
 function createPoolKey(engine: Announcement): string {
 	return [...engine.models ?? []].toSorted().join(' ');
 }
--- a/test/controller.test.ts
+++ b/test/controller.test.ts
@@ -199,6 +199,39 @@
 	assert.equal(leader.state.ledger.find('k')?.state, 'claimed');
 });
 
+// Guards against an order to a server that was taken for down, stood still instead, and goes on with its work.
+test('a server that was silent at its drain gets the order only once it reports that it is idle', () => {
+	const leader = new TestLeader();
+	leader.controller.observe(createAnnouncement('e1', 1), leader.nowMs);
+	leader.declare('r', {action: 'role', server: 'e1', role: 'decode'});
+	leader.advance(DEFAULT_CONTROLLER_TIMING.serverTimeoutMs + 1000);
+	assert.equal(leader.phase('r'), 'ordered');
+	leader.controller.observe(createAnnouncement('e1', 1), leader.nowMs);
+	const early = [...reportOrderAbsent(leader), ...advanceForDrain(leader, {}, 1)];
+	assert.equal(early.some(({type}) => type === 'send-order'), false);
+	assert.ok(advanceForDrain(leader).some(({type}) => type === 'send-order'));
+});
+
+// Guards against a leader that stood still and takes hosts for gone whose renewals it has not read yet.
+test('a leader that was out of contact waits for the leases that hosts may still hold', () => {
+	const leader = new TestLeader();
+	advanceForDrain(leader);
+	leader.declare('d', {action: 'drain', server: 'e1'});
+	leader.advance(100, [{running: [{server: 'e1', count: 1}], announcements: [createAnnouncement('e1')]}]);
+	leader.nowMs += DEFAULT_CONTROLLER_TIMING.viewLeaseMs * 2;
+	leader.leaseMs = -1;
+	leader.tick();
+	leader.leaseMs = 500;
+	for (let round = 0; round < 10; round++) {
+		leader.controller.observe(createAnnouncement('e1'), leader.nowMs);
+		leader.advance(100, []);
+	}
+
+	assert.equal(leader.phase('d'), 'draining');
+	advanceForDrain(leader);
+	assert.equal(leader.phase('d'), 'drained');
+});
+
 function createRenewal(version: number): RenewRequest {
 	return {
 		type: 'renew', id: 1, host: 'entry', boot: 'boot', version, running: [], leaving: false,
