A replica that lags votes for a candidate that it does not know yet

What callers saw: nothing yet; a group of control hosts with a majority of intact voters elects no leader, for ever. Cause: a voter that was away while others were replaced ignores vote requests of the newest voter, whom its old configuration does not name. Change: a vote does not depend on the voter's configuration if the candidate's log is ahead of the voter's; a replica that was removed is never ahead of those that are left, so the others still ignore it.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -395,7 +395,9 @@
 	}
 
 	#onVoteRequest(from: string, request: VoteRequest, nowMs: number): void {
-		const member = this.#findMember(from);
+		// A replica that lags may not know the newest voters. One that was removed is not ahead of those that are left.
+		const isAhead = request.lastTerm > this.#log.lastTerm || (request.lastTerm === this.#log.lastTerm && request.lastIndex > this.#log.lastIndex);
+		const member = this.#findMember(from) ?? (isAhead ? createUnknownMember(from) : undefined);
 		if (!member) {
 			return;
 		}
@@ -441,9 +443,7 @@
 	}
 
 	#onAppendRequest(from: string, request: AppendRequest, nowMs: number): void {
-		const member = this.#findMember(from) ?? {
-			replica: from, host: '', address: '', port: 0,
-		};
+		const member = this.#findMember(from) ?? createUnknownMember(from);
 		const reply = (success: boolean, matchIndex: number): AppendReply => ({
 			type: 'append-reply', term: this.#term, round: request.round, success, matchIndex,
 		});
@@ -481,9 +481,7 @@
 	}
 
 	#onInstallRequest(from: string, request: InstallRequest, nowMs: number): void {
-		const member = this.#findMember(from) ?? {
-			replica: from, host: '', address: '', port: 0,
-		};
+		const member = this.#findMember(from) ?? createUnknownMember(from);
 		if (request.term < this.#term) {
 			this.#sendAfterSync(member, {
 				type: 'append-reply', term: this.#term, round: request.round, success: false, matchIndex: 0,
@@ -966,3 +964,10 @@
 		return replica === this.id ? this.#round : this.#peers.get(replica)?.round ?? 0;
 	}
 }
+
+/** Creates the recipient of a reply to a replica that is not in the configuration; replies need no address. */
+function createUnknownMember(replica: string): Member {
+	return {
+		replica, host: '', address: '', port: 0,
+	};
+}
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -159,6 +159,12 @@
 	assert.deepEqual(requestVote(createReplica('a'), 'b', 5000), [true]);
 });
 
+// Guards against a group that has a majority and elects no leader, because a voter that was away does not know the newest one.
+test('a replica that lags grants its vote to a candidate that it does not know yet, if that one is ahead', () => {
+	assert.deepEqual(requestVote(createReplica('a'), 'stranger', 5000, 1), [true]);
+	assert.deepEqual(requestVote(createReplica('a'), 'stranger', 100, 1), [false]);
+});
+
 test('entries of an older term are not committed by counting replicas; without the safeguard they are', () => {
 	for (const commitOwnTermOnly of [true, false]) {
 		const replica = new Replica({
@@ -308,15 +314,15 @@
 	return {type: 'propose', data: [new TextEncoder().encode(text)]};
 }
 
-function createVoteRequest(term: number): ConsensusBody {
+function createVoteRequest(term: number, lastIndex = 0): ConsensusBody {
 	return {
-		type: 'vote-request', term, preVote: false, transfer: false, lastIndex: 0, lastTerm: 0,
+		type: 'vote-request', term, preVote: false, transfer: false, lastIndex, lastTerm: 0,
 	};
 }
 
-function requestVote(replica: Replica, from: string, nowMs: number): boolean[] {
+function requestVote(replica: Replica, from: string, nowMs: number, lastIndex = 0): boolean[] {
 	const effects = [
-		...replica.step({type: 'message', from, body: createVoteRequest(1)}, nowMs),
+		...replica.step({type: 'message', from, body: createVoteRequest(1, lastIndex)}, nowMs),
 		...replica.step({type: 'synced', sequence: 99}, nowMs),
 	];
 	return effects.flatMap(effect => effect.type === 'send' && effect.body.type === 'vote-reply' ? [effect.body.granted] : []);
