--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -396,8 +396,8 @@
 
 	#onVoteRequest(from: string, request: VoteRequest, nowMs: number): void {
 		// A replica that lags may not know the newest voters. One that was removed is not ahead of those that are left.
-		const isAhead = request.lastTerm > this.#log.lastTerm || (request.lastTerm === this.#log.lastTerm && request.lastIndex > this.#log.lastIndex);
-		const member = this.#findMember(from) ?? (isAhead ? createUnknownMember(from) : undefined);
+		const lead = this.#measureLead(request);
+		const member = this.#findMember(from) ?? (lead > 0 ? createUnknownMember(from) : undefined);
 		if (!member) {
 			return;
 		}
@@ -417,9 +417,7 @@
 
 		const isCurrent = request.preVote ? request.term > this.#term : request.term === this.#term;
 		const isVoteAvailable = request.preVote || this.#vote === NO_REPLICA || this.#vote === from;
-		const isUpToDate = request.lastTerm > this.#log.lastTerm
-			|| (request.lastTerm === this.#log.lastTerm && request.lastIndex >= this.#log.lastIndex);
-		const granted = isCurrent && isVoteAvailable && isUpToDate;
+		const granted = isCurrent && isVoteAvailable && lead >= 0;
 		if (granted && !request.preVote) {
 			this.#setTerm(this.#term, from);
 			this.#resetElectionTimer(nowMs);
@@ -431,6 +429,11 @@
 		});
 	}
 
+	/** Returns a positive number if a candidate's log is ahead of this replica's, 0 if both end alike, and a negative one if it is behind. */
+	#measureLead({lastTerm, lastIndex}: VoteRequest): number {
+		return lastTerm === this.#log.lastTerm ? lastIndex - this.#log.lastIndex : lastTerm - this.#log.lastTerm;
+	}
+
 	#onVoteReply(from: string, reply: VoteReply, nowMs: number): void {
 		const expectedTerm = reply.preVote ? this.#term + 1 : this.#term;
 		const isCurrentElection = reply.preVote === this.#isPreVoting && (this.#isPreVoting || this.#role === REPLICA_ROLES.candidate);
