A spare control host asks to join twice a second; one drain handler a connection

Found when reading the diff: a sixth control host would have sent ten join requests a second to all others for as long as it runs, so hosts ask each 100 ms only in their first 5 s; and a drain handler was added with each renewal after a change of the leader.

--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -76,7 +76,10 @@
 const CONTROLLER_TICK_MS = 50;
 const BOOTSTRAP_RETRY_MS = 100;
 const HELLO_TIMEOUT_MS = 500;
-const JOIN_INTERVAL_MS = 100;
+const JOIN_INTERVAL_MS = 500;
+/** A host that has just started may be needed as a voter, so it asks more often; a spare host goes on asking for as long as it runs. */
+const FIRST_JOIN_INTERVAL_MS = 100;
+const FIRST_JOINS_MS = 5000;
 /** A larger change of the offset between the wall clock and the monotonic clock means a suspended machine or a clock step. */
 const CLOCK_JUMP_THRESHOLD_MS = 100;
 
@@ -88,6 +91,8 @@
 	readonly #storage: Storage;
 	readonly #orderTransport: OrderTransport;
 	readonly #subscribers = new Map<string, ViewSubscriber>();
+	/** Connections with a handler that pushes views after a drain. */
+	readonly #observedConnections = new WeakSet<Connection>();
 	readonly #pendingPublication = new PendingPublication<Either.Either<Problem, CommitResult>>();
 	#state = new ControlState();
 	#node: ConsensusNode | undefined;
@@ -276,7 +281,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		clearInterval(this.#timer);
-		clearInterval(this.#joinTimer);
+		clearTimeout(this.#joinTimer);
 		this.#joinPool?.close();
 		await (this.#node ? this.#node.close() : this.#storage.close());
 	}
@@ -310,7 +315,10 @@
 		const pool = new ConnectionPool(() => undefined);
 		const member: Member = {replica: this.#replica, ...self};
 		this.#joinPool = pool;
-		this.#joinTimer = setInterval(() => {
+		const startedMs = this.#options.clock.monotonicMs();
+		const join = () => {
+			const isNew = this.#options.clock.monotonicMs() - startedMs < FIRST_JOINS_MS;
+			this.#joinTimer = setTimeout(join, isNew ? FIRST_JOIN_INTERVAL_MS : JOIN_INTERVAL_MS);
 			const {configuration} = this.#node?.replica ?? {};
 			if (configuration && isVoter(configuration, this.#replica) && this.hasQuorum) {
 				pool.close();
@@ -322,7 +330,9 @@
 					pool.send(target, {type: 'join', member});
 				}
 			}
-		}, JOIN_INTERVAL_MS);
+		};
+
+		this.#joinTimer = setTimeout(join, FIRST_JOIN_INTERVAL_MS);
 	}
 
 	async #bootstrap(): Promise<void> {
@@ -424,6 +434,22 @@
 		}
 	}
 
+	/** Pushes the newest view to the subscribers of a connection whenever it has sent what was buffered. */
+	#pushAfterDrain(connection: Connection): void {
+		if (this.#observedConnections.has(connection)) {
+			return;
+		}
+
+		this.#observedConnections.add(connection);
+		connection.onDrain(() => {
+			for (const subscriber of this.#subscribers.values()) {
+				if (subscriber.connection === connection && this.#holdsLeaderLease()) {
+					this.#pushView(subscriber);
+				}
+			}
+		});
+	}
+
 	#pushView(subscriber: ViewSubscriber): void {
 		if (subscriber.sentVersion < this.#state.viewVersion && subscriber.connection.bufferedBytes < MAX_BUFFERED_VIEW_BYTES) {
 			this.#sendView(subscriber, 0, 0);
@@ -577,16 +603,8 @@
 
 		const leaseMs = this.#controller.renewViewLease(message, this.#options.clock.monotonicMs());
 		const subscriber: ViewSubscriber = {connection, sentVersion: message.version};
-		if (this.#subscribers.get(message.host)?.connection !== connection) {
-			connection.onDrain(() => {
-				const current = this.#subscribers.get(message.host);
-				if (current?.connection === connection && this.#controller && this.#holdsLeaderLease()) {
-					this.#pushView(current);
-				}
-			});
-		}
-
 		this.#subscribers.set(message.host, subscriber);
+		this.#pushAfterDrain(connection);
 		this.#sendView(subscriber, message.id, leaseMs);
 		if (message.leaving) {
 			this.#subscribers.delete(message.host);
