A successor is asked to take over behind the entries that are on their way to it

Found when reading the diff: on the channel of heartbeats the request could overtake the last entries, and a successor that lacks them may lose its election.

--- a/src/consensus/effects.ts
+++ b/src/consensus/effects.ts
@@ -47,7 +47,7 @@
 		| {readonly type: 'snapshot'; readonly snapshot: Snapshot};
 
 /**
- * How a message reaches a peer. Votes, heartbeats and replies must not wait behind entries and snapshots, and the messages of one
+ * How a message reaches a peer. Votes and heartbeats must not wait behind entries and snapshots, and the messages of one
  * channel must arrive in order.
  */
 export const CHANNELS = {liveness: 'liveness', log: 'log'} as const;
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -745,7 +745,10 @@
 		if (successor) {
 			// The successor's election ignores the lease, so this leader must not rely on it any longer.
 			this.#transferStartedMs = nowMs;
-			this.#send(successor, {type: 'timeout-now', term: this.#term});
+			// Behind the entries that are on their way: without them the successor may not be elected.
+			this.#effects.push({
+				type: 'send', to: successor, body: {type: 'timeout-now', term: this.#term}, channel: CHANNELS.log,
+			});
 		}
 	}
 
--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -249,6 +249,21 @@
 	assert.deepEqual(resent.map(({previousIndex, entries}) => [previousIndex, entries.length]), [[lastIndex, 3]]);
 });
 
+// Guards against a transfer that fails at a planned stop, because the successor lacks entries that are still on their way to it.
+test('a successor is asked to take over behind the entries that are on their way to it', () => {
+	const cluster = startCluster();
+	cluster.conditions.bulkTransitMs = 200;
+	const {leader: previous} = cluster;
+	cluster.step(previous.id, {type: 'propose', data: [new Uint8Array(1000)]});
+	const {lastIndex} = previous;
+	cluster.step(previous.id, {type: 'transfer-leadership'});
+	cluster.advance(180);
+	assert.deepEqual(cluster.leaders.slice(1), []);
+	cluster.advance(200);
+	assert.equal(cluster.leaders.length, 2);
+	assert.ok(cluster.leader.lastIndex > lastIndex);
+});
+
 /** Starts a cluster that has elected its first leader. */
 function startCluster(): SlowCluster {
 	const cluster = new SlowCluster();
