Plain names and comments in the changed code; join requests have a file; the soak tells how long hosts take to start

Wording only in src: 'patience', 'sign of life', 'due again' and the like are the field's terms now, a double negation is gone, and the join requests of control/service.ts are a class of their own.

--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -1,5 +1,8 @@
 /**
- * Soak of the control hosts as real processes: a stream of large configurations, beside load, with lost disks.
+ * Soak of the control hosts as real processes: a stream of large configurations, beside load, with lost disks and frozen leaders.
+ *
+ * Prints a report per site and exits with 1 if something was seen that must not happen. `--wipe leader` makes leaders lose their disk
+ * instead of hosts that have just acknowledged a configuration; `--during` does so while configurations are sent.
  *
  * @example
  * ```sh
--- a/dev/soak/run.ts
+++ b/dev/soak/run.ts
@@ -35,10 +35,10 @@
 	readonly acknowledged: number;
 	readonly medianMs: number;
 	readonly longestMs: number;
-	/** Changes of the leader outside the time around a lost disk, as seconds from the first configuration. */
+	/** Changes of the leader outside the time around a fault, as seconds from the first configuration. */
 	readonly unexpectedLeaders: number[];
 	readonly leaders: number;
-	/** Role changes outside the time around a lost disk, by reason. */
+	/** Role changes outside the time around a fault, by reason. */
 	readonly reasons: Readonly<Record<string, number>>;
 	/** Longest delays of an event loop at such a role change, milliseconds. */
 	readonly eventLoopDelaysMs: number[];
@@ -46,8 +46,10 @@
 	readonly replacedConnections: number;
 	/** The highest term at the end. */
 	readonly term: number;
-	/** Time until each host that lost its disk had the newest configuration again, milliseconds. */
+	/** Time from the restart of each host that lost its disk until it had the newest configuration, milliseconds. */
 	readonly catchUpsMs: number[];
+	/** Time that each of these hosts took to start, milliseconds; part of the time above. */
+	readonly startsMs: number[];
 	readonly peakMb: number;
 	readonly processorSeconds: {readonly control: number; readonly entry: number};
 	/** What must never be seen. */
@@ -65,15 +67,19 @@
 const FREEZE_INTERVAL_MS = 6000;
 /** The next disk is lost this long after the one before. */
 const WIPE_INTERVAL_MS = 10_000;
-/** A host is counted on again this long after a fault. */
-const SETTLING_MS = 5000;
+/** The users' pages expect the control hosts to work again this long after a fault has ended. */
+const CONTACT_MS = 3000;
+/** Changes of the leader in this time after the start of a fault are expected. */
+const SETTLING_MS = Math.max(DOWN_MS, FREEZE_MS) + CONTACT_MS;
+const BUSY_MS = 600_000;
 const CATCH_UP_TIMEOUT_MS = 60_000;
 const STARTUP_MS = 3000;
 const LISTED_DELAYS = 10;
 
-/** Processes that do nothing but use the processor. Whoever starts them must stop them. */
+/** Starts processes that only use the processor. Whoever starts them must stop them; they also end with this process. */
 export function startBusyProcesses(count: number): {stop(): void} {
-	const children: ChildProcess[] = Array.from({length: count}, () => spawn(process.execPath, ['-e', 'const end = Date.now() + 600_000; while (Date.now() < end);'], {stdio: 'ignore'}));
+	const script = `while (performance.now() < ${BUSY_MS} && process.ppid === ${process.pid});`;
+	const children: ChildProcess[] = Array.from({length: count}, () => spawn(process.execPath, ['-e', script], {stdio: 'ignore'}));
 	return {
 		stop() {
 			for (const child of children) {
@@ -255,6 +261,7 @@
 			replacedConnections: replaced.reduce((sum, count) => sum + count, 0),
 			term: Math.max(0, ...elections.map(({term}) => Number(term))),
 			catchUpsMs: this.#catchUpsMs,
+			startsMs: controls.flatMap(({log}) => log.filter(({msg}) => msg.includes('Started as')).slice(1).map(({tookMs}) => Number(tookMs))),
 			peakMb: Math.round(this.#peakMb),
 			processorSeconds: {control: Math.round(control), entry: Math.round(entry)},
 			violations: [...this.#violations, ...[...controls, ...entries].flatMap(({ownEnds}) => ownEnds)],
--- a/src/consensus/link.ts
+++ b/src/consensus/link.ts
@@ -11,7 +11,7 @@
 export type PeerLinkOptions = {
 	readonly peer: Member;
 	readonly clock: Clock;
-	/** Time without a sign of life after which a connection is replaced, milliseconds. */
+	/** Time without a message from the peer after which a connection is replaced, milliseconds. */
 	readonly silenceMs: number;
 	readonly onMessage: (message: ConsensusMessage) => void;
 	/** Called when the log channel's connection has closed, so that what was in transit may be lost. */
@@ -19,8 +19,8 @@
 	readonly onReplaced: (channel: Channel) => void;
 };
 
-/** The time allowed for a log channel doubles with each replacement in a row, up to this multiple. */
-const MAX_PATIENCE_FACTOR = 8;
+/** The timeout of the log channel doubles with each replacement in a row, up to this multiple of the silence allowed. */
+const MAX_LOG_TIMEOUT_FACTOR = 8;
 
 /**
  * One connection for votes and heartbeats, and one for entries and snapshots, so that the former never wait behind the latter. Its
@@ -34,7 +34,7 @@
 	#livenessHeardMs = Number.NEGATIVE_INFINITY;
 	/** When the first message was sent on the log channel after the last one that was received there, milliseconds. */
 	#unansweredSinceMs: number | undefined;
-	#patienceFactor = 1;
+	#logTimeoutFactor = 1;
 	#isClosed = false;
 
 	constructor(options: PeerLinkOptions) {
@@ -46,10 +46,10 @@
 		return this.#connections.get(CHANNELS.log)?.bufferedBytes ?? 0;
 	}
 
-	/** Sends a message, on a new connection if the one before has closed or shows no sign of life. */
+	/** Sends a message, on a new connection if the one before has closed or its peer does not respond. */
 	send(channel: Channel, message: ConsensusMessage): void {
 		const nowMs = this.#options.clock.monotonicMs();
-		this.#replaceIfDead(nowMs);
+		this.#replaceUnresponsive(nowMs);
 		if (channel === CHANNELS.log) {
 			this.#unansweredSinceMs ??= nowMs;
 		}
@@ -72,7 +72,7 @@
 
 		const connection = connect(this.#options.peer, message => {
 			if (message.type === 'consensus') {
-				this.#recordSignOfLife(channel);
+				this.#recordMessage(channel);
 				this.#options.onMessage(message);
 			}
 		});
@@ -91,25 +91,25 @@
 		return connection;
 	}
 
-	#recordSignOfLife(channel: Channel): void {
+	#recordMessage(channel: Channel): void {
 		if (channel === CHANNELS.liveness) {
 			this.#livenessHeardMs = this.#options.clock.monotonicMs();
 			return;
 		}
 
 		this.#unansweredSinceMs = undefined;
-		this.#patienceFactor = 1;
+		this.#logTimeoutFactor = 1;
 	}
 
-	#replaceIfDead(nowMs: number): void {
+	#replaceUnresponsive(nowMs: number): void {
 		if (nowMs - Math.max(this.#livenessHeardMs, this.#livenessOpenedMs) > this.#options.silenceMs) {
 			this.#replace(CHANNELS.liveness);
 		}
 
 		// A peer that does not answer heartbeats either is slow, down or cut off, and another connection would not help.
-		const limitMs = this.#options.silenceMs * this.#patienceFactor;
-		if (this.#unansweredSinceMs !== undefined && this.#livenessHeardMs - this.#unansweredSinceMs > limitMs) {
-			this.#patienceFactor = Math.min(this.#patienceFactor * 2, MAX_PATIENCE_FACTOR);
+		const timeoutMs = this.#options.silenceMs * this.#logTimeoutFactor;
+		if (this.#unansweredSinceMs !== undefined && this.#livenessHeardMs - this.#unansweredSinceMs > timeoutMs) {
+			this.#logTimeoutFactor = Math.min(this.#logTimeoutFactor * 2, MAX_LOG_TIMEOUT_FACTOR);
 			this.#unansweredSinceMs = undefined;
 			this.#replace(CHANNELS.log);
 		}
--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -74,7 +74,7 @@
 		this.#unacknowledged = [];
 	}
 
-	/** Makes what was sent and not acknowledged due again. Returns whether there was any. */
+	/** Schedules what was sent and not acknowledged for retransmission. Returns whether there was any. */
 	recordLoss(): boolean {
 		const [first] = this.#unacknowledged;
 		const hasLost = first !== undefined || this.installUntilMs > 0;
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -395,9 +395,9 @@
 	}
 
 	#onVoteRequest(from: string, request: VoteRequest, nowMs: number): void {
-		// A replica that lags may not know the newest voters. One that was removed is not ahead of those that are left.
-		const lead = this.#measureLead(request);
-		const member = this.#findMember(from) ?? (lead > 0 ? createUnknownMember(from) : undefined);
+		// A replica that lags may not know the newest voters. A removed replica is never ahead of the remaining ones.
+		const order = this.#compareLogs(request);
+		const member = this.#findMember(from) ?? (order > 0 ? createUnknownMember(from) : undefined);
 		if (!member) {
 			return;
 		}
@@ -417,7 +417,7 @@
 
 		const isCurrent = request.preVote ? request.term > this.#term : request.term === this.#term;
 		const isVoteAvailable = request.preVote || this.#vote === NO_REPLICA || this.#vote === from;
-		const granted = isCurrent && isVoteAvailable && lead >= 0;
+		const granted = isCurrent && isVoteAvailable && order >= 0;
 		if (granted && !request.preVote) {
 			this.#setTerm(this.#term, from);
 			this.#resetElectionTimer(nowMs);
@@ -429,8 +429,8 @@
 		});
 	}
 
-	/** Returns a positive number if a candidate's log is ahead of this replica's, 0 if both end alike, and a negative one if it is behind. */
-	#measureLead({lastTerm, lastIndex}: VoteRequest): number {
+	/** Compares a candidate's log with this one: positive if it is ahead, 0 if both end with the same entry, negative if it is behind. */
+	#compareLogs({lastTerm, lastIndex}: VoteRequest): number {
 		return lastTerm === this.#log.lastTerm ? lastIndex - this.#log.lastIndex : lastTerm - this.#log.lastTerm;
 	}
 
@@ -612,7 +612,7 @@
 		peer.resentRound = this.#round;
 	}
 
-	/** Makes what may be lost due with the next heartbeat, so that a peer that is down is not tried without a pause. */
+	/** Schedules what may be lost for the next heartbeat; an immediate retransmission to a peer that is down would be repeated at once. */
 	#onLogChannelClosed(replica: string, nowMs: number): void {
 		const peer = this.#peers.get(replica);
 		if (this.#role === REPLICA_ROLES.leader && peer?.recordLoss()) {
--- a/src/consensus/silence.ts
+++ b/src/consensus/silence.ts
@@ -10,11 +10,11 @@
 const MEMORY_MS = 5000;
 /** An election timeout is this many times the longest recent silence, unless the minimum is longer. */
 const SILENCE_FACTOR = 3;
-/** Largest election timeout, as a multiple of the minimum. */
+/** Largest election timeout, as a multiple of the minimum. A dead leader must still be replaced within a few seconds. */
 const MAX_TIMEOUT_FACTOR = 2.5;
-/** Time for a process that ran late to read what had arrived meanwhile, in heartbeats. */
+/** Time for a process whose timers ran late to read what has arrived, in heartbeats. */
 const RESUMPTION_HEARTBEATS = 2;
-/** Longest time for which a process that runs late again and again waits beyond the election timeout, as a multiple of the minimum. */
+/** Longest postponement of a deadline by timers that run late repeatedly, as a multiple of the minimum timeout. */
 const MAX_POSTPONEMENT_FACTOR = 4;
 
 /** Measures silences and this process's own delays. A state machine without I/O. */
@@ -22,7 +22,7 @@
 	readonly #timing: ReplicaTiming;
 	readonly #silences = new RecentMaximum(MEMORY_MS);
 	#lastTickMs: number;
-	/** When this process last ran late, or started, milliseconds. */
+	/** When the timer last ran late, milliseconds. */
 	#resumedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(timing: ReplicaTiming, nowMs: number) {
@@ -46,7 +46,7 @@
 		this.#lastTickMs = nowMs;
 	}
 
-	/** Records a silence that ended although nothing had failed, milliseconds. */
+	/** Records a silence that ended with a message of the same leader, or with new contact to the majority, milliseconds. */
 	recordSilence(durationMs: number, nowMs: number): void {
 		this.#silences.record(durationMs, nowMs);
 	}
@@ -58,7 +58,7 @@
 	}
 
 	/**
-	 * Whether a deadline has passed. A process that ran late first gets the time to read what arrived meanwhile, but not for ever.
+	 * Whether a deadline has passed. If the timer ran late, messages that have arrived are read first, within a bound.
 	 *
 	 * @example
 	 * ```ts
--- a/src/control/client.ts
+++ b/src/control/client.ts
@@ -39,8 +39,8 @@
 const MAX_RETRY_PAUSE_MS = 480;
 /** Interval at which a request that waits checks whether the leader has changed. */
 const LEADER_CHECK_MS = 50;
-/** A leader that is known to be alive gets this many times as long to reply. */
-const LEADER_PATIENCE_FACTOR = 2;
+/** Reply timeout of a leader that is known to be alive. */
+const LEADER_REPLY_TIMEOUT_MS = 2000;
 /** Refusals after which a request may succeed at the next try. */
 const RETRIED_REFUSALS: ReadonlySet<ProblemName | undefined> = new Set(['notLeader', 'proposalUnknown', 'noQuorum', 'logBusy']);
 export const DEFAULT_TIMEOUT_MS = 5000;
@@ -178,7 +178,7 @@
 			return nowMs - sentMs < REPLY_TIMEOUT_MS;
 		}
 
-		return isSameAddress(leader, this.#targets[this.#target]) && nowMs - sentMs < REPLY_TIMEOUT_MS * LEADER_PATIENCE_FACTOR;
+		return isSameAddress(leader, this.#targets[this.#target]) && nowMs - sentMs < LEADER_REPLY_TIMEOUT_MS;
 	}
 
 	/** Makes the leader that this process knows the target of the next requests. */
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -145,17 +145,17 @@
 	readonly #safeguards: OrderSafeguards;
 	readonly #electedMs: number;
 	/**
-	 * Since when this leader has heard of entry hosts and servers without a gap. While it stood still or was cut off, they may have
-	 * renewed and announced what it has not read yet.
+	 * Since when this leader has received renewals and announcements without a gap. Those sent while it was suspended or partitioned may
+	 * not have been processed yet.
 	 */
-	#informedSinceMs: number;
+	#observingSinceMs: number;
 	readonly #sessions = new Map<string, Session>();
 	readonly #observations = new Map<string, ServerObservation>();
 	readonly #orderAttempts = new Map<string, OrderAttempt>();
 	/** For each draining change, the announcement that its server had made at the first idle check. */
 	readonly #drainBaselines = new Map<string, {readonly sequence: number; readonly incarnation: number}>();
-	/** Names of the changes whose server counted as idle because it was silent. */
-	readonly #drainedSilently = new Set<string>();
+	/** Names of the changes whose server was assumed to be down, and therefore idle, because it was silent. */
+	readonly #drainsAssumedIdle = new Set<string>();
 	readonly #lastProposedMs = new Map<string, number>();
 	readonly #loadLimiter: TokenBucket;
 	readonly #demands = new Map<string, readonly ModelDemand[]>();
@@ -166,7 +166,7 @@
 
 	constructor(electedMs: number, timing = DEFAULT_CONTROLLER_TIMING, safeguards = ALL_ORDER_SAFEGUARDS) {
 		this.#electedMs = electedMs;
-		this.#informedSinceMs = electedMs;
+		this.#observingSinceMs = electedMs;
 		this.#timing = timing;
 		this.#safeguards = safeguards;
 		this.#loadLimiter = new TokenBucket({perSecond: 1, burst: 2}, electedMs);
@@ -244,7 +244,7 @@
 	/** Runs the control loop once for changes, orders and claims. */
 	tick(state: ControlState, clock: LeaseClock): ControllerEffect[] {
 		if (clock.nowMs >= clock.leaseUntilMs) {
-			this.#informedSinceMs = clock.nowMs;
+			this.#observingSinceMs = clock.nowMs;
 		}
 
 		return [
@@ -361,10 +361,10 @@
 	}
 
 	#forgetFinishedChanges(state: ControlState): void {
-		for (const name of this.#drainedSilently) {
+		for (const name of this.#drainsAssumedIdle) {
 			const change = state.findResource('change', name);
 			if (!change || !isOpenChange(change)) {
-				this.#drainedSilently.delete(name);
+				this.#drainsAssumedIdle.delete(name);
 				this.#drainBaselines.delete(name);
 			}
 		}
@@ -402,7 +402,7 @@
 	 * idle. Returns undefined before that.
 	 */
 	#describeFinishedDrain(resource: Resource, change: ChangeSpecification, nowMs: number): string | undefined {
-		const haveEarlierLeasesExpired = nowMs - this.#informedSinceMs >= this.#timing.viewLeaseMs || !this.#safeguards.awaitViewAcknowledgements;
+		const haveEarlierLeasesExpired = nowMs - this.#observingSinceMs >= this.#timing.viewLeaseMs || !this.#safeguards.awaitViewAcknowledgements;
 		if (!haveEarlierLeasesExpired) {
 			return undefined;
 		}
@@ -429,9 +429,9 @@
 		const observation = this.#observations.get(server);
 		if (!observation || nowMs - observation.atMs > this.#timing.serverTimeoutMs) {
 			// A server that has been silent for so long is considered down, so no running work can be interrupted.
-			const isDown = nowMs - this.#informedSinceMs >= this.#timing.serverTimeoutMs;
+			const isDown = nowMs - this.#observingSinceMs >= this.#timing.serverTimeoutMs;
 			if (isDown) {
-				this.#drainedSilently.add(name);
+				this.#drainsAssumedIdle.add(name);
 			}
 
 			return isDown;
@@ -449,25 +449,25 @@
 	}
 
 	/**
-	 * Whether an order would interrupt no work. A server that counted as down at its drain may have stood still instead, and go on with
-	 * its work; it must announce itself again and report that it is idle first.
+	 * Whether an order may interrupt work. A server that was assumed to be down may have been suspended and resume its work, so it must
+	 * announce itself again and report that it is idle first.
 	 */
-	#interruptsNothing(order: OpenOrder, state: ControlState, nowMs: number): boolean {
+	#mayInterruptWork(order: OpenOrder, state: ControlState, nowMs: number): boolean {
 		const change = state.findResource('change', order.change)?.specification;
 		const observation = this.#observations.get(order.server);
 		if (!this.#safeguards.awaitIdle || change?.kind !== 'change' || change.server !== order.server || !observation) {
-			return true;
+			return false;
 		}
 
 		if (nowMs - observation.atMs > this.#timing.serverTimeoutMs) {
-			return false;
+			return true;
 		}
 
-		if (this.#drainedSilently.has(order.change) && this.#isIdle(order.change, order.server, nowMs)) {
-			this.#drainedSilently.delete(order.change);
+		if (this.#drainsAssumedIdle.has(order.change) && this.#isIdle(order.change, order.server, nowMs)) {
+			this.#drainsAssumedIdle.delete(order.change);
 		}
 
-		return !this.#drainedSilently.has(order.change) && isLoadZero(observation.announcement);
+		return this.#drainsAssumedIdle.has(order.change) || !isLoadZero(observation.announcement);
 	}
 
 	#advanceOrders(state: ControlState, clock: LeaseClock): ControllerEffect[] {
@@ -512,7 +512,7 @@
 			return undefined;
 		}
 
-		if (!this.#interruptsNothing(order, state, nowMs)) {
+		if (this.#mayInterruptWork(order, state, nowMs)) {
 			return undefined;
 		}
 
@@ -542,7 +542,7 @@
 
 	#closeAbandonedClaims(state: ControlState, {nowMs, wallMs}: LeaseClock): ControllerEffect[] {
 		const graceMs = this.#timing.viewLeaseMs + this.#timing.claimGraceMs;
-		if (nowMs - this.#informedSinceMs < graceMs) {
+		if (nowMs - this.#observingSinceMs < graceMs) {
 			return [];
 		}
 
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -23,13 +23,14 @@
 } from '../generated/types.js';
 import {decodeCbor, encodeCbor} from '../wire/frame.js';
 import {
-	connect, ConnectionPool, type Address, type Connection,
+	connect, type Address, type Connection,
 } from '../wire/connection.js';
 import {findInitialConfiguration, createInitialConfiguration, type BootstrapReply} from './bootstrap.js';
 import {
 	Controller, type LeaseClock, type ControllerEffect, type ControllerTiming, type OrderSafeguards, type OrderReport,
 } from './controller.js';
 import {describeReconfiguration, type ConfigurationStatus, type Reconfiguration} from './reconfiguration.js';
+import {JoinRequester} from './join.js';
 import {HttpOrderTransport, type OrderTransport} from './order.js';
 import {Reconfigurator, type ReconfigurationTiming} from './reconfigurator.js';
 import {PendingPublication} from './publications.js';
@@ -76,10 +77,6 @@
 const CONTROLLER_TICK_MS = 50;
 const BOOTSTRAP_RETRY_MS = 100;
 const HELLO_TIMEOUT_MS = 500;
-const JOIN_INTERVAL_MS = 500;
-/** A host that has just started may be needed as a voter, so it asks more often; a spare host goes on asking for as long as it runs. */
-const FIRST_JOIN_INTERVAL_MS = 100;
-const FIRST_JOINS_MS = 5000;
 /** A larger change of the offset between the wall clock and the monotonic clock means a suspended machine or a clock step. */
 const CLOCK_JUMP_THRESHOLD_MS = 100;
 
@@ -99,8 +96,7 @@
 	#controller: Controller | undefined;
 	#reconfigurator: Reconfigurator;
 	#timer: NodeJS.Timeout | undefined;
-	#joinTimer: NodeJS.Timeout | undefined;
-	#joinPool: ConnectionPool | undefined;
+	#joinRequester: JoinRequester | undefined;
 	#leaderTerm = 0;
 	#isDiskFailing = false;
 	#clockOffsetMs: number | undefined;
@@ -281,8 +277,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		clearInterval(this.#timer);
-		clearTimeout(this.#joinTimer);
-		this.#joinPool?.close();
+		this.#joinRequester?.close();
 		await (this.#node ? this.#node.close() : this.#storage.close());
 	}
 
@@ -291,7 +286,15 @@
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, CONTROLLER_TICK_MS);
-		this.#requestJoin();
+		if (this.#options.self) {
+			this.#joinRequester = new JoinRequester({
+				member: {replica: this.#replica, ...this.#options.self},
+				clock: this.#options.clock,
+				listTargets: () => this.#options.listPeers?.() ?? this.#options.peers,
+				isJoined: () => this.#isVoterInContact(),
+			});
+		}
+
 		if (snapshot.configuration.voters.length > 0 || entries.length > 0) {
 			this.#startNode();
 			return;
@@ -302,37 +305,9 @@
 		}
 	}
 
-	/**
-	 * Sends join requests while this replica is not a voter, or a voter without a leader: it may have been replaced meanwhile,
-	 * which its own log does not tell. There is no reply: the leader acts, the others ignore them.
-	 */
-	#requestJoin(): void {
-		const {self} = this.#options;
-		if (!self) {
-			return;
-		}
-
-		const pool = new ConnectionPool(() => undefined);
-		const member: Member = {replica: this.#replica, ...self};
-		this.#joinPool = pool;
-		const startedMs = this.#options.clock.monotonicMs();
-		const join = () => {
-			const isNew = this.#options.clock.monotonicMs() - startedMs < FIRST_JOINS_MS;
-			this.#joinTimer = setTimeout(join, isNew ? FIRST_JOIN_INTERVAL_MS : JOIN_INTERVAL_MS);
-			const {configuration} = this.#node?.replica ?? {};
-			if (configuration && isVoter(configuration, this.#replica) && this.hasQuorum) {
-				pool.close();
-				return;
-			}
-
-			for (const target of this.#options.listPeers?.() ?? this.#options.peers) {
-				if (target.address !== self.address || target.port !== self.port) {
-					pool.send(target, {type: 'join', member});
-				}
-			}
-		};
-
-		this.#joinTimer = setTimeout(join, FIRST_JOIN_INTERVAL_MS);
+	#isVoterInContact(): boolean {
+		const {configuration} = this.#node?.replica ?? {};
+		return configuration !== undefined && isVoter(configuration, this.#replica) && this.hasQuorum;
 	}
 
 	async #bootstrap(): Promise<void> {
--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -234,7 +234,7 @@
 	assert.ok(busyMs <= ELECTION_MS * 3.5, `${busyMs} ms`);
 });
 
-// Guards against entries that a closed connection has lost and that nothing makes due again.
+// Guards against entries that a closed connection has lost and that are never retransmitted.
 test('what a closed connection may have lost is sent again from the first entry that is not acknowledged', () => {
 	const cluster = startCluster();
 	const follower = NAMES.find(name => name !== cluster.leader.id)!;
--- a/test/publications.test.ts
+++ b/test/publications.test.ts
@@ -52,7 +52,7 @@
 	assert.ok(Either.isRight(await second));
 });
 
-// Guards against a leader that appends a configuration again because its client has lost patience.
+// Guards against a leader that appends a configuration again because its client has sent it again.
 test('a publication on its way at the leader is found by its own and by lower versions until its result is known', async () => {
 	const pending = new PendingPublication<string>();
 	let settle: (result: string) => void = () => undefined;
