What control hosts keep for slow disks, peers and leaders is bounded

Nothing is added to a log channel with more unsent bytes than a peer may have unacknowledged. - A host kept every configuration that operators sent while no leader responded. What waits is bounded like what a leader accepts (pendingBytes); beyond that it is refused at once as not run (5009). - A log channel whose last reply came on the other channel was replaced at its next use. It is kept once the peer has acknowledged everything. - Connections of replicas that were replaced stayed in a map. The last point has no test.

--- a/src/consensus/effects.ts
+++ b/src/consensus/effects.ts
@@ -53,10 +53,17 @@
 export const CHANNELS = {liveness: 'liveness', log: 'log'} as const;
 export type Channel = keyof typeof CHANNELS;
 
+export type SendEffect = {
+	readonly type: 'send';
+	readonly to: Member;
+	readonly body: ConsensusBody;
+	readonly channel: Channel;
+};
+
 /** An effect that the caller must execute, in the order in which a step returns them. */
 export type ReplicaEffect
 	= | {readonly type: 'write'; readonly sequence: number; readonly records: readonly LogRecord[]}
-		| {readonly type: 'send'; readonly to: Member; readonly body: ConsensusBody; readonly channel: Channel}
+		| SendEffect
 		| {readonly type: 'commit'; readonly entries: readonly Entry[]}
 		| {readonly type: 'restore'; readonly snapshot: Snapshot}
 		| {readonly type: 'role'; readonly role: ReplicaRole; readonly term: number; readonly leader: string; readonly reason: RoleReason}
--- a/src/consensus/link.ts
+++ b/src/consensus/link.ts
@@ -13,6 +13,8 @@
 	readonly clock: Clock;
 	/** Time without a message from the peer after which a connection is replaced, milliseconds. */
 	readonly silenceMs: number;
+	/** Messages on the log channel are dropped, as if lost, while more than this is buffered there, bytes. */
+	readonly maxBufferedBytes: number;
 	readonly onMessage: (message: ConsensusMessage) => void;
 	/** Called when the log channel's connection has closed, so that what was in transit may be lost. */
 	readonly onLogChannelClosed: () => void;
@@ -46,12 +48,22 @@
 		return this.#connections.get(CHANNELS.log)?.bufferedBytes ?? 0;
 	}
 
+	/** Records that the peer has acknowledged everything that was sent on the log channel, whichever channel said so. */
+	recordAcknowledged(): void {
+		this.#unansweredSinceMs = undefined;
+	}
+
 	/** Sends a message, on a new connection if the one before has closed or its peer does not respond. */
 	send(channel: Channel, message: ConsensusMessage): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#replaceUnresponsive(nowMs);
 		if (channel === CHANNELS.log) {
-			this.#unansweredSinceMs ??= nowMs;
+			if (this.logBufferedBytes > this.#options.maxBufferedBytes) {
+				return;
+			}
+
+			// A request to take over the lead has no reply.
+			this.#unansweredSinceMs ??= message.body.type === 'timeout-now' ? undefined : nowMs;
 		}
 
 		this.#getConnection(channel, nowMs).send(message);
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -15,7 +15,7 @@
 import type {Connection} from '../wire/connection.js';
 import {listMembers} from './configuration.js';
 import {
-	CHANNELS, type Channel, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason,
+	type Channel, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason,
 } from './effects.js';
 import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
 import {PeerLink} from './link.js';
@@ -307,8 +307,14 @@
 	}
 
 	#onMessage(message: ConsensusMessage): void {
-		if (message.to === this.#options.replica && !this.#isClosed) {
-			this.#step({type: 'message', from: message.from, body: message.body});
+		if (message.to !== this.#options.replica || this.#isClosed) {
+			return;
+		}
+
+		this.#step({type: 'message', from: message.from, body: message.body});
+		const {matchIndex} = this.#replica.getProgress(message.from, this.#options.clock.monotonicMs());
+		if (matchIndex >= this.#replica.lastIndex) {
+			this.#links.get(message.from)?.recordAcknowledged();
 		}
 	}
 
@@ -386,11 +392,7 @@
 			return;
 		}
 
-		const link = this.#getLink(to);
-		// A request that is dropped is like one that was lost: the replica sends its entries again.
-		if (body.type !== 'append-request' || channel === CHANNELS.liveness || link.logBufferedBytes <= this.#limits.unacknowledgedBytes) {
-			link.send(channel, message);
-		}
+		this.#getLink(to).send(channel, message);
 	}
 
 	#getLink(peer: Member): PeerLink {
@@ -404,6 +406,7 @@
 			peer,
 			clock: this.#options.clock,
 			silenceMs: this.#replica.timing.electionMs,
+			maxBufferedBytes: this.#limits.unacknowledgedBytes,
 			onMessage: message => {
 				this.#onMessage(message);
 			},
@@ -418,7 +421,7 @@
 		return link;
 	}
 
-	/** Closes the links to replicas that are not members any more. */
+	/** Closes the links to replicas that are not members any more, and forgets their connections to this one. */
 	#closeFormerLinks(): void {
 		const members = new Set(listMembers(this.#replica.configuration).map(({replica}) => replica));
 		for (const [replica, link] of this.#links) {
@@ -427,6 +430,12 @@
 				this.#links.delete(replica);
 			}
 		}
+
+		for (const [replica, connection] of this.#inboundConnections) {
+			if (!members.has(replica) && !connection.isOpen) {
+				this.#inboundConnections.delete(replica);
+			}
+		}
 	}
 
 	#applyEntries(entries: readonly Entry[]): void {
@@ -463,6 +472,13 @@
 		this.#options.logger.info(`Role is ${role} in term ${term}: ${reason}.`, {
 			role, term, leader, reason, eventLoopDelayMs: Math.round(this.getEventLoopDelayMs()), unsyncedBytes: this.#unsyncedBytes,
 		});
+		if (role === 'leader') {
+			// What was sent in an earlier term is not acknowledged any more.
+			for (const link of this.#links.values()) {
+				link.recordAcknowledged();
+			}
+		}
+
 		if (role !== 'follower') {
 			this.#options.onEvent?.({type: 'election', reason});
 		}
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -15,7 +15,7 @@
 	hasQuorum, isVoter, listMembers, findQuorumValue,
 } from './configuration.js';
 import {
-	CHANNELS, DEFAULT_REPLICA_TIMING, REPLICA_ROLES, ROLE_REASONS, type HardState, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason,
+	CHANNELS, DEFAULT_REPLICA_TIMING, REPLICA_ROLES, ROLE_REASONS, type HardState, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason, type SendEffect,
 } from './effects.js';
 import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
 import {Log} from './log.js';
@@ -87,7 +87,7 @@
 	#hardStateSequence = 0;
 	readonly #pendingWrites: Array<{sequence: number; lastIndex: number}> = [];
 	/** Messages that wait until a write is synced. */
-	#deferredSends: Array<{sequence: number; effect: ReplicaEffect}> = [];
+	#deferredSends: Array<{readonly sequence: number; effect: SendEffect}> = [];
 	#effects: ReplicaEffect[] = [];
 
 	constructor(options: ReplicaOptions) {
@@ -874,17 +874,31 @@
 	}
 
 	#sendAfterSync(to: Member, body: ConsensusBody): void {
-		const effect: ReplicaEffect = {
+		const effect: SendEffect = {
 			type: 'send', to, body, channel: CHANNELS.liveness,
 		};
 		if (this.#safeguards.syncBeforeReply && this.#writeSequence > this.#syncedSequence) {
-			this.#deferredSends.push({sequence: this.#writeSequence, effect});
+			this.#deferSend(effect);
 			return;
 		}
 
 		this.#effects.push(effect);
 	}
 
+	/** Keeps a message until the last write is synced. One acknowledgement replaces another that waits for the same write. */
+	#deferSend(effect: SendEffect): void {
+		const sequence = this.#writeSequence;
+		const last = this.#deferredSends.at(-1);
+		const waiting = last?.sequence === sequence && last.effect.to.replica === effect.to.replica ? last.effect.body : undefined;
+		const {body} = effect;
+		if (last && waiting && isAcknowledgement(waiting) && isAcknowledgement(body)) {
+			last.effect = {...effect, body: {...body, matchIndex: Math.max(waiting.matchIndex, body.matchIndex)}};
+			return;
+		}
+
+		this.#deferredSends.push({sequence, effect});
+	}
+
 	#advanceCommit(index: number): void {
 		if (index <= this.#commitIndex) {
 			return;
@@ -971,6 +985,10 @@
 	}
 }
 
+function isAcknowledgement(body: ConsensusBody): body is AppendReply {
+	return body.type === 'append-reply' && body.success;
+}
+
 /** Creates the recipient of a reply to a replica that is not in the configuration; replies need no address. */
 function createUnknownMember(replica: string): Member {
 	return {
--- a/src/control/publications.ts
+++ b/src/control/publications.ts
@@ -16,6 +16,8 @@
 	readonly wallMs: () => number;
 	/** Time after which a publication that is not committed is given up, milliseconds. */
 	readonly timeoutMs: number;
+	/** Publications that may wait, bytes. One that is larger waits alone. */
+	readonly maxWaitingBytes: number;
 };
 
 type WaitingPublication = {
@@ -28,6 +30,7 @@
 	readonly #options: PublicationQueueOptions;
 	readonly #waiting = new Set<WaitingPublication>();
 	#newest: Publication | undefined;
+	#waitingBytes = 0;
 	#sentVersion = 0;
 	#isSending = false;
 
@@ -37,7 +40,7 @@
 
 	/**
 	 * Waits until a publication, or a newer one, is committed. Fails with `proposalUnknown` after the timeout, since it may have been
-	 * sent and may be committed later.
+	 * sent and may be committed later, and at once with `logBusy` while too much waits.
 	 *
 	 * @example
 	 * ```ts
@@ -45,6 +48,11 @@
 	 * ```
 	 */
 	async publish(publication: Publication): Promise<Either.Either<Problem, void>> {
+		const bytes = publication.body.length;
+		if (this.#waiting.size > 0 && this.#waitingBytes + bytes > this.#options.maxWaitingBytes) {
+			return Either.left(createProblem('logBusy', undefined, 1));
+		}
+
 		if (!this.#newest || publication.version > this.#newest.version) {
 			this.#newest = publication;
 		}
@@ -54,7 +62,7 @@
 				version: publication.version,
 				settle: result => {
 					clearTimeout(timer);
-					this.#waiting.delete(waiting);
+					this.#waitingBytes -= this.#waiting.delete(waiting) ? bytes : 0;
 					resolve(result);
 				},
 			};
@@ -62,6 +70,7 @@
 				waiting.settle(Either.left(createProblem('proposalUnknown', undefined, 1)));
 			}, this.#options.timeoutMs);
 			this.#waiting.add(waiting);
+			this.#waitingBytes += bytes;
 			if (!this.#isSending) {
 				void this.#sendAll();
 			}
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -12,7 +12,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import {StandstillDetector} from '../base/standstill.js';
 import type {Random} from '../base/random.js';
-import {createReplicationLimits, type MachineResources} from '../consensus/limits.js';
+import {createReplicationLimits, DEFAULT_RESOURCES, type MachineResources} from '../consensus/limits.js';
 import {hasIdentity} from '../consensus/storage.js';
 import {ControlClient} from '../control/client.js';
 import {
@@ -146,6 +146,7 @@
 			propose: (getCommand, timeoutMs) => this.#controlClient.proposeNewest(getCommand, timeoutMs),
 			wallMs: () => clock.wallMs(),
 			timeoutMs: PUBLISH_DEADLINE_MS,
+			maxWaitingBytes: createReplicationLimits(options.resources ?? DEFAULT_RESOURCES).pendingBytes,
 		});
 		this.#publisher = new FeedPublisher({
 			host,
--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -4,7 +4,9 @@
 import type {ReplicaEffect, ReplicaEvent} from '../src/consensus/effects.js';
 import {Replica} from '../src/consensus/replica.js';
 import {EMPTY_PERSISTENT_STATE, EMPTY_SNAPSHOT} from '../src/consensus/storage.js';
-import type {Configuration, ConsensusBody, Member} from '../src/generated/types.js';
+import type {
+	Configuration, ConsensusBody, Entry, Member,
+} from '../src/generated/types.js';
 
 const NAMES = ['a', 'b', 'c', 'd', 'e'] as const;
 const CONFIGURATION: Configuration = {voters: NAMES.map(name => createMember(name)), outgoing: [], learners: []};
@@ -264,6 +266,27 @@
 	assert.ok(cluster.leader.lastIndex > lastIndex);
 });
 
+// Guards against a follower that keeps a reply for every request of a leader while its disk does not respond.
+test('a follower whose disk does not respond keeps one reply, which acknowledges all that the disk takes later', () => {
+	const follower = new Replica({
+		replica: 'b', hard: {term: 1, vote: ''}, snapshot: {...EMPTY_SNAPSHOT, configuration: CONFIGURATION}, entries: [], nowMs: 0, random: createRandom(1),
+	});
+	const receive = (round: number, previousIndex: number, entries: Entry[]) => follower.step({
+		type: 'message', from: 'a', body: {
+			type: 'append-request', term: 1, round, previousIndex, previousTerm: previousIndex === 0 ? 0 : 1, commitIndex: 0, entries,
+		},
+	}, round);
+	const write = receive(1, 0, [{type: 'noop', index: 1, term: 1}]).find(effect => effect.type === 'write');
+	for (let round = 2; round < 1000; round++) {
+		receive(round, 1, []);
+	}
+
+	const replies = follower.step({type: 'synced', sequence: write!.sequence}, 1000).flatMap(effect => effect.type === 'send' ? [effect.body] : []);
+	assert.deepEqual(replies, [{
+		type: 'append-reply', term: 1, round: 999, success: true, matchIndex: 1,
+	}]);
+});
+
 /** Starts a cluster that has elected its first leader. */
 function startCluster(): SlowCluster {
 	const cluster = new SlowCluster();
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -1,15 +1,18 @@
 import assert from 'node:assert/strict';
+import net from 'node:net';
 import {test, type TestContext} from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
 import {findPort} from '../dev/ports.js';
 import {createClock, sleep} from '../src/base/clock.js';
-import {PeerLink} from '../src/consensus/link.js';
+import {PeerLink, type PeerLinkOptions} from '../src/consensus/link.js';
 import type {Channel} from '../src/consensus/effects.js';
 import type {ConsensusBody, ConsensusMessage, Member} from '../src/generated/types.js';
 import {Listener} from '../src/wire/connection.js';
 
 const SILENCE_MS = 100;
 const HEARTBEAT_MS = 20;
+const MAX_BUFFERED_BYTES = 1_000_000;
+const MESSAGE_BYTES = 100_000;
 const HEARTBEAT: ConsensusBody = {
 	type: 'append-request', term: 1, round: 1, previousIndex: 0, previousTerm: 0, commitIndex: 0, entries: [],
 };
@@ -43,6 +46,45 @@
 	assert.ok(link.replaced.every(channel => channel === 'log'));
 });
 
+// Guards against a connection that is replaced at its first use after a pause, because its last reply came on the other channel.
+test('an idle log channel is kept once the peer has acknowledged everything', async t => {
+	const link = await startLink(t, body => body.type === 'append-request' && body.entries.length === 0);
+	link.sendEntries();
+	link.recordAcknowledged();
+	await link.run(SILENCE_MS * 3, {entries: false});
+	link.sendEntries();
+	assert.deepEqual(link.replaced, []);
+});
+
+// Guards against a leader that buffers every snapshot and request for a peer that does not read.
+test('a log channel buffers little more than its limit for a peer that does not read', async t => {
+	const server = net.createServer(socket => {
+		socket.pause();
+		t.after(() => socket.destroy());
+	});
+	const port = await findPort();
+	await new Promise<void>(resolve => {
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	t.after(() => server.close());
+	const link = createLink(port);
+	t.after(() => {
+		link.close();
+	});
+	const entries: ConsensusBody = {
+		...HEARTBEAT, entries: [{
+			type: 'command', index: 1, term: 1, data: new Uint8Array(MESSAGE_BYTES),
+		}],
+	};
+	for (let count = 0; count < 200; count++) {
+		link.send('log', createMessage(entries));
+		await sleep(1);
+	}
+
+	assert.ok(link.logBufferedBytes > MAX_BUFFERED_BYTES / 2, `${link.logBufferedBytes}`);
+	assert.ok(link.logBufferedBytes < MAX_BUFFERED_BYTES + (MESSAGE_BYTES * 1.1), `${link.logBufferedBytes}`);
+});
+
 /** Starts a link to a peer that answers the messages that are chosen. */
 async function startLink(t: TestContext, isAnswered: (body: ConsensusBody) => boolean) {
 	const peer: Member = {
@@ -58,11 +100,7 @@
 	assert.ok(Either.isRight(await listener.listen(peer)));
 	const replaced: Channel[] = [];
 	let closedCount = 0;
-	const link = new PeerLink({
-		peer,
-		clock: createClock(),
-		silenceMs: SILENCE_MS,
-		onMessage: () => undefined,
+	const link = createLink(peer.port, {
 		onLogChannelClosed() {
 			closedCount++;
 		},
@@ -74,17 +112,25 @@
 		link.close();
 		listener.close();
 	});
-	const createMessage = (body: ConsensusBody): ConsensusMessage => ({
-		type: 'consensus', from: 'a', to: 'b', body,
-	});
+	const sendEntries = () => {
+		link.send('log', createMessage(ENTRIES));
+	};
+
 	return {
 		replaced,
 		closedCount: () => closedCount,
-		async run(durationMs: number) {
+		sendEntries,
+		recordAcknowledged() {
+			link.recordAcknowledged();
+		},
+		async run(durationMs: number, {entries = true} = {}) {
 			const untilMs = performance.now() + durationMs;
 			while (performance.now() < untilMs) {
 				link.send('liveness', createMessage(HEARTBEAT));
-				link.send('log', createMessage(ENTRIES));
+				if (entries) {
+					sendEntries();
+				}
+
 				await sleep(HEARTBEAT_MS);
 			}
 
@@ -92,3 +138,24 @@
 		},
 	};
 }
+
+function createLink(port: number, handlers: Partial<Pick<PeerLinkOptions, 'onLogChannelClosed' | 'onReplaced'>> = {}): PeerLink {
+	return new PeerLink({
+		peer: {
+			replica: 'b', host: 'b', address: '127.0.0.1', port,
+		},
+		clock: createClock(),
+		silenceMs: SILENCE_MS,
+		maxBufferedBytes: MAX_BUFFERED_BYTES,
+		onMessage: () => undefined,
+		onLogChannelClosed: () => undefined,
+		onReplaced: () => undefined,
+		...handlers,
+	});
+}
+
+function createMessage(body: ConsensusBody): ConsensusMessage {
+	return {
+		type: 'consensus', from: 'a', to: 'b', body,
+	};
+}
--- a/test/publications.test.ts
+++ b/test/publications.test.ts
@@ -52,6 +52,21 @@
 	assert.ok(Either.isRight(await second));
 });
 
+// Guards against a host that keeps every configuration that operators send while the leader does not respond.
+test('publications that wait are bounded in bytes; further ones are refused at once as not run, and a large one is sent alone', async () => {
+	const {queue, proposals} = createQueue(1000, 100);
+	const waiting = queue.publish(createPublication(1, 150));
+	const refused = await queue.publish(createPublication(2, 10));
+	assert.ok(Either.isLeft(refused) && refused.left.name === 'logBusy' && refused.left.outcome === 'not-run');
+	proposals[0]!.settle(Either.right(undefined));
+	assert.ok(Either.isRight(await waiting));
+	const accepted = queue.publish(createPublication(3, 10));
+	await new Promise(setImmediate);
+	assert.equal(proposals[1]!.version, 3);
+	proposals[1]!.settle(Either.right(undefined));
+	assert.ok(Either.isRight(await accepted));
+});
+
 // Guards against a leader that appends a configuration again because its client has sent it again.
 test('a publication on its way at the leader is found by its own and by lower versions until its result is known', async () => {
 	const pending = new PendingPublication<string>();
@@ -67,7 +82,7 @@
 	assert.equal(pending.findResult(7), undefined);
 });
 
-function createQueue(timeoutMs = 1000) {
+function createQueue(timeoutMs = 1000, maxWaitingBytes = 1e6) {
 	const proposals: Proposal[] = [];
 	const queue = new PublicationQueue({
 		propose: getCommand => async () => new Promise(resolve => {
@@ -75,12 +90,13 @@
 		}),
 		wallMs: () => 0,
 		timeoutMs,
+		maxWaitingBytes,
 	});
 	return {queue, proposals};
 }
 
-function createPublication(version: number) {
-	return {kind: 'publication', version, body: `{"version":${version}}`} as const;
+function createPublication(version: number, bytes = 20) {
+	return {kind: 'publication', version, body: 'x'.repeat(bytes)} as const;
 }
 
 function readVersion({specification}: PutCommand): number {
