What connection pools no longer need is gone; a stale reason is reworded

ConnectionPool.getBufferedBytes and reset have no caller since links replace connections. A request's size no longer decides whether its connection is replaced.

--- a/dev/site.ts
+++ b/dev/site.ts
@@ -25,7 +25,7 @@
 	entry: ['--max-old-space-size=140', '--max-semi-space-size=4'],
 } as const;
 /** Resources of the machines that control hosts run on at the users' sites. */
-export const CONTROL_RESOURCES = {memoryMb: 346, diskMb: 128};
+const CONTROL_RESOURCES = {memoryMb: 346, diskMb: 128};
 const BOUNDS = {
 	graceMs: 8000, leaseMs: 3000, repeatRatio: 0.2, repeatWindowMs: 10_000, repeatAllowance: 116, announceMs: 1200, catchUpMs: 4000,
 };
--- a/src/consensus/limits.ts
+++ b/src/consensus/limits.ts
@@ -29,7 +29,7 @@
 const LOG_MEMORY_SHARE = 1 / 32;
 /** The log and a snapshot exist twice on disk while a new generation is written. */
 const LOG_DISK_SHARE = 1 / 16;
-/** Small enough for a slow link to carry a request within an election timeout, after which its connection is replaced. */
+/** Small enough not to delay the requests behind it for long on a slow link. */
 const APPEND_MEMORY_SHARE = 1 / 1024;
 const UNACKNOWLEDGED_MEMORY_SHARE = 1 / 256;
 const PENDING_MEMORY_SHARE = 1 / 32;
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -215,19 +215,6 @@
 		connection.send(message);
 	}
 
-	/** Bytes sent to a target that have not been handed to the operating system. */
-	getBufferedBytes(target: Address): number {
-		const connection = this.#connections.get(`${target.address}:${target.port}`);
-		return connection?.isOpen ? connection.bufferedBytes : 0;
-	}
-
-	/** Closes the connection to a target that no longer replies, so that the next message opens a new one. */
-	reset(target: Address): void {
-		const key = `${target.address}:${target.port}`;
-		this.#connections.get(key)?.close();
-		this.#connections.delete(key);
-	}
-
 	close(): void {
 		for (const connection of this.#connections.values()) {
 			connection.close();
