Streams are resumed also if their entry host ends while no control host runs

Cause: which version began a stream was known to two control hosts and to the entry host that serves it. Restarted control hosts learn it from that entry host (`resync`), but only if it lives until they are up, subscribed to and fed. A slow machine needs three seconds to start a control host and loses that race.

Why it works: the host that forwards the first event copies the origin to two other entry hosts, chosen by the ID of the attempt, and a host that does not know an origin asks them. No process has to live until another has restarted. A stream that nobody knows is still refused while several versions may have begun it.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -29,6 +29,7 @@
 import type {ProtocolAdapter} from '../serving/protocol.js';
 import {listEngines} from '../serving/engines.js';
 import {Gateway} from '../serving/gateway.js';
+import {OriginCopies} from '../serving/origincopies.js';
 import type {ServingMetrics} from '../serving/metrics.js';
 import {PlacementClient} from '../serving/placement.js';
 import {RelayClient} from '../serving/relayclient.js';
@@ -76,6 +77,7 @@
 	readonly #relayClient: RelayClient;
 	readonly #transport: ServerTransport;
 	readonly #relayService: RelayService;
+	readonly #originCopies: OriginCopies;
 	readonly #listener: Listener;
 	readonly #localLimiter: RateLimiter;
 	readonly #localScheduler: Scheduler;
@@ -138,8 +140,11 @@
 				this.#subscription.sendSeparately(control, message);
 			},
 		});
+		this.#originCopies = new OriginCopies({
+			self: options.peerAddress, clock, logger: options.loggers('routing'), metrics, findServed: attempt => this.#placementClient.findOrigin(attempt),
+		});
 		this.#placementClient = new PlacementClient({
-			hosts: this.#subscription, localScheduler: this.#localScheduler, localLimiter: this.#localLimiter, clock,
+			hosts: this.#subscription, localScheduler: this.#localScheduler, localLimiter: this.#localLimiter, clock, originStore: this.#originCopies,
 		});
 		this.#crashMonitor = new CrashMonitor({
 			clock,
@@ -180,6 +185,7 @@
 		this.#relayService = new RelayService({context, getRouteTable: () => this.#routeTable});
 		this.#listener = new Listener((message, connection) => {
 			this.#relayService.receive(message, connection);
+			this.#originCopies.receive(message, connection);
 		});
 	}
 
@@ -241,6 +247,7 @@
 		this.#gateway.close();
 		this.#resynchronizer.close();
 		this.#subscription.close();
+		this.#originCopies.close();
 		this.#listener.close();
 		this.#relayClient.close();
 		this.#transport.close();
@@ -257,6 +264,7 @@
 		switch (message.type) {
 			case 'gossip': {
 				mergeCrashFacts(this.#crashTable, message.facts);
+				this.#originCopies.updateHolders(message.facts);
 				break;
 			}
 
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -11,8 +11,9 @@
 import {deflateRawSync} from 'node:zlib';
 import type {Clock} from '../base/clock.js';
 import type {
-	Feed, Member, Peer, RelayingState, Watch,
+	Feed, HostFact, Member, Peer, RelayingState, Watch,
 } from '../generated/types.js';
+import {formatHolderKey, selectHolders} from '../routing/holders.js';
 import type {Connection} from '../wire/connection.js';
 import type {CrashTable} from './crashes.js';
 import {selectRelays, type RelayCandidate} from './relays.js';
@@ -24,6 +25,8 @@
 export const HEARTBEAT_TIMEOUT_MS = 1200;
 /** Changes within this time are sent in one feed message. */
 const COALESCE_DELAY_MS = 5;
+/** Interval at which the hosts that keep copies are listed again, so that a host which is no longer listed is forgotten, milliseconds. */
+const HOLDERS_INTERVAL_MS = 20_000;
 /**
  * No publication is sent while this much unsent data is buffered on the connection. When publications arrive in quick
  * succession, a slow subscriber thus receives only the latest.
@@ -65,6 +68,9 @@
 	crashRevision: number;
 	/** Revision of the table of rate limits up to which changes were sent. */
 	rateLimitRevision: number;
+	/** The hosts that keep copies of the origins of streams, as they were sent last, and when. */
+	holders: string;
+	holdersSentMs: number;
 	isNew: boolean;
 	lastReceivedMs: number;
 };
@@ -112,7 +118,7 @@
 		}
 
 		this.#subscribers.set(connection, {
-			host, dataCentre, role, relaying: relaying ?? {isCutOff: false}, version, revision: 0, crashRevision: 0, rateLimitRevision: 0, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
+			host, dataCentre, role, relaying: relaying ?? {isCutOff: false}, version, revision: 0, crashRevision: 0, rateLimitRevision: 0, holders: '', holdersSentMs: Number.NEGATIVE_INFINITY, isNew: true, lastReceivedMs: this.#options.clock.monotonicMs(),
 		});
 		connection.onClose(() => {
 			this.#subscribers.delete(connection);
@@ -135,6 +141,7 @@
 
 	#publish(isHeartbeat: boolean): void {
 		const nowMs = this.#options.clock.monotonicMs();
+		const holders = this.#listHolders();
 		for (const [connection, subscriber] of this.#subscribers) {
 			if (nowMs - subscriber.lastReceivedMs > HEARTBEAT_TIMEOUT_MS * 2) {
 				connection.close();
@@ -143,6 +150,7 @@
 
 			this.#sendCrashes(connection, subscriber);
 			this.#sendRateLimits(connection, subscriber);
+			this.#sendHolders(connection, subscriber, holders, nowMs);
 			const feed = this.#createFeed(connection, subscriber);
 			if (isHeartbeat || feed.whole || feed.publication !== undefined || feed.sightings.length > 0 || feed.relays !== undefined) {
 				connection.send(feed);
@@ -166,6 +174,28 @@
 		}
 	}
 
+	/** Lists the hosts that keep copies, as facts that hosts of older versions pass over. */
+	#sendHolders(connection: Connection, subscriber: Subscriber, facts: HostFact[], nowMs: number): void {
+		if (subscriber.role !== 'entry') {
+			return;
+		}
+
+		const holders = facts.map(({peer}) => formatHolderKey(peer)).join(' ');
+		if (facts.length > 0 && (subscriber.holders !== holders || nowMs - subscriber.holdersSentMs > HOLDERS_INTERVAL_MS)) {
+			connection.send({type: 'gossip', from: this.#options.self, facts});
+			subscriber.holders = holders;
+			subscriber.holdersSentMs = nowMs;
+		}
+	}
+
+	#listHolders(): HostFact[] {
+		const candidates = this.#listRelayCandidates();
+		const dataCentres = new Map(candidates.map(({host, dataCentre}) => [host, dataCentre]));
+		return selectHolders(candidates.flatMap(({host, relay}) => relay ? [{host, ...relay}] : [])).map(peer => ({
+			type: 'host', peer, dataCentre: dataCentres.get(peer.host) ?? '', incarnation: 0, sequence: 0, leaving: false,
+		}));
+	}
+
 	#createFeed(connection: Connection, subscriber: Subscriber): Feed {
 		const {host, registry, readPublication, hasQuorum, isWarm, listMembers} = this.#options;
 		const publication = readPublication();
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -17,6 +17,7 @@
 	readonly active: Gauge;
 	readonly serversReachable: Gauge;
 	readonly relayed: Counter<'direction'>;
+	readonly originLookups: Counter<'outcome'>;
 };
 
 /** Histogram buckets, milliseconds: from a simple read to the longest stream. */
@@ -57,5 +58,8 @@
 		relayed: new Counter({
 			name: 'carawayhoist_relayed_requests_total', help: 'Requests that were sent through another host, or received from one.', labelNames: ['direction'], registers,
 		}),
+		originLookups: new Counter({
+			name: 'carawayhoist_stream_origin_lookups_total', help: 'Resumed streams whose origin was looked up at the entry hosts that keep copies, by whether one knew it.', labelNames: ['outcome'], registers,
+		}),
 	};
 }
--- a/src/serving/placement.ts
+++ b/src/serving/placement.ts
@@ -22,6 +22,14 @@
 	send(host: string, message: Message): boolean;
 }
 
+/** Copies of the origins of streams at other entry hosts. */
+export interface OriginStore {
+	/** Sends the origin of a stream that has begun here to the hosts that keep its copies. */
+	copy(attempt: string, software: string): void;
+	/** Finds the software version that began a stream; undefined if no copy is found. */
+	lookUp(attempt: string): Promise<string | undefined>;
+}
+
 /** The request for which a permit is requested. */
 export type PermitOptions = {
 	/** Identifies the query. */
@@ -68,6 +76,7 @@
 	/** Grants permits while no scheduler host responds. */
 	readonly localLimiter: RateLimiter;
 	readonly clock: Clock;
+	readonly originStore: OriginStore;
 };
 
 /** Client of the scheduler hosts. */
@@ -76,6 +85,7 @@
 	readonly #localScheduler: Scheduler;
 	readonly #localLimiter: RateLimiter;
 	readonly #clock: Clock;
+	readonly #originStore: OriginStore;
 	readonly #pendingQueries = new Map<string, PendingQuery>();
 	readonly #schedulerHosts = new Map<string, string>();
 	readonly #backups = new Map<string, Backup>();
@@ -83,11 +93,12 @@
 	/** Origins of the streams of which this host has forwarded events. Those at the local scheduler include streams that never began. */
 	readonly #begunStreams = new StreamOrigins();
 
-	constructor({hosts, localScheduler, localLimiter, clock}: PlacementClientOptions) {
+	constructor({hosts, localScheduler, localLimiter, clock, originStore}: PlacementClientOptions) {
 		this.#hosts = hosts;
 		this.#localScheduler = localScheduler;
 		this.#localLimiter = localLimiter;
 		this.#clock = clock;
+		this.#originStore = originStore;
 	}
 
 	/**
@@ -112,7 +123,8 @@
 
 	/**
 	 * Requests a placement from the host that is first in rank, and from the others while none knows the origin of a resumed stream. The
-	 * local scheduler does not infer an unknown origin: this host may have missed servers.
+	 * entry hosts that keep copies of origins are asked at the same time. The local scheduler does not infer an unknown origin: this host
+	 * may have missed servers.
 	 */
 	async place(received: PlacementRequest): Promise<PlacementResult> {
 		if (this.#schedulerHosts.has(received.id)) {
@@ -120,7 +132,21 @@
 			this.reportMilestone(received.id, MILESTONES.refused, undefined);
 		}
 
-		let request = this.#addLocalOrigin(received);
+		const request = this.#addLocalOrigin(received);
+		const attempt = isOriginMissing(request) ? request.resumption?.attempt : undefined;
+		const copy = attempt === undefined ? undefined : this.#originStore.lookUp(attempt);
+		const placed = await this.#placeAtHosts(request);
+		const software = placed.decision.type === 'rejection' && placed.decision.isOriginUnknown === true ? await copy : undefined;
+		if (attempt === undefined || software === undefined) {
+			return placed;
+		}
+
+		this.#localScheduler.recordOrigin(attempt, software, this.#clock.monotonicMs());
+		return this.#placeAtHosts({...request, resumption: {attempt, software}});
+	}
+
+	async #placeAtHosts(received: PlacementRequest): Promise<PlacementResult> {
+		let request = received;
 		const needsOrigin = isOriginMissing(request);
 		let rejection: PlacementResult | undefined;
 		for (const host of this.#rankHosts(request.service).slice(0, needsOrigin ? undefined : 1)) {
@@ -187,11 +213,22 @@
 		});
 	}
 
-	/** Records the software version of a stream of which this host forwards an event, by the ID of the attempt that brought the first one. */
-	recordOrigin(id: string, software: string): void {
+	/**
+	 * Records the software version of a stream of which this host forwards an event, by the ID of the attempt that brought the first one.
+	 * Other entry hosts get a copy if callers may resume it.
+	 */
+	recordOrigin(id: string, software: string, {isResumable}: {readonly isResumable: boolean}): void {
 		const nowMs = this.#clock.monotonicMs();
 		this.#localScheduler.recordOrigin(id, software, nowMs);
 		this.#begunStreams.record(id, software, nowMs);
+		if (isResumable) {
+			this.#originStore.copy(id, software);
+		}
+	}
+
+	/** Finds the software version that began a stream of which this host has forwarded events. */
+	findOrigin(attempt: string): string | undefined {
+		return this.#begunStreams.findSoftware(attempt, this.#clock.monotonicMs());
 	}
 
 	/** Lists the software versions of the streams that are in progress here, or broke off here a moment ago. */
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -445,7 +445,7 @@
 	}
 
 	#forward(chunk: Buffer, server: Announcement, isStream: boolean): void {
-		const {caller, head, logFields} = this.#call;
+		const {caller, head, route, logFields} = this.#call;
 		if (!this.#hasFirstEvent && isStream) {
 			this.#hasFirstEvent = true;
 			logFields.firstMs = this.#elapsedMs();
@@ -457,7 +457,7 @@
 			this.#isOriginRecorded = true;
 			this.#software ??= server.software ?? '';
 			const beganWith = head.lastEventId === undefined ? head.id : head.resumedAttempt ?? head.id;
-			this.#context.placement.recordOrigin(beganWith, this.#software);
+			this.#context.placement.recordOrigin(beganWith, this.#software, route);
 		}
 
 		const exchange = this.#exchange;
--- a/test/limiter.test.ts
+++ b/test/limiter.test.ts
@@ -6,7 +6,7 @@
 import type {PlacementDecision} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient} from '../src/serving/placement.js';
-import {createEngine, createRequest} from './pool.js';
+import {createEngine, createRequest, NO_ORIGIN_COPIES} from './pool.js';
 
 const SERVER = {server: 's1', incarnation: 1};
 const WINDOW_MS = 4000;
@@ -166,6 +166,7 @@
 	// One entry host responds to the first control host in rank; to the other one it is too slow.
 	const clients = [[...limiters.keys()], [...limiters.keys()]].map((live, index) => {
 		const client: PlacementClient = new PlacementClient({
+			originStore: NO_ORIGIN_COPIES,
 			hosts: {
 				listLive: () => index === 0 ? live : live.filter(host => host !== findFirst()),
 				send(host, message) {
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -13,7 +13,7 @@
 import {PlacementClient} from '../src/serving/placement.js';
 import {findResumedSoftware} from '../src/serving/resumption.js';
 import {StreamCall} from '../src/serving/streamcall.js';
-import {createEngine, createRequest} from './pool.js';
+import {createEngine, createRequest, NO_ORIGIN_COPIES} from './pool.js';
 
 const ENGINES = [createEngine('d1', 'decode', {software: 'v1'}), createEngine('d2', 'decode', {software: 'v2'}), createEngine('p1', 'prefill', {software: 'v1'}), createEngine('p2', 'prefill', {software: 'v2'})];
 
@@ -185,7 +185,7 @@
 
 test('a host that is cut off from the control hosts resumes only streams whose origin it knows itself', async () => {
 	const {client} = createClient({});
-	client.recordOrigin('a', 'v2');
+	client.recordOrigin('a', 'v2', {isResumable: true});
 	assert.deepEqual(listServers((await client.place(createRequest('b', 100, {resumption: {attempt: 'a'}}))).decision), ['d2']);
 	for (const resumption of [{attempt: 'other'}, {}]) {
 		const {decision} = await client.place(createRequest('c', 100, {resumption}));
@@ -402,6 +402,7 @@
 	const lateHosts = new Set(late);
 	const downHosts = new Set<string>();
 	const client: PlacementClient = new PlacementClient({
+		originStore: NO_ORIGIN_COPIES,
 		hosts: {
 			listLive: () => Object.keys(schedulers).filter(host => !downHosts.has(host)),
 			send(host, message: Message) {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -7,6 +7,7 @@
 import type {PlacementRequest} from '../src/routing/request.js';
 import {Scheduler} from '../src/routing/scheduler.js';
 import {PlacementClient, SELF} from '../src/serving/placement.js';
+import {NO_ORIGIN_COPIES} from './pool.js';
 
 const REQUEST: PlacementRequest = {
 	id: 'r1', service: 'llm', dataCentre: 'x', parts: [], promptTokens: 1000, outputTokens: 10, priority: 0, objectiveMs: 600, patienceMs: 2400, excluded: [], bodyBytes: 0, connected: [],
@@ -75,6 +76,7 @@
 		server: 'e1', incarnation: 1, service: 'llm', dataCentre: 'x', role: 'decode', software: 'v1', slots: 8, kvTokens: 100_000, kvBytesPerToken: 100_000, linkMbps: 100_000,
 	}]);
 	const client: PlacementClient = new PlacementClient({
+		originStore: NO_ORIGIN_COPIES,
 		hosts: {
 			listLive: () => live,
 			send(host, message) {
--- a/test/pool.ts
+++ b/test/pool.ts
@@ -5,6 +5,7 @@
  */
 import type {EngineInfo} from '../src/routing/engine.js';
 import type {PlacementRequest} from '../src/routing/request.js';
+import type {OriginStore} from '../src/serving/placement.js';
 
 /** Creates an engine of service `llm`, of software version `v1` in data centre `x` unless stated otherwise. */
 export function createEngine(server: string, role: 'prefill' | 'decode', fields: Partial<EngineInfo> = {}): EngineInfo {
@@ -13,6 +14,12 @@
 	};
 }
 
+/** No other host keeps copies of the origins of streams. */
+export const NO_ORIGIN_COPIES: OriginStore = {
+	copy: () => undefined,
+	lookUp: async () => undefined,
+};
+
 /** Creates a request for service `llm` whose prompt shares no part with others. */
 export function createRequest(id: string, promptTokens: number, fields: Partial<PlacementRequest> = {}): PlacementRequest {
 	return {
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -120,6 +120,43 @@
 	breakOff.emit('now');
 });
 
+// Guards against streams that nobody can take up because their entry host ends before a control host is back: only the control hosts
+// and that entry host knew which version had begun them, and a control host may need seconds to start.
+for (const isControlBack of [true, false]) {
+	test(`streams are taken up each at the version that began it, after their entry host ended while no control host ran, ${isControlBack ? 'once the control host is back' : 'before the control host is back'}`, async t => {
+		const breakOff = new EventEmitter();
+		const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
+		const system = await startSystem(t, engines, {routeTimeoutMs: 10_000});
+		await system.addEntry();
+		await system.addEntry();
+		const texts: string[] = [];
+		const streaming = Array.from({length: 8}, async (_, index) => stream(system.callers, `begun-${index}`, {}, text => {
+			texts[index] = text;
+		}));
+		await waitUntil(async () => streaming.every((_, index) => texts[index]?.includes('id: 2\ndata: e') && texts[index].endsWith('\n\n')), 'all callers have two events');
+		await system.stopControl();
+		system.entry.close();
+		const begun = await Promise.all(streaming);
+		if (isControlBack) {
+			await system.restartControl();
+			await system.announceServers();
+			await sleep(WARM_MS);
+			await system.announceServers();
+		}
+
+		const findVersion = (server: string | undefined) => engines.find(({id}) => id === server)?.software;
+		assert.deepEqual(new Set(begun.flatMap(({servers}) => servers.map(server => findVersion(server)))), new Set(['v1', 'v2']));
+		const others = system.callerAddresses.slice(1);
+		const taken = await Promise.all(begun.map(async (_, index) => stream(others[index % others.length]!, `next-${index}`, {resumes: `begun-${index}`, 'last-event-id': '2'})));
+		assert.deepEqual(
+			taken.map(({status, servers}) => ({status, software: servers.map(server => findVersion(server))})),
+			begun.map(({servers: [server]}) => ({status: 200, software: [findVersion(server), findVersion(server)]})),
+		);
+		assert.equal((await stream(others[0]!, 'unknown', {resumes: 'never-begun', 'last-event-id': '2'})).status, 503);
+		breakOff.emit('now');
+	});
+}
+
 test('a stream that breaks off while its entry host reaches no control host goes on at the version that began it, in one response', async t => {
 	const breakOff = new EventEmitter();
 	const engines = [['e1', 'v1'], ['e2', 'v2'], ['e3', 'v2'], ['e4', 'v1']].map(([id, software]) => createEngine(id!, software!, once(breakOff, 'now')));
