--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -39,7 +39,9 @@
 	const cacheFile = path.join(ROOT, `target/carawayhoist-bundle.cjs${flags.join('')}.cache`);
 	await rm(cacheFile, {force: true});
 	assert.match(await runProgram(), /No compiled code[\s\S]*\/host is required/v);
-	await promisify(execFile)(process.execPath, [...flags, 'deploy/compile.js'], {cwd: ROOT});
+	// Guards against code that is stored without what serves requests, because the requests of the build no longer fit the program.
+	const {stderr} = await promisify(execFile)(process.execPath, [...flags, 'deploy/compile.js'], {cwd: ROOT});
+	assert.equal(stderr, '');
 	assert.doesNotMatch(await runProgram(), /ompiled code/v);
 	await writeFile(cacheFile, 'damaged');
 	assert.match(await runProgram(), /compiled code is damaged[\s\S]*\/host is required/v);
