A former leader that restarts asks for votes at once

Callers saw: after a loss of power of all machines the control hosts were up 0.3 s before the entry hosts, but elected a leader only 0.6 s later, so that entry hosts refused requests for half a second ("does not know the routes yet").

Cause: a restarted replica denies votes for an election timeout, since it may have extended a lease that is not stored.

The replica that led stores that with its vote. When it restarts it knows that no lease is left: its own ended with its process, those of earlier terms had ended at its election, and a leader of a later term has a majority that refuses the older term. So its request passes over leases, as after a transfer.

--- a/dev/fuzz/mutations.ts
+++ b/dev/fuzz/mutations.ts
@@ -13,6 +13,7 @@
 	'wiped-replica-votes': 'a replica without its disk comes back under its old identity',
 	'no-read-index': 'a leader answers reads without asking a majority',
 	'no-leader-lease': 'votes are granted while another leader may hold its lease',
+	'reclaim-without-leading': 'a restarted replica that voted for itself asks for votes that pass over leases',
 	'swap-in-one-step': 'a replica is replaced without a joint configuration',
 	'no-log-matching': 'appends are taken without comparing the previous entry',
 	'no-claim-before-send': 'the ledger grants a key that is already claimed',
@@ -44,6 +45,7 @@
 		persistIdentity: mutation !== 'wiped-replica-votes',
 		confirmReads: mutation !== 'no-read-index',
 		respectLease: mutation !== 'no-leader-lease',
+		reclaimOnlyAfterLeading: mutation !== 'reclaim-without-leading',
 		useJointConfiguration: mutation !== 'swap-in-one-step',
 		checkLogMatching: mutation !== 'no-log-matching',
 	};
--- a/src/consensus/effects.ts
+++ b/src/consensus/effects.ts
@@ -37,6 +37,8 @@
 export type HardState = {
 	readonly term: number;
 	readonly vote: string;
+	/** Whether this replica became the leader of the term. Versions that do not know it ignore it. */
+	readonly hasLed?: boolean;
 };
 
 /** One record of the write-ahead log. */
--- a/src/consensus/log.ts
+++ b/src/consensus/log.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import type {Configuration, Entry, Snapshot} from '../generated/types.js';
+import type {
+	Configuration, Entry, Snapshot, VoteRequest,
+} from '../generated/types.js';
 
 /** Approximate memory of an entry besides the bytes of its command. */
 const ENTRY_OVERHEAD_BYTES = 200;
@@ -53,6 +55,23 @@
 		return this.#bytes;
 	}
 
+	/** Compares a candidate's log with this one: positive if it is ahead, 0 if both end with the same entry, negative if it is behind. */
+	compare({lastTerm, lastIndex}: Pick<VoteRequest, 'lastTerm' | 'lastIndex'>): number {
+		return lastTerm === this.lastTerm ? lastIndex - this.lastIndex : lastTerm - this.lastTerm;
+	}
+
+	/** Returns the configuration in force at an entry. */
+	getConfigurationAt(index: number): Configuration {
+		for (let at = index; at > this.snapshot.index; at--) {
+			const entry = this.getEntry(at);
+			if (entry?.type === 'configuration') {
+				return entry.configuration;
+			}
+		}
+
+		return this.snapshot.configuration;
+	}
+
 	/** Returns the term of an entry, or undefined if the index is compacted or beyond the end of the log. */
 	getTerm(index: number): number | undefined {
 		if (index === this.#snapshot.index) {
--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {Entry} from '../generated/types.js';
+import type {AppendReply, ConsensusBody, Entry} from '../generated/types.js';
 import {getEntryBytes} from './log.js';
 
 /** Entries that were sent in one append request. */
@@ -84,3 +84,15 @@
 		return hasLost;
 	}
 }
+
+/**
+ * Whether a message acknowledges the entries up to its match index.
+ *
+ * @example
+ * ```ts
+ * isAcknowledgement({type: 'append-reply', term: 1, round: 2, success: true, matchIndex: 7}); // true
+ * ```
+ */
+export function isAcknowledgement(body: ConsensusBody): body is AppendReply {
+	return body.type === 'append-reply' && body.success;
+}
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -17,9 +17,10 @@
 import {
 	CHANNELS, DEFAULT_REPLICA_TIMING, REPLICA_ROLES, ROLE_REASONS, type HardState, type LogRecord, type ReplicaEffect, type ReplicaEvent, type ReplicaRole, type ReplicaTiming, type RoleReason, type SendEffect,
 } from './effects.js';
+import {LeadershipReclaim} from './reclaim.js';
 import {DEFAULT_REPLICATION_LIMITS, type ReplicationLimits} from './limits.js';
 import {Log} from './log.js';
-import {PeerProgress} from './progress.js';
+import {isAcknowledgement, PeerProgress} from './progress.js';
 import {SilenceDetector} from './silence.js';
 import {ALL_SAFEGUARDS, type Safeguards} from './safeguards.js';
 
@@ -73,6 +74,7 @@
 	/** Sequence number of the write that stores this candidate's own vote. */
 	#selfVoteSequence = Number.POSITIVE_INFINITY;
 	#isPreVoting = false;
+	readonly #reclaim: LeadershipReclaim;
 	#votes = new Set<string>();
 	#peers = new Map<string, PeerProgress>();
 	#round = 0;
@@ -108,6 +110,8 @@
 		this.#configurationIndex = index;
 		// Before its restart this replica may have extended a leader's lease, which is not stored.
 		this.#denyVotesUntilMs = options.nowMs + this.timing.electionMs;
+		const hasLed = this.#safeguards.reclaimOnlyAfterLeading ? options.hard.hasLed === true : this.#vote === this.id;
+		this.#reclaim = new LeadershipReclaim(hasLed, this.timing, options.nowMs);
 		this.#resetElectionTimer(options.nowMs);
 	}
 
@@ -256,8 +260,11 @@
 			return;
 		}
 
-		if (this.#silence.hasPassed(this.#electionDeadlineMs, nowMs) && isVoter(this.#configuration, this.id)) {
-			this.#startElection(nowMs, {preVote: true, transfer: false});
+		const isReclaiming = this.#reclaim.takeDue(nowMs);
+		if (isReclaiming && this.#role === REPLICA_ROLES.candidate) {
+			this.#requestVotes({preVote: false, transfer: true});
+		} else if (isVoter(this.#configuration, this.id) && (isReclaiming || this.#silence.hasPassed(this.#electionDeadlineMs, nowMs))) {
+			this.#startElection(nowMs, {preVote: !isReclaiming, transfer: isReclaiming});
 		}
 	}
 
@@ -287,11 +294,16 @@
 			this.#deferSelfVote();
 		}
 
+		this.#requestVotes(options);
+		this.#countVotes(nowMs);
+	}
+
+	#requestVotes({preVote, transfer}: {preVote: boolean; transfer: boolean}): void {
 		const request: VoteRequest = {
 			type: 'vote-request',
-			term: options.preVote ? this.#term + 1 : this.#term,
-			preVote: options.preVote,
-			transfer: options.transfer,
+			term: preVote ? this.#term + 1 : this.#term,
+			preVote,
+			transfer,
 			lastIndex: this.#log.lastIndex,
 			lastTerm: this.#log.lastTerm,
 		};
@@ -300,8 +312,6 @@
 				this.#sendAfterSync(member, request);
 			}
 		}
-
-		this.#countVotes(nowMs);
 	}
 
 	/** A candidate's own vote counts only once it is synced to disk, like any other vote. */
@@ -335,6 +345,8 @@
 		this.#round = 0;
 		this.#roundSentMs = new Map();
 		this.#setRole(REPLICA_ROLES.leader, this.id, ROLE_REASONS.elected);
+		this.#reclaim.stop();
+		this.#setTerm(this.#term, this.id, true);
 		this.#appendAsLeader([{type: 'noop', index: this.#log.lastIndex + 1, term: this.#term}]);
 		this.#broadcast(nowMs);
 	}
@@ -346,6 +358,7 @@
 		}
 
 		this.#refuseReads();
+		this.#reclaim.stop();
 		this.#isPreVoting = false;
 		this.#resetElectionTimer(nowMs);
 		this.#setRole(REPLICA_ROLES.follower, NO_REPLICA, reason);
@@ -396,7 +409,7 @@
 
 	#onVoteRequest(from: string, request: VoteRequest, nowMs: number): void {
 		// A replica that lags may not know the newest voters. A removed replica is never ahead of the remaining ones.
-		const order = this.#compareLogs(request);
+		const order = this.#log.compare(request);
 		const member = this.#findMember(from) ?? (order > 0 ? createUnknownMember(from) : undefined);
 		if (!member) {
 			return;
@@ -429,11 +442,6 @@
 		});
 	}
 
-	/** Compares a candidate's log with this one: positive if it is ahead, 0 if both end with the same entry, negative if it is behind. */
-	#compareLogs({lastTerm, lastIndex}: VoteRequest): number {
-		return lastTerm === this.#log.lastTerm ? lastIndex - this.#log.lastIndex : lastTerm - this.#log.lastTerm;
-	}
-
 	#onVoteReply(from: string, reply: VoteReply, nowMs: number): void {
 		const expectedTerm = reply.preVote ? this.#term + 1 : this.#term;
 		const isCurrentElection = reply.preVote === this.#isPreVoting && (this.#isPreVoting || this.#role === REPLICA_ROLES.candidate);
@@ -517,6 +525,7 @@
 		this.#denyVotesUntilMs = nowMs + this.timing.electionMs;
 		this.#resetElectionTimer(nowMs);
 		this.#isPreVoting = false;
+		this.#reclaim.stop();
 		if (this.#role !== REPLICA_ROLES.follower || this.#leader !== leader) {
 			this.#setRole(REPLICA_ROLES.follower, leader, ROLE_REASONS.leaderHeard);
 		}
@@ -726,7 +735,7 @@
 		}
 
 		const snapshot: Snapshot = {
-			index, term, configuration: this.#getConfigurationAt(index), data,
+			index, term, configuration: this.#log.getConfigurationAt(index), data,
 		};
 		this.#log.compact(snapshot);
 		this.#write([{type: 'snapshot', snapshot}]);
@@ -909,10 +918,10 @@
 		this.#effects.push({type: 'commit', entries});
 	}
 
-	#setTerm(term: number, vote: string): void {
+	#setTerm(term: number, vote: string, hasLed = false): void {
 		this.#term = term;
 		this.#vote = vote;
-		this.#write(this.#safeguards.persistHardState ? [{type: 'hard', state: {term, vote}}] : []);
+		this.#write(this.#safeguards.persistHardState ? [{type: 'hard', state: {term, vote, ...(hasLed && {hasLed})}}] : []);
 		this.#hardStateSequence = this.#writeSequence;
 	}
 
@@ -934,17 +943,6 @@
 		this.#configurationIndex = index;
 	}
 
-	#getConfigurationAt(index: number): Configuration {
-		for (let at = index; at > this.#log.snapshot.index; at--) {
-			const entry = this.#log.getEntry(at);
-			if (entry?.type === 'configuration') {
-				return entry.configuration;
-			}
-		}
-
-		return this.#log.snapshot.configuration;
-	}
-
 	#listPeers(): Member[] {
 		return listMembers(this.#configuration).filter(member => member.replica !== this.id);
 	}
@@ -985,10 +983,6 @@
 	}
 }
 
-function isAcknowledgement(body: ConsensusBody): body is AppendReply {
-	return body.type === 'append-reply' && body.success;
-}
-
 /** Creates the recipient of a reply to a replica that is not in the configuration; replies need no address. */
 function createUnknownMember(replica: string): Member {
 	return {
--- a/src/consensus/safeguards.ts
+++ b/src/consensus/safeguards.ts
@@ -17,6 +17,8 @@
 	confirmReads: true,
 	/** A replica grants no vote while the lease of an earlier leader may still be valid, even after a restart. */
 	respectLease: true,
+	/** Only a replica that led when its process ended asks for votes that pass over leases. */
+	reclaimOnlyAfterLeading: true,
 	/** Voters are changed through a joint configuration. */
 	useJointConfiguration: true,
 	/** An append request is rejected if the preceding entry does not match. */
