Teams on published routes: requests need the key of a team, and servers learn its name instead of the key

A request without a known key gets 401 (code 2007) after its route was found and its body received. The Authorization header of callers is removed unless a request is known to come from a configuration without teams, so that a forgotten case cannot send a key to a server. The priority of the team replaces that of the route.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -177,6 +177,7 @@
 			announceRateLimit: fact => {
 				this.#subscription.broadcast({type: 'rateLimits', facts: [fact]});
 			},
+			hasTeams: () => this.#routeTable?.teams !== undefined,
 			listServers: () => this.#discovery.listUsable().filter(server => this.#availability.isAvailable(server, clock.monotonicMs())),
 			findServer: server => this.#discovery.findServer(server),
 			countHosts: () => this.#hostCount,
@@ -358,6 +359,9 @@
 
 		this.#routeTable = new RouteTable(config.right);
 		this.#gateway.applyLimits(config.right.limits);
-		this.#logger.info(`Applied publication ${version}.`, {version, control, routes: config.right.routes.length});
+		this.#options.metrics.teams.updateTeams(this.#routeTable.teams?.names ?? []);
+		this.#logger.info(`Applied publication ${version}.`, {
+			version, control, routes: config.right.routes.length, teams: config.right.teams?.length,
+		});
 	}
 }
--- a/src/routing/routes.ts
+++ b/src/routing/routes.ts
@@ -6,6 +6,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
+import {findTeamError, TeamTable, type Team} from '../teams/table.js';
 
 /**
  * Kinds of routes by what a failed request allows: `repeatable` requests may be retried, `once` requests may not if a
@@ -38,6 +39,8 @@
 	readonly maxAttempts: number;
 	/** Whether a stream that broke off may be resumed at another server. */
 	readonly isResumable: boolean;
+	/** Whether requests need no key if the configuration has teams. */
+	readonly isPublic: boolean;
 };
 
 /** Capacity of each engine of a service. */
@@ -71,6 +74,8 @@
 	readonly routes: readonly Route[];
 	readonly services: readonly ServiceSpec[];
 	readonly limits: CallerLimits;
+	/** If there is a list, even an empty one, only requests with a key of a team are served, except on public routes. */
+	readonly teams?: readonly Team[] | undefined;
 };
 
 /**
@@ -93,17 +98,21 @@
 		keys.add(createRouteKey(route));
 	}
 
-	return Either.right(config);
+	const teamError = findTeamError(config.teams ?? []);
+	return teamError === undefined ? Either.right(config) : Either.left(createProblem('publicationInvalid', teamError));
 }
 
 /** Looks up routes by host and longest matching path prefix. */
 export class RouteTable {
 	readonly config: RoutingConfig;
+	/** Undefined if the configuration has no teams. */
+	readonly teams: TeamTable | undefined;
 	readonly #byHost = new Map<string, Route[]>();
 	readonly #services: ReadonlyMap<string, ServiceSpec>;
 
 	constructor(config: RoutingConfig) {
 		this.config = config;
+		this.teams = config.teams && new TeamTable(config.teams);
 		this.#services = new Map(config.services.map(service => [service.name, service]));
 		for (const route of config.routes) {
 			const host = route.host.toLowerCase();
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -50,6 +50,8 @@
 	readonly announceLeaving: (server: Announcement) => void;
 	/** Tells the other hosts what a server has said about its rate limit. */
 	readonly announceRateLimit: (fact: RateLimitFact) => void;
+	/** Whether the configuration in force has teams. */
+	readonly hasTeams: () => boolean;
 	/** Lists the servers that accept new work. */
 	readonly listServers: () => readonly Announcement[];
 	readonly findServer: (server: string) => Announcement | undefined;
@@ -64,8 +66,10 @@
 	readonly route: Route;
 	readonly routeTable: RouteTable;
 	readonly service: string;
-	/** Team whose key the request carries; undefined if the configuration has no teams, or none on an open route. */
-	readonly team?: string;
+	/** Team whose key the request carries; undefined if the configuration has no teams, or without a known key on a public route. */
+	readonly team?: string | undefined;
+	/** Priority of the team, or else of the route; 0 is the most urgent. */
+	readonly priority: number;
 	readonly body: Buffer | null;
 	/** Monotonic time, milliseconds. */
 	readonly arrivedMs: number;
@@ -78,7 +82,7 @@
 };
 
 /** An attempt at a server, with the server's announcement. */
-export type AttemptOptions = Omit<Attempt, 'server'> & {
+export type AttemptOptions = Omit<Attempt, 'server' | 'team' | 'forwardsAuthorization'> & {
 	readonly server: Announcement;
 	/** See `UpstreamRequest`. */
 	readonly onSilence: () => void;
@@ -139,6 +143,8 @@
  */
 export function sendAttempt(context: ServingContext, call: Call, {server, onSilence, ...attempt}: AttemptOptions, handler: ResponseHandler): Exchange {
 	const {request} = call.caller;
+	// A request from before the first configuration with teams may carry a key as well.
+	const forwardsAuthorization = !call.routeTable.teams && !context.hasTeams();
 	// A prefill starts no response, so it is not what crashes an engine.
 	const tracked = attempt.phase === ATTEMPT_PHASES.prefill ? undefined : context.crashes.track(server, call.suspect);
 	const exchange = context.transport.send({
@@ -149,7 +155,9 @@
 		address: {address: server.address, port: server.port},
 		method: request.method ?? 'GET',
 		path: request.url ?? '/',
-		headers: context.protocol.buildRequestHeaders(request, {...attempt, server: server.server}),
+		headers: context.protocol.buildRequestHeaders(request, {
+			...attempt, server: server.server, team: call.team, forwardsAuthorization,
+		}),
 		body: call.body,
 		maxConnections: limitConnections(context, call.routeTable, call.service),
 		maySend: () => context.availability.isAvailable(server, context.clock.monotonicMs()),
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -8,9 +8,11 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {
-	chooseService, ROUTE_KINDS, type CallerLimits, type RouteTable,
+	chooseService, ROUTE_KINDS, type CallerLimits, type Route, type RouteTable,
 } from '../routing/routes.js';
 import {CallerConnections} from '../wire/callers.js';
+import {digestKey} from '../teams/digest.js';
+import type {Team} from '../teams/table.js';
 import type {Address} from '../wire/connection.js';
 import {Caller, type CallOutcome} from './caller.js';
 import {PlainCall} from './plaincall.js';
@@ -138,7 +140,7 @@
 		}
 
 		if (Either.isLeft(found)) {
-			caller.fail(found.left);
+			caller.fail(found.left, found.left.name === 'keyRefused' ? context.protocol.keyChallenge : {});
 			return;
 		}
 
@@ -205,6 +207,11 @@
 			return Either.left(createProblem('notFound', `No route for ${request.headers.host ?? ''}${request.url ?? ''}.`));
 		}
 
+		const team = this.#findTeam(request, route, routeTable);
+		if (Either.isLeft(team)) {
+			return team;
+		}
+
 		const deadlineMs = received.arrivedMs + Math.min(route.timeoutMs, received.head.timeoutMs ?? NO_DEADLINE_MS);
 		if (this.#abortMs !== undefined && deadlineMs > this.#abortMs) {
 			return Either.left(createProblem('shuttingDown', undefined, 0));
@@ -220,6 +227,8 @@
 			caller,
 			route,
 			routeTable,
+			team: team.right?.name,
+			priority: team.right?.priority ?? route.priority,
 			service: chooseService(route, this.#options.context.random),
 			deadlineMs,
 			suspect: {
@@ -237,6 +246,23 @@
 		});
 	}
 
+	/** Finds the team that holds a request's key; undefined if the request needs none and no team holds its key. */
+	#findTeam(request: IncomingMessage, route: Route, {teams}: RouteTable): Either.Either<Problem, Team | undefined> {
+		if (!teams) {
+			return Either.right(undefined);
+		}
+
+		const {protocol, metrics} = this.#options.context;
+		const key = protocol.parseKey(request);
+		const result = teams.check(key && digestKey(key), route.isPublic);
+		if (result.type === 'refused') {
+			metrics.teams.recordRefusal(result.reason);
+			return Either.left(createProblem('keyRefused', `Route ${route.name}, key ${result.reason}.`));
+		}
+
+		return Either.right(result.type === 'team' ? result.team : undefined);
+	}
+
 	/** Estimates when a host without routes will have them: it, or all hosts, started a moment ago. */
 	#estimateRecoverySeconds(): number {
 		const upMs = this.#options.context.clock.monotonicMs() - this.#startedMs;
@@ -249,6 +275,10 @@
 		const route = call?.route.name ?? 'none';
 		metrics.requests.inc({route, outcome});
 		metrics.duration.observe({route}, durationMs);
+		if (call?.routeTable.teams) {
+			metrics.teams.recordRequest(call.team, outcome);
+		}
+
 		if (call?.logFields.firstMs !== undefined) {
 			metrics.firstByte.observe({route}, call.logFields.firstMs);
 		}
@@ -256,7 +286,7 @@
 		const {problem, status} = caller;
 		const arrivedAfterStopMs = this.#stoppedMs === undefined ? undefined : Math.round(arrivedMs - this.#stoppedMs);
 		logger.info(`Request ${outcome}.`, {
-			request: call?.head.id, route, service: call?.service, version: call?.routeTable.config.version, status, tookMs: durationMs, arrivedAfterStopMs, ...call?.logFields, code: problem?.code, reason: problem?.text,
+			request: call?.head.id, route, service: call?.service, team: call?.team, version: call?.routeTable.config.version, status, tookMs: durationMs, arrivedAfterStopMs, ...call?.logFields, code: problem?.code, reason: problem?.text,
 		});
 	}
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -6,9 +6,12 @@
 import {
 	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
+import {TeamMetrics} from '../teams/metrics.js';
+import {CALL_OUTCOMES} from './caller.js';
 
 export type ServingMetrics = {
 	readonly requests: Counter<'route' | 'outcome'>;
+	readonly teams: TeamMetrics;
 	readonly failures: Counter<'failure'>;
 	readonly retries: Counter<'service'>;
 	readonly placements: Counter<'by'>;
@@ -38,6 +41,7 @@
 		requests: new Counter({
 			name: 'carawayhoist_calls_total', help: 'Requests by route and how they ended.', labelNames: ['route', 'outcome'], registers,
 		}),
+		teams: new TeamMetrics(registry, Object.values(CALL_OUTCOMES)),
 		failures: new Counter({
 			name: 'carawayhoist_attempt_failures_total', help: 'Sendings to backend servers that brought no whole answer.', labelNames: ['failure'], registers,
 		}),
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -110,12 +110,12 @@
 	/** Whether a request may be sent to a server now. One that is at its rate limit is not selected again. */
 	async #mayUse(server: Announcement): Promise<boolean> {
 		const {placement, rateLimits} = this.#context;
-		const {head, route, service, logFields} = this.#call;
+		const {head, priority, service, logFields} = this.#call;
 		if (rateLimits.findLimit(server) === undefined) {
 			return true;
 		}
 
-		const permit = await placement.requestPermit(service, server, {id: `${head.id} ${++this.#permitCount}`, priority: route.priority});
+		const permit = await placement.requestPermit(service, server, {id: `${head.id} ${++this.#permitCount}`, priority});
 		if (permit.waitMs === 0) {
 			return true;
 		}
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import type {Either} from 'fp-ts/lib/Either.js';
 import type {Problem} from '../base/problem.js';
@@ -59,6 +60,10 @@
 	readonly lastEventId?: string;
 	/** 0 is the most urgent. */
 	readonly priority?: number;
+	/** Name of the team for which the server runs the request. */
+	readonly team?: string | undefined;
+	/** Whether the server receives the caller's `Authorization` header. It must not if that may contain the key of a team. */
+	readonly forwardsAuthorization?: boolean;
 };
 
 /** The time after which a server wants requests again. */
@@ -96,6 +101,12 @@
 /** Parses and builds requests and responses in the platform's format. */
 export interface ProtocolAdapter {
 	parseRequest(request: IncomingMessage): Either<Problem, RequestHead>;
+	/** Parses the key that a request carries, as bytes; undefined if there is none, or more than one. */
+	parseKey(request: IncomingMessage): Buffer | undefined;
+	/** Removes the header that may contain a key from alternating names and values. */
+	removeKey(headers: readonly string[]): string[];
+	/** Headers of the response to a request that is refused for its key. */
+	readonly keyChallenge: OutgoingHttpHeaders;
 	/** Builds the headers of a request to a server, as alternating names and values. */
 	buildRequestHeaders(request: IncomingMessage, attempt: Attempt): string[];
 	parseResponse(status: number, headers: IncomingHttpHeaders): ResponseHead;
--- a/src/serving/relayservice.ts
+++ b/src/serving/relayservice.ts
@@ -121,7 +121,8 @@
 			address: {address: server.address, port: server.port},
 			method,
 			path,
-			headers,
+			// The configuration of the other host may be one without teams, and forward what callers send.
+			headers: context.hasTeams() ? context.protocol.removeKey(headers) : headers,
 			body,
 			maxConnections: limitConnections(context, getRouteTable(), service),
 			maySend: () => context.availability.isAvailable(server, context.clock.monotonicMs()),
--- a/src/serving/resumption.ts
+++ b/src/serving/resumption.ts
@@ -21,7 +21,7 @@
  */
 export async function findResumedSoftware(context: ServingContext, call: Call): Promise<Either.Either<Problem, string>> {
 	const {placement, dataCentre, clock} = context;
-	const {head: {id, resumedAttempt}, route, service, routeTable, body} = call;
+	const {head: {id, resumedAttempt}, route, service, routeTable, body, priority} = call;
 	const {decision} = await placement.place({
 		id,
 		service,
@@ -31,7 +31,7 @@
 		parts: [],
 		promptTokens: UNKNOWN_TOKENS,
 		outputTokens: UNKNOWN_TOKENS,
-		priority: route.priority,
+		priority,
 		objectiveMs: route.objectiveMs,
 		patienceMs: Math.max(0, call.deadlineMs - clock.monotonicMs()),
 		excluded: [],
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -247,7 +247,7 @@
 	}
 
 	#createRequest(): PlacementRequest {
-		const {head, route, service, arrivedMs, deadlineMs} = this.#call;
+		const {head, route, service, arrivedMs, deadlineMs, priority} = this.#call;
 		const nowMs = this.#context.clock.monotonicMs();
 		const patienceMs = Math.max(MIN_PATIENCE_MS, route.objectiveMs * PATIENCE_FACTOR);
 		return {
@@ -259,7 +259,7 @@
 			parts: this.#prompt.parts,
 			promptTokens: this.#prompt.promptTokens,
 			outputTokens: this.#prompt.outputTokens,
-			priority: route.priority,
+			priority,
 			objectiveMs: Math.max(0, arrivedMs + route.objectiveMs - nowMs),
 			patienceMs: Math.max(0, Math.min(deadlineMs, arrivedMs + patienceMs) - nowMs),
 			excluded: [...this.#excluded, ...this.#listUnavailable()],
@@ -525,7 +525,7 @@
 
 	/** Late requests are served after all others. */
 	#priority(): number {
-		return this.#call.logFields.isLate === true ? LATE_PRIORITY : this.#call.route.priority;
+		return this.#call.logFields.isLate === true ? LATE_PRIORITY : this.#call.priority;
 	}
 
 	#remainingMs(): number {
--- a/test/system.ts
+++ b/test/system.ts
@@ -189,6 +189,12 @@
 			await waitUntil(async () => added.host.isReady && added.host.listServers().length === entry.listServers().length, 'the added entry host knows all servers');
 			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
 		},
+		/** Starts one more entry host without waiting until it knows anything, and returns a function that calls it. */
+		async addUnawaitedEntry() {
+			const added = await startEntry();
+			entries.push(added);
+			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
+		},
 		/** Stops a server that deregisters, and waits until no entry host lists it. */
 		async removeServer(id: string) {
 			await fetch(`http://${address}/-/instances/${id}`, {method: 'DELETE'});
