--- a/test/system.ts
+++ b/test/system.ts
@@ -77,7 +77,8 @@
 	const loggers = createSilentLoggers();
 	const entryLog = createRecordingLoggers();
 	const dialect = new PlatformProtocol();
-	const metrics = createServingMetrics(new Registry());
+	const registry = new Registry();
+	const metrics = createServingMetrics(registry);
 	const controlRegistry = new Registry();
 	const peer = {address: '127.0.0.1', port: await findPort()};
 	const operators = {address: '127.0.0.1', port: await findPort()};
@@ -173,6 +174,8 @@
 		},
 		entry,
 		metrics,
+		/** Metrics of the entry hosts. */
+		registry,
 		controlRegistry,
 		/** Finds what the control host knows of a server. */
 		findRegistered: (id: string) => control.registry.findStatus(id),
