Keys are checked only against a configuration that a control host has confirmed after a standstill or a start

A host that was frozen processes the requests that arrived meanwhile before the configurations that did, so a key that was removed seconds ago would have run. Without teams nothing waits.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -34,6 +34,7 @@
 import {PlacementClient} from '../serving/placement.js';
 import {RelayClient} from '../serving/relayclient.js';
 import {RelayService} from '../serving/relayservice.js';
+import {ConfigurationConfirmation} from '../teams/confirmation.js';
 import {ServerTransport} from '../serving/transport.js';
 import {Listener, type Address} from '../wire/connection.js';
 import {connectServer, type ServerConnector} from '../wire/connector.js';
@@ -91,6 +92,7 @@
 	readonly #retryBudget: ServiceRetryBudget;
 	readonly #gateway: Gateway;
 	readonly #placementClient: PlacementClient;
+	readonly #confirmation: ConfigurationConfirmation;
 	#routeTable: RouteTable | undefined;
 	#hostCount = 1;
 	#isStopping = false;
@@ -100,6 +102,7 @@
 		this.#logger = options.loggers('entry');
 		const {clock, random, dataCentre, protocol, metrics} = options;
 		const connect = options.connectServer ?? connectServer;
+		this.#confirmation = new ConfigurationConfirmation(clock);
 		this.#localLimiter = createFallbackLimiter(server => this.#rateLimits.findLimit(server), {countHosts: () => this.#hostCount, random});
 		this.#localScheduler = new Scheduler({limiter: this.#localLimiter});
 		this.#retryBudget = new ServiceRetryBudget(options.retryBudget);
@@ -182,7 +185,7 @@
 			findServer: server => this.#discovery.findServer(server),
 			countHosts: () => this.#hostCount,
 		};
-		this.#gateway = new Gateway({context, getRouteTable: () => this.#routeTable});
+		this.#gateway = new Gateway({context, getRouteTable: () => this.#servedRouteTable, waitForConfirmation: async () => this.#confirmation.wait()});
 		this.#relayService = new RelayService({context, getRouteTable: () => this.#routeTable});
 		this.#listener = new Listener((message, connection) => {
 			this.#relayService.receive(message, connection);
@@ -205,7 +208,12 @@
 
 	/** Whether this host can serve callers: it knows the routes and at least one usable server, and is not stopping. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.#routeTable !== undefined && this.#discovery.listUsable().length > 0;
+		return !this.#isStopping && this.#servedRouteTable !== undefined && this.#discovery.listUsable().length > 0;
+	}
+
+	/** The routes by which callers are served; undefined while teams are known only from a first configuration that is not confirmed. */
+	get #servedRouteTable(): RouteTable | undefined {
+		return this.#routeTable?.teams && this.#confirmation.isFirstAwaited ? undefined : this.#routeTable;
 	}
 
 	/** Applies the settings that may change at run time: additional control hosts and the retry budget. */
@@ -246,6 +254,7 @@
 
 	close(): void {
 		this.#gateway.close();
+		this.#confirmation.close();
 		this.#resynchronizer.close();
 		this.#subscription.close();
 		this.#originCopies.close();
@@ -314,6 +323,8 @@
 			this.#applyPublication(feed.publication, feed.version, control);
 		}
 
+		this.#confirmation.recordFeed(feed.hasQuorum && feed.version <= (this.#routeTable?.config.version ?? 0));
+
 		if (hasChanges || (feed.publication && isNewer)) {
 			this.#localScheduler.updateEngines(listEngines(this.#discovery.listUsable(), this.#routeTable));
 		}
@@ -357,6 +368,10 @@
 			return;
 		}
 
+		if (!this.#routeTable) {
+			this.#confirmation.startFirst();
+		}
+
 		this.#routeTable = new RouteTable(config.right);
 		this.#gateway.applyLimits(config.right.limits);
 		this.#options.metrics.teams.updateTeams(this.#routeTable.teams?.names ?? []);
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -25,6 +25,8 @@
 	readonly context: ServingContext;
 	/** Returns the current routes; undefined before the first publication. */
 	readonly getRouteTable: () => RouteTable | undefined;
+	/** Waits until the routes are confirmed, see `ConfigurationConfirmation`. */
+	readonly waitForConfirmation?: () => Promise<void>;
 };
 
 /** Limits that apply until operators have published theirs. */
@@ -174,7 +176,7 @@
 
 	/** Parses a request and finds its route; undefined if its caller has disconnected. */
 	async #createCall(caller: Caller, arrivedMs: number): Promise<Either.Either<Problem, Call> | undefined> {
-		const {context, getRouteTable} = this.#options;
+		const {context, getRouteTable, waitForConfirmation} = this.#options;
 		const {request} = caller;
 		const limits = getRouteTable()?.config.limits ?? DEFAULT_LIMITS;
 		if (request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0) > limits.headerBytes) {
@@ -191,6 +193,10 @@
 			return body;
 		}
 
+		if (getRouteTable()?.teams) {
+			await waitForConfirmation?.();
+		}
+
 		// The route is looked up last because the routes may have changed while the body arrived.
 		return this.#findRoute(caller, {head: head.right, body: body.right, arrivedMs});
 	}
