--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -8,9 +8,11 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {
-	chooseService, ROUTE_KINDS, type CallerLimits, type RouteTable,
+	chooseService, ROUTE_KINDS, type CallerLimits, type Route, type RouteTable,
 } from '../routing/routes.js';
 import {CallerConnections} from '../wire/callers.js';
+import {digestKey} from '../teams/digest.js';
+import type {Team} from '../teams/table.js';
 import type {Address} from '../wire/connection.js';
 import {Caller, type CallOutcome} from './caller.js';
 import {PlainCall} from './plaincall.js';
@@ -23,6 +25,8 @@
 	readonly context: ServingContext;
 	/** Returns the current routes; undefined before the first publication. */
 	readonly getRouteTable: () => RouteTable | undefined;
+	/** Waits until the routes are confirmed, see `ConfigurationConfirmation`. */
+	readonly waitForConfirmation?: () => Promise<void>;
 };
 
 /** Limits that apply until operators have published theirs. */
@@ -138,7 +142,7 @@
 		}
 
 		if (Either.isLeft(found)) {
-			caller.fail(found.left);
+			caller.fail(found.left, found.left.name === 'keyRefused' ? context.protocol.keyChallenge : {});
 			return;
 		}
 
@@ -172,7 +176,7 @@
 
 	/** Parses a request and finds its route; undefined if its caller has disconnected. */
 	async #createCall(caller: Caller, arrivedMs: number): Promise<Either.Either<Problem, Call> | undefined> {
-		const {context, getRouteTable} = this.#options;
+		const {context, getRouteTable, waitForConfirmation} = this.#options;
 		const {request} = caller;
 		const limits = getRouteTable()?.config.limits ?? DEFAULT_LIMITS;
 		if (request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0) > limits.headerBytes) {
@@ -189,6 +193,10 @@
 			return body;
 		}
 
+		if (getRouteTable()?.teams) {
+			await waitForConfirmation?.();
+		}
+
 		// The route is looked up last because the routes may have changed while the body arrived.
 		return this.#findRoute(caller, {head: head.right, body: body.right, arrivedMs});
 	}
@@ -205,6 +213,11 @@
 			return Either.left(createProblem('notFound', `No route for ${request.headers.host ?? ''}${request.url ?? ''}.`));
 		}
 
+		const team = this.#findTeam(request, route, routeTable);
+		if (Either.isLeft(team)) {
+			return team;
+		}
+
 		const deadlineMs = received.arrivedMs + Math.min(route.timeoutMs, received.head.timeoutMs ?? NO_DEADLINE_MS);
 		if (this.#abortMs !== undefined && deadlineMs > this.#abortMs) {
 			return Either.left(createProblem('shuttingDown', undefined, 0));
@@ -220,6 +233,8 @@
 			caller,
 			route,
 			routeTable,
+			team: team.right?.name,
+			priority: team.right?.priority ?? route.priority,
 			service: chooseService(route, this.#options.context.random),
 			deadlineMs,
 			suspect: {
@@ -237,6 +252,23 @@
 		});
 	}
 
+	/** Finds the team that holds a request's key; undefined if the request needs none and no team holds its key. */
+	#findTeam(request: IncomingMessage, route: Route, {teams}: RouteTable): Either.Either<Problem, Team | undefined> {
+		if (!teams) {
+			return Either.right(undefined);
+		}
+
+		const {protocol, metrics} = this.#options.context;
+		const key = protocol.parseKey(request);
+		const result = teams.check(key && digestKey(key), route.isPublic);
+		if (result.type === 'refused') {
+			metrics.teams.recordRefusal(result.reason);
+			return Either.left(createProblem('keyRefused', `Route ${route.name}, key ${result.reason}.`));
+		}
+
+		return Either.right(result.type === 'team' ? result.team : undefined);
+	}
+
 	/** Estimates when a host without routes will have them: it, or all hosts, started a moment ago. */
 	#estimateRecoverySeconds(): number {
 		const upMs = this.#options.context.clock.monotonicMs() - this.#startedMs;
@@ -249,6 +281,10 @@
 		const route = call?.route.name ?? 'none';
 		metrics.requests.inc({route, outcome});
 		metrics.duration.observe({route}, durationMs);
+		if (call?.routeTable.teams) {
+			metrics.teams.recordRequest(call.team, outcome);
+		}
+
 		if (call?.logFields.firstMs !== undefined) {
 			metrics.firstByte.observe({route}, call.logFields.firstMs);
 		}
@@ -256,7 +292,7 @@
 		const {problem, status} = caller;
 		const arrivedAfterStopMs = this.#stoppedMs === undefined ? undefined : Math.round(arrivedMs - this.#stoppedMs);
 		logger.info(`Request ${outcome}.`, {
-			request: call?.head.id, route, service: call?.service, version: call?.routeTable.config.version, status, tookMs: durationMs, arrivedAfterStopMs, ...call?.logFields, code: problem?.code, reason: problem?.text,
+			request: call?.head.id, route, service: call?.service, team: call?.team, version: call?.routeTable.config.version, status, tookMs: durationMs, arrivedAfterStopMs, ...call?.logFields, code: problem?.code, reason: problem?.text,
 		});
 	}
 }
--- a/test/system.ts
+++ b/test/system.ts
@@ -77,7 +77,8 @@
 	const loggers = createSilentLoggers();
 	const entryLog = createRecordingLoggers();
 	const dialect = new PlatformProtocol();
-	const metrics = createServingMetrics(new Registry());
+	const registry = new Registry();
+	const metrics = createServingMetrics(registry);
 	const controlRegistry = new Registry();
 	const peer = {address: '127.0.0.1', port: await findPort()};
 	const operators = {address: '127.0.0.1', port: await findPort()};
@@ -173,6 +174,8 @@
 		},
 		entry,
 		metrics,
+		/** Metrics of the entry hosts. */
+		registry,
 		controlRegistry,
 		/** Finds what the control host knows of a server. */
 		findRegistered: (id: string) => control.registry.findStatus(id),
@@ -189,6 +192,12 @@
 			await waitUntil(async () => added.host.isReady && added.host.listServers().length === entry.listServers().length, 'the added entry host knows all servers');
 			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
 		},
+		/** Starts one more entry host without waiting until it knows anything, and returns a function that calls it. */
+		async addUnawaitedEntry() {
+			const added = await startEntry();
+			entries.push(added);
+			return async (target: string, headers: Record<string, string> = {}, body?: string) => callAt(added, target, headers, body);
+		},
 		/** Stops a server that deregisters, and waits until no entry host lists it. */
 		async removeServer(id: string) {
 			await fetch(`http://${address}/-/instances/${id}`, {method: 'DELETE'});
