Count starts of requests by team and window and report them to the external service

Entry hosts send cumulative counts to every control host; the leader commits the counts of a window to the replicated log before it reports them, so that a successor reports the same. Off unless the settings name the service.

--- a/src/control/order.ts
+++ b/src/control/order.ts
@@ -35,6 +35,10 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	/** Whether the request may still be written; called once the connection is established. */
 	readonly mayWrite: () => boolean;
+	/** Time for the connection, the request and the response, milliseconds; has a default. */
+	readonly timeoutMs?: number;
+	/** Whether the response is complete with its status. */
+	readonly ignoresBody?: boolean;
 };
 
 /** Delivers orders to backend servers. */
@@ -151,9 +155,9 @@
  * const reply = await sendHttpRequest(server, {method: 'GET', path: '/orders', body: '', mayWrite: () => true});
  * ```
  */
-export async function sendHttpRequest(server: Announcement, request: OrderRequest): Promise<OrderReply | undefined> {
+export async function sendHttpRequest(server: Pick<Announcement, 'address' | 'port'>, request: OrderRequest): Promise<OrderReply | undefined> {
 	const socket = net.connect({host: server.address, port: server.port});
-	const timer = setTimeout(() => socket.destroy(), ORDER_TIMEOUT_MS);
+	const timer = setTimeout(() => socket.destroy(), request.timeoutMs ?? ORDER_TIMEOUT_MS);
 	const reply = await new Promise<OrderReply | undefined>(resolve => {
 		socket.once('error', () => {
 			resolve(undefined);
@@ -188,6 +192,11 @@
 		resolve(undefined);
 	});
 	outgoing.once('response', response => {
+		if (request.ignoresBody === true) {
+			resolve({status: response.statusCode ?? 0, body: {}});
+			return;
+		}
+
 		let text = '';
 		response.setEncoding('utf8');
 		response.on('data', (chunk: string) => {
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -65,6 +65,16 @@
 	readonly canBootstrap?: boolean;
 };
 
+/** The leadership of this replica. */
+export type LeaderLease = {
+	/** Increases with each leader, and no two leaders share one. */
+	readonly term: number;
+	/** When this replica was elected in this term, monotonic, milliseconds. */
+	readonly electedMs: number;
+	/** Until when no other leader can exist, monotonic, milliseconds; minus infinity after a jump of a clock. */
+	readonly leaseUntilMs: number;
+};
+
 /** An entry host's connection and the version of the last view update sent on it. */
 type ViewSubscriber = {
 	connection: Connection;
@@ -98,6 +108,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#joinRequester: JoinRequester | undefined;
 	#leaderTerm = 0;
+	#electedMs = Number.POSITIVE_INFINITY;
 	#isDiskFailing = false;
 	#clockOffsetMs: number | undefined;
 	#distrustLeaseUntilMs = Number.NEGATIVE_INFINITY;
@@ -179,6 +190,12 @@
 		return this.#holdsLeaderLease();
 	}
 
+	/** Reads the clocks and returns this replica's leadership; undefined unless it leads and has applied all that was committed before. */
+	readLeaderLease(): LeaderLease | undefined {
+		const {leaseUntilMs} = this.#readLeaseClock();
+		return this.#node?.replica.isLeaderReady ? {term: this.#leaderTerm, electedMs: this.#electedMs, leaseUntilMs} : undefined;
+	}
+
 	/** The leader with which this replica is in contact, or this replica if it leads with a valid lease. */
 	findLeader(): Member | undefined {
 		return this.hasQuorum ? this.#node?.findLeader() : undefined;
@@ -387,6 +404,7 @@
 	#onLeadership({role, term}: Leadership): void {
 		if (role === 'leader') {
 			this.#leaderTerm = term;
+			this.#electedMs = this.#options.clock.monotonicMs();
 			this.#controller = new Controller(this.#options.clock.monotonicMs(), this.#options.controllerTiming, this.#options.orderSafeguards);
 			this.#reconfigurator = new Reconfigurator(this.#options.reconfigurationTiming);
 			return;
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -9,6 +9,7 @@
 	AdvanceCommand, ChangeSpecification, ChangeStatus, Command, ConflictOutcome, IssueOrderCommand, OrderAction, CommandOutcome, ChangePhase, Publication, PutCommand, RemoveCommand, Resource, SettleOrderCommand, Specification, ChangeStep, ViewUpdate,
 } from '../generated/types.js';
 import {Ledger, type LedgerSnapshot} from './ledger.js';
+import {UsageLedger, type UsageSnapshot} from './usage.js';
 
 export type ResourceKind = Specification['kind'];
 
@@ -45,6 +46,8 @@
 	readonly orders: readonly OpenOrder[];
 	readonly requests: readonly RememberedRequest[];
 	readonly ledger: LedgerSnapshot;
+	/** Absent in deployments without the duty, and in snapshots of older versions. */
+	readonly usage?: UsageSnapshot | undefined;
 };
 
 export const CHANGE_PHASES = {
@@ -65,6 +68,7 @@
 /** The replicated control state. Modified only by applying log entries. */
 export class ControlState {
 	readonly ledger: Ledger;
+	readonly usage: UsageLedger;
 	readonly #resources = new Map<string, Resource>();
 	readonly #orders = new Map<string, OpenOrder>();
 	readonly #requests = new Map<string, RememberedRequest>();
@@ -76,6 +80,7 @@
 
 	constructor(snapshot: ControlStateSnapshot = EMPTY_STATE, claimBeforeSend = true) {
 		this.ledger = new Ledger(snapshot.ledger, claimBeforeSend);
+		this.usage = new UsageLedger(snapshot.usage);
 		this.#version = snapshot.version;
 		this.#viewVersion = snapshot.viewVersion;
 		this.#clockMs = snapshot.clockMs;
@@ -163,6 +168,7 @@
 	}
 
 	createSnapshot(): ControlStateSnapshot {
+		const usage = this.usage.createSnapshot();
 		return {
 			version: this.#version,
 			viewVersion: this.#viewVersion,
@@ -173,6 +179,7 @@
 			orders: this.listOpenOrders(),
 			requests: [...this.#requests.values()],
 			ledger: this.ledger.createSnapshot(),
+			...(usage && {usage}),
 		};
 	}
 
@@ -205,6 +212,14 @@
 			case 'settle-order': {
 				return this.#settleOrder(command, index);
 			}
+
+			case 'record-usage': {
+				return this.usage.record(command, index);
+			}
+
+			case 'settle-usage': {
+				return this.usage.settle(command, index);
+			}
 		}
 	}
 
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -27,6 +27,8 @@
 import type {
 	Announcement, Fact, Message, Publication, Resync, ViewUpdate,
 } from '../generated/types.js';
+import type {DutyCaller} from '../duties/caller.js';
+import {ControlDuties, type DutySettings} from '../duties/duties.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {FeedPublisher} from '../membership/feed.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
@@ -64,6 +66,8 @@
 	readonly catchUpMs?: number | undefined;
 	/** Memory and disk of this host, from which the sizes of the log and its queues are derived; has a default. */
 	readonly resources?: MachineResources;
+	/** Duties at an external service; none if absent. */
+	readonly duties?: DutySettings | undefined;
 };
 
 /** Deadlines of operator requests. Operators try another host after one second without a response. */
@@ -108,6 +112,7 @@
 	readonly #publications: PublicationQueue;
 	readonly #publisher: FeedPublisher;
 	readonly #subscription: FeedSubscription;
+	readonly #duties: ControlDuties | undefined;
 	readonly #listener: Listener;
 	readonly #rateLimits = new RateLimitTable();
 	readonly #limiter = createGrantingLimiter(server => this.#rateLimits.findLimit(server));
@@ -183,6 +188,9 @@
 				}
 			},
 		});
+		this.#duties = options.duties && new ControlDuties({
+			...options.duties, clock, service, logger: options.loggers('control'), takeoverMs: options.leaseMs + TAKEOVER_MARGIN_MS,
+		});
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, TICK_MS);
@@ -247,6 +255,11 @@
 		return this.#controlService.hasQuorum;
 	}
 
+	/** Makes calls to the external service; undefined if the settings name none. */
+	get dutyCaller(): DutyCaller | undefined {
+		return this.#duties?.caller;
+	}
+
 	/** Addresses of all known control hosts: those that the feed reported and the members of the replicated log. */
 	listControlAddresses(): Address[] {
 		const members = this.#controlService.listMembers().map(({address, port}) => ({address, port}));
@@ -364,6 +377,11 @@
 				break;
 			}
 
+			case 'usageCounts': {
+				this.#duties?.receive(message, connection);
+				break;
+			}
+
 			case 'permitRequest': {
 				const {id, priority} = message;
 				connection.send({type: 'permit', id, ...this.#limiter.request(message, priority, this.#options.clock.monotonicMs())});
@@ -428,6 +446,7 @@
 	async close(): Promise<void> {
 		clearInterval(this.#timer);
 		clearImmediate(this.#pendingApply);
+		this.#duties?.close();
 		this.#controlClient.close();
 		this.#publisher.close();
 		this.#subscription.close();
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -11,6 +11,8 @@
 import type {
 	Fact, Feed, Message, RelayingState, Resync,
 } from '../generated/types.js';
+import {UsageReporter} from '../duties/reporter.js';
+import {StartCounter} from '../duties/starts.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {ServerDiscovery} from '../membership/discovery.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
@@ -60,6 +62,8 @@
 	readonly maxResponseBytes?: number | undefined;
 	/** Opens connections to backend servers; over this host's network by default. */
 	readonly connectServer?: ServerConnector;
+	/** Length of the windows of usage reports, milliseconds; nothing is counted if absent. */
+	readonly usageWindowMs?: number | undefined;
 };
 
 /** The load balancer checks readiness once per second and sends no more callers after two failed checks. */
@@ -91,6 +95,7 @@
 	readonly #retryBudget: ServiceRetryBudget;
 	readonly #gateway: Gateway;
 	readonly #placementClient: PlacementClient;
+	readonly #usageReporter: UsageReporter | undefined;
 	#routeTable: RouteTable | undefined;
 	#hostCount = 1;
 	#isStopping = false;
@@ -155,7 +160,18 @@
 				this.#subscription.broadcast(this.#createFactMessage(facts));
 			},
 		});
+		const starts = options.usageWindowMs === undefined ? undefined : new StartCounter(options.usageWindowMs);
+		this.#usageReporter = starts && new UsageReporter({
+			host: options.host,
+			incarnation: `${clock.wallMs()}-${random()}`,
+			windowMs: options.usageWindowMs!,
+			clock,
+			logger: options.loggers('entry'),
+			starts,
+			listControls: () => this.#subscription.listAddresses(),
+		});
 		const context: ServingContext = {
+			...(starts && {starts}),
 			dataCentre,
 			clock,
 			random,
@@ -238,6 +254,7 @@
 		await this.#waitUntilIdle(abortMs);
 		this.#gateway.abort();
 		await this.#waitUntilIdle(abortMs + FLUSH_MS);
+		this.#usageReporter?.report();
 		await this.#listener.finish(Math.max(0, abortMs + FLUSH_MS - clock.monotonicMs()));
 		this.#logger.info('Shutdown complete.', {unsent: this.#gateway.activeCount, relayed: this.#relayService.activeCount});
 		this.close();
@@ -245,6 +262,7 @@
 
 	close(): void {
 		this.#gateway.close();
+		this.#usageReporter?.close();
 		this.#resynchronizer.close();
 		this.#subscription.close();
 		this.#originCopies.close();
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {Random} from '../base/random.js';
+import type {StartCounter} from '../duties/starts.js';
 import type {Announcement, RateLimitFact} from '../generated/types.js';
 import type {RateLimitTable} from '../membership/ratelimits.js';
 import type {AvailabilityTracker} from '../routing/availability.js';
@@ -46,6 +47,8 @@
 	readonly crashes: CrashMonitor;
 	readonly availability: AvailabilityTracker;
 	readonly rateLimits: RateLimitTable;
+	/** Counts the runs of requests for usage reports; absent in deployments without them. */
+	readonly starts?: StartCounter;
 	/** Tells the other hosts that a server has said that it is leaving. */
 	readonly announceLeaving: (server: Announcement) => void;
 	/** Tells the other hosts what a server has said about its rate limit. */
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -7,6 +7,7 @@
 import type {Buffer} from 'node:buffer';
 import * as Either from 'fp-ts/lib/Either.js';
 import {createProblem} from '../base/problem.js';
+import {showsStart} from '../duties/starts.js';
 import type {Announcement} from '../generated/types.js';
 import {ROUTE_KINDS} from '../routing/routes.js';
 import {
@@ -302,6 +303,7 @@
 	#send(server: Announcement, {buffer, settle, onSilence}: AttemptTools): Exchange {
 		const context = this.#context;
 		let head: ResponseHead | undefined;
+		const sentWallMs = context.clock.wallMs();
 		const deadlineMs = this.#call.deadlineMs - context.clock.monotonicMs();
 		const {lastEventId} = this.#call.head;
 		return sendAttempt(context, this.#call, {
@@ -315,6 +317,8 @@
 					context.logger.warn(`Discarded a response from server ${server.server}: ${mismatch}.`, {request: this.#call.head.id, server: server.server});
 					this.#exchange?.cancel();
 					settle({type: 'broken'});
+				} else if (showsStart(head)) {
+					context.starts?.record(this.#call.team, sentWallMs);
 				}
 			},
 			onData: chunk => {
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -333,6 +333,7 @@
 		return new Promise(resolve => {
 			let head: ResponseHead | undefined;
 			let otherBytes = 0;
+			let isCounted = false;
 			caller.onEnd(() => {
 				resolve({type: 'broken', hasResponded: false});
 			});
@@ -395,6 +396,11 @@
 					}
 
 					if (head && !head.isNotExecuted && !head.isWrongServer) {
+						if (!isCounted && head.status === HTTP_OK) {
+							isCounted = true;
+							context.starts?.record(this.#call.team, context.clock.wallMs());
+						}
+
 						this.#forward(chunk, server, head.status === HTTP_OK);
 					}
 
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -5,7 +5,7 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 /** Folders of src/ from the lowest layer to the highest; a folder may import only itself and lower layers. */
-const LAYERS = ['generated', 'base', 'wire', 'consensus', 'routing', 'control', 'membership', 'serving', 'entry', 'daemon', 'tool'];
+const LAYERS = ['generated', 'base', 'wire', 'consensus', 'routing', 'control', 'membership', 'duties', 'serving', 'entry', 'daemon', 'tool'];
 /** Modules without I/O: they use no sockets, files or timers of Node.js. */
 const MODULES_WITHOUT_IO = [
 	'consensus/replica',
@@ -45,6 +45,11 @@
 	'membership/registry',
 	'membership/discovery',
 	'serving/events',
+	'control/usage',
+	'duties/starts',
+	'duties/collector',
+	'duties/rate',
+	'duties/planner',
 ];
 const ALLOWED_NODE_MODULES = new Set(['node:zlib', 'node:buffer']);
 
--- a/test/system.ts
+++ b/test/system.ts
@@ -20,6 +20,7 @@
 import {createControlMetrics} from '../src/control/metrics.js';
 import {ControlHost} from '../src/daemon/controlhost.js';
 import {EntryHost} from '../src/daemon/entryhost.js';
+import type {DutySettings} from '../src/duties/duties.js';
 import {createServingMetrics} from '../src/serving/metrics.js';
 import type {Address} from '../src/wire/connection.js';
 import type {ServerConnector} from '../src/wire/connector.js';
@@ -56,6 +57,7 @@
 	readonly connectServers?: readonly ServerConnector[];
 	readonly findPort?: () => Promise<number>;
 	readonly clock?: Clock;
+	readonly duties?: DutySettings;
 };
 
 type TestContext = {
@@ -66,7 +68,7 @@
  * Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. After the test,
  * everything that was started is stopped, also if the start failed.
  */
-export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, routeTimeoutMs, graceMs = 1000, connectServers = [], findPort = findOwnPort, clock = createClock()}: SystemOptions = {}) {
+export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, routeTimeoutMs, graceMs = 1000, connectServers = [], findPort = findOwnPort, clock = createClock(), duties}: SystemOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
 	const cleanups: Array<() => Promise<void> | void> = [async () => rm(folder, {recursive: true, force: true})];
 	t.after(async () => {
@@ -96,6 +98,7 @@
 		createOrderTransport: findServer => new PlatformOrderTransport(host, clock, findServer),
 		leaseMs: 500,
 		announceIntervalMs: 400,
+		duties,
 	}));
 	let control = await startControl(controlRegistry);
 	let isControlRunning = true;
@@ -118,7 +121,7 @@
 		const callers = {address: '127.0.0.1', port: await findPort()};
 		const peerAddress = {address: '127.0.0.1', port: await findPort()};
 		const host = unwrap(await EntryHost.start({
-			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, peerAddress, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs, maxResponseBytes, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
+			host: `h${++entryCount}`, dataCentre: 'a', callerAddress: callers, peerAddress, seeds: [peer], clock, random: createRandom(1 + entryCount), loggers: entryLog.loggers, protocol: dialect, metrics, retryBudget: {ratio: 0.2, allowance: 100, windowMs: 10_000}, graceMs, maxResponseBytes, usageWindowMs: duties?.windowMs, ...(connectServers[entryCount - 1] && {connectServer: connectServers[entryCount - 1]}),
 		}));
 		cleanups.push(() => {
 			host.close();
