--- a/src/duties/planner.ts
+++ b/src/duties/planner.ts
@@ -48,7 +48,7 @@
 	proposalMs: 1000,
 	/** Pause after the first failure of a report; doubled for each further one, up to the maximum. */
 	pauseMs: 400,
-	maxPauseMs: 3000,
+	maxPauseMs: 1600,
 	/** Pause after a failure until the next call for any window. */
 	failurePauseMs: 250,
 } as const;
