--- a/src/duties/planner.ts
+++ b/src/duties/planner.ts
@@ -112,7 +112,7 @@
 			return;
 		}
 
-		const count = (this.#failures.get(window)?.count ?? 0) + 1;
+		const count = this.#countFailures({window}) + 1;
 		const pauseMs = Math.min(REPORT_TIMING.maxPauseMs, REPORT_TIMING.pauseMs * (2 ** (count - 1)));
 		this.#failures.set(window, {count, retryMs: nowMs + pauseMs});
 		this.#nextSendMs = nowMs + REPORT_TIMING.failurePauseMs;
@@ -144,18 +144,26 @@
 		return due;
 	}
 
-	/** Chooses the report to send: of those that are in time the oldest, then of those that are late the newest. */
+	/**
+	 * Chooses the report to send: of those that are in time the oldest, then of those that are late the newest. One that has failed less
+	 * often goes first, since a call without a response may have arrived.
+	 */
 	#chooseReport({nowMs, wallMs, isHolder, records}: ReportSituation): UsageRecord[] {
 		if (!isHolder || this.#isSending || nowMs < this.#nextSendMs) {
 			return [];
 		}
 
 		const open = records.filter(({window, isAccepted}) => !isAccepted && !this.#accepted.has(window) && nowMs >= (this.#failures.get(window)?.retryMs ?? nowMs));
-		const record = open.find(({window}) => !this.isLate(window, wallMs)) ?? open.at(-1);
+		const inTime = open.filter(({window}) => !this.isLate(window, wallMs));
+		const [record] = (inTime.length > 0 ? inTime : open.toReversed()).toSorted((a, b) => this.#countFailures(a) - this.#countFailures(b));
 		this.#isSending = record !== undefined;
 		return record ? [record] : [];
 	}
 
+	#countFailures({window}: Pick<UsageRecord, 'window'>): number {
+		return this.#failures.get(window)?.count ?? 0;
+	}
+
 	/** Whether a command for a window may be proposed; records that it is. */
 	#mayPropose(window: number, {nowMs, isLeader}: ReportSituation): boolean {
 		if (!isLeader || nowMs - (this.#proposedMs.get(window) ?? Number.NEGATIVE_INFINITY) < REPORT_TIMING.proposalMs) {
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -129,6 +129,21 @@
 	});
 }
 
+// Guards against a slow service whose calls arrive but time out: repeating them must not keep later windows from their first call.
+test('each window is sent in time to a service that responds too slowly', async () => {
+	const cluster = await startCluster();
+	cluster.delaysMs = [0, 2500];
+	const sent = new Map<number, number>();
+	cluster.treat = ({window, atMs}) => {
+		sent.set(window, sent.get(window) ?? atMs);
+		return undefined;
+	};
+
+	await cluster.run(60_000);
+	assert.ok(Array.from({length: 10}, (_, window) => sent.get(window)!).every((atMs, window) => atMs <= findDueMs(window)));
+	checkCalls(cluster.calls);
+});
+
 test('after an outage of the service the reports that are still in time are sent in time, and those of earlier windows are not lost', async () => {
 	const cluster = await startCluster();
 	cluster.treat = () => 503;
