--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -11,6 +11,7 @@
 import type {
 	Fact, Feed, Message, RelayingState, Resync,
 } from '../generated/types.js';
+import {ReferenceClock} from '../duties/reference.js';
 import {UsageReporter} from '../duties/reporter.js';
 import {StartCounter} from '../duties/starts.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
@@ -160,7 +161,10 @@
 				this.#subscription.broadcast(this.#createFactMessage(facts));
 			},
 		});
-		const starts = options.usageWindowMs === undefined ? undefined : new StartCounter(options.usageWindowMs);
+		const reference = new ReferenceClock();
+		const starts = options.usageWindowMs === undefined
+			? undefined
+			: new StartCounter(options.usageWindowMs, () => reference.read({nowMs: clock.monotonicMs(), wallMs: clock.wallMs()}));
 		this.#usageReporter = starts && new UsageReporter({
 			host: options.host,
 			incarnation: `${clock.wallMs()}-${random()}`,
@@ -168,6 +172,7 @@
 			clock,
 			logger: options.loggers('entry'),
 			starts,
+			reference,
 			listControls: () => this.#subscription.listAddresses(),
 		});
 		const context: ServingContext = {
--- a/src/duties/collector.ts
+++ b/src/duties/collector.ts
@@ -12,6 +12,12 @@
 	readonly atMs: number;
 	/** When this host received it, monotonic, milliseconds. */
 	readonly receivedMs: number;
+	/**
+	 * Highest differences of its wall clock to this host's monotonic clock, in the current interval and the one before: a message that
+	 * was under way for long, or waited while this host stood still, shows a lower one.
+	 */
+	readonly offsets: readonly [current: number, previous: number];
+	readonly intervalSinceMs: number;
 };
 
 /** Readings of this host's clocks. */
@@ -20,6 +26,8 @@
 	readonly wallMs: number;
 };
 
+/** Interval over which the highest difference of the clocks is taken, milliseconds: a clock that jumps back is followed after two. */
+const OFFSET_INTERVAL_MS = 5000;
 /** Hosts that have not reported for this number of windows are not waited for, and their clocks not considered. */
 const LIVE_WINDOWS = 2;
 /** Interval at which the time is estimated again: with 380 hosts an estimate for each message would take 4% of a core, milliseconds. */
@@ -53,13 +61,7 @@
 	 * @returns The number of counts that were dropped for lack of space or a faulty clock.
 	 */
 	merge({host, incarnation, at, windows}: UsageCounts, clock: ClockReading, isClosed: (window: number) => boolean): number {
-		this.#clocks.delete(host);
-		this.#clocks.set(host, {atMs: at, receivedMs: clock.nowMs});
-		if (this.#clocks.size > MAX_INCARNATIONS) {
-			const [first] = this.#clocks.keys();
-			this.#clocks.delete(first!);
-		}
-
+		this.#recordClock(host, at, clock.nowMs);
 		const current = findWindow(this.estimateWallMs(clock), this.#windowMs);
 		let dropped = 0;
 		for (const {window, teams, counts} of windows) {
@@ -121,8 +123,26 @@
 		return [...totals].toSorted(([a], [b]) => a < b ? -1 : 1);
 	}
 
+	#recordClock(host: string, atMs: number, nowMs: number): void {
+		const known = this.#clocks.get(host);
+		const offsetMs = atMs - nowMs;
+		const {offsets: [current, previous], intervalSinceMs} = known ?? {offsets: [offsetMs, offsetMs], intervalSinceMs: nowMs};
+		const isNext = nowMs - intervalSinceMs >= OFFSET_INTERVAL_MS;
+		this.#clocks.delete(host);
+		this.#clocks.set(host, {
+			atMs,
+			receivedMs: nowMs,
+			offsets: isNext ? [offsetMs, current] : [Math.max(current, offsetMs), previous],
+			intervalSinceMs: isNext ? nowMs : intervalSinceMs,
+		});
+		if (this.#clocks.size > MAX_INCARNATIONS) {
+			const [first] = this.#clocks.keys();
+			this.#clocks.delete(first!);
+		}
+	}
+
 	#findMedianMs(nowMs: number, wallMs: number): number {
-		const estimates = this.#listLive(nowMs).map(({atMs, receivedMs}) => atMs + nowMs - receivedMs);
+		const estimates = this.#listLive(nowMs).map(({offsets}) => nowMs + Math.max(...offsets));
 		// Of an odd number of clocks one is in the middle.
 		const clocks = estimates.length % 2 === 0 ? [wallMs, ...estimates] : estimates;
 		return clocks.toSorted((a, b) => a - b)[(clocks.length - 1) / 2]!;
--- a/src/duties/duties.ts
+++ b/src/duties/duties.ts
@@ -70,8 +70,9 @@
 	/** Merges the counts of an entry host and acknowledges them. */
 	receive(message: UsageCounts, connection: Pick<Connection, 'send'>): void {
 		const {metrics, service} = this.#options;
-		metrics.droppedCounts.inc(this.#collector.merge(message, this.#readClock(), window => service.state.usage.isClosed(window)));
-		connection.send({type: 'usageAck', sequence: message.sequence});
+		const clock = this.#readClock();
+		metrics.droppedCounts.inc(this.#collector.merge(message, clock, window => service.state.usage.isClosed(window)));
+		connection.send({type: 'usageAck', sequence: message.sequence, at: this.#collector.estimateWallMs(clock)});
 	}
 
 	close(): void {
--- a/src/duties/planner.ts
+++ b/src/duties/planner.ts
@@ -39,7 +39,7 @@
 	/** Time from the end of a window until its counts are complete at the earliest: two reports of the entry hosts, and responses of plain servers. */
 	settleMs: 2000,
 	/** Time from the end of a window after which silent entry hosts are not waited for any more. */
-	maxSettleMs: 3500,
+	maxSettleMs: 5000,
 	/** Time from a start, or a standstill, until the entry hosts have reconnected and sent their counts in full. */
 	collectMs: 2500,
 	/** A report is due at this time after the end of its window. */
--- a/src/duties/reporter.ts
+++ b/src/duties/reporter.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '../base/logger.js';
 import type {Message} from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
+import type {ReferenceClock} from './reference.js';
 import {findWindow, type StartCounter} from './starts.js';
 
 export type UsageReporterOptions = {
@@ -20,6 +21,8 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly starts: StartCounter;
+	/** Learns the time of the control hosts. */
+	readonly reference: ReferenceClock;
 	/** Lists the addresses of all known control hosts. */
 	readonly listControls: () => readonly Address[];
 };
@@ -42,6 +45,8 @@
 	/** Window of the last message: a control host must learn that a window has ended, also without further starts. */
 	window: number;
 	sequence: number;
+	/** When the last message was sent, monotonic, milliseconds. */
+	sentMs: number;
 	/** Since when an acknowledgement is missing, monotonic; undefined if everything is acknowledged. */
 	unacknowledgedSinceMs: number | undefined;
 };
@@ -88,7 +93,7 @@
 		const {clock, windowMs, starts, host, incarnation} = this.#options;
 		const key = formatKey(control);
 		const link = this.#links.get(key) ?? {
-			connection: undefined, connectedMs: Number.NEGATIVE_INFINITY, revision: 0, window: -1, sequence: 0, unacknowledgedSinceMs: undefined,
+			connection: undefined, connectedMs: Number.NEGATIVE_INFINITY, revision: 0, window: -1, sequence: 0, sentMs: 0, unacknowledgedSinceMs: undefined,
 		};
 		this.#links.set(key, link);
 		const nowMs = clock.monotonicMs();
@@ -102,7 +107,7 @@
 		}
 
 		const wallMs = clock.wallMs();
-		const window = findWindow(wallMs, windowMs);
+		const window = findWindow(starts.readMs(), windowMs);
 		if (link.revision === starts.revision && link.window === window) {
 			return;
 		}
@@ -111,6 +116,7 @@
 		link.revision = starts.revision;
 		link.window = window;
 		link.sequence++;
+		link.sentMs = nowMs;
 		link.unacknowledgedSinceMs ??= nowMs;
 		link.connection?.send({
 			type: 'usageCounts', host, incarnation, sequence: link.sequence, at: wallMs, windows,
@@ -125,7 +131,7 @@
 
 		const connection = connect(control, message => {
 			if (link.connection === connection) {
-				this.#handleReply(message, link);
+				this.#handleReply(message, formatKey(control), link);
 			}
 		});
 		link.connection = connection;
@@ -136,9 +142,16 @@
 		return true;
 	}
 
-	#handleReply(message: Message, link: Link): void {
-		if (message.type === 'usageAck') {
-			link.unacknowledgedSinceMs = message.sequence === link.sequence ? undefined : this.#options.clock.monotonicMs();
+	#handleReply(message: Message, control: string, link: Link): void {
+		if (message.type !== 'usageAck') {
+			return;
+		}
+
+		const nowMs = this.#options.clock.monotonicMs();
+		const isLast = message.sequence === link.sequence;
+		link.unacknowledgedSinceMs = isLast ? undefined : nowMs;
+		if (isLast) {
+			this.#options.reference.record(control, {atMs: message.at, sentMs: link.sentMs, receivedMs: nowMs});
 		}
 	}
 }
--- a/src/duties/starts.ts
+++ b/src/duties/starts.ts
@@ -19,6 +19,7 @@
 /** Counts starts. A window is the number of the interval since the Unix epoch. */
 export class StartCounter {
 	readonly #windowMs: number;
+	readonly #readMs: () => number;
 	/** In the order in which the windows began here, so that a clock that jumps ahead and back evicts few. */
 	readonly #windows = new Map<number, Map<string, Count>>();
 	#revision = 0;
@@ -28,12 +29,13 @@
 	 *
 	 * @example
 	 * ```ts
-	 * const starts = new StartCounter(5000);
-	 * starts.record('team-1', clock.wallMs());
+	 * const starts = new StartCounter(5000, () => clock.wallMs());
+	 * starts.record('team-1', starts.readMs());
 	 * ```
 	 */
-	constructor(windowMs: number) {
+	constructor(windowMs: number, readMs: () => number) {
 		this.#windowMs = windowMs;
+		this.#readMs = readMs;
 	}
 
 	/** Number of starts that were counted. */
@@ -41,13 +43,18 @@
 		return this.#revision;
 	}
 
-	/** Counts one start at a wall-clock time. Requests without a team are not counted. */
-	record(team: string | undefined, wallMs: number): void {
+	/** Returns the time by which starts are assigned to windows. */
+	readMs(): number {
+		return this.#readMs();
+	}
+
+	/** Counts one start at a time of `readMs`. Requests without a team are not counted. */
+	record(team: string | undefined, atMs: number): void {
 		if (team === undefined) {
 			return;
 		}
 
-		const counts = this.#findWindow(findWindow(wallMs, this.#windowMs));
+		const counts = this.#findWindow(findWindow(atMs, this.#windowMs));
 		const count = counts.get(team);
 		if (count) {
 			count.value++;
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -303,7 +303,7 @@
 	#send(server: Announcement, {buffer, settle, onSilence}: AttemptTools): Exchange {
 		const context = this.#context;
 		let head: ResponseHead | undefined;
-		const sentWallMs = context.clock.wallMs();
+		const sentMs = context.starts?.readMs() ?? 0;
 		const deadlineMs = this.#call.deadlineMs - context.clock.monotonicMs();
 		const {lastEventId} = this.#call.head;
 		return sendAttempt(context, this.#call, {
@@ -318,7 +318,7 @@
 					this.#exchange?.cancel();
 					settle({type: 'broken'});
 				} else if (showsStart(head)) {
-					context.starts?.record(this.#call.team, sentWallMs);
+					context.starts?.record(this.#call.team, sentMs);
 				}
 			},
 			onData: chunk => {
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -398,7 +398,7 @@
 					if (head && !head.isNotExecuted && !head.isWrongServer) {
 						if (!isCounted && head.status === HTTP_OK) {
 							isCounted = true;
-							context.starts?.record(this.#call.team, context.clock.wallMs());
+							context.starts?.record(this.#call.team, context.starts.readMs());
 						}
 
 						this.#forward(chunk, server, head.status === HTTP_OK);
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -50,6 +50,7 @@
 	'duties/collector',
 	'duties/rate',
 	'duties/planner',
+	'duties/reference',
 ];
 const ALLOWED_NODE_MODULES = new Set(['node:zlib', 'node:buffer']);
 
