--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -6,6 +6,7 @@
 import {Registry} from 'prom-client';
 import {waitUntil} from '../dev/fleet.js';
 import {PlatformDutyTransport} from '../platform/duties.js';
+import {sleep} from '../src/base/clock.js';
 import {validate} from '../src/base/validate.js';
 import {createDutyMetrics} from '../src/duties/metrics.js';
 import type {DutySettings} from '../src/duties/duties.js';
@@ -18,6 +19,7 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 const WINDOW_MS = 1000;
+const LOAD_WINDOW_MS = 2000;
 const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '10,80', 'carawayhoist-prompt-prefix': 'aa:10'};
 
 test('the requests that servers have started to run are reported by team, each once, with the holder and its token', async t => {
@@ -57,6 +59,47 @@
 	checkWindows(service.calls);
 });
 
+// Guards against starts that are counted in the wrong window, twice or not at all under load at several entry hosts.
+test('the counts of each window are within 5% of what the servers have received in it', async t => {
+	nameTeams(t);
+	const service = await startExternalService(t);
+	const received = new Map<number, number>();
+	const system = await startSystem(t, [{
+		id: 'p1', service: 'plain', intercept() {
+			const window = Math.floor(Date.now() / LOAD_WINDOW_MS);
+			received.set(window, (received.get(window) ?? 0) + 1);
+			return false;
+		},
+	}], {duties: {...createDuties('c1', service.address), windowMs: LOAD_WINDOW_MS}});
+	const callOther = await system.addEntry();
+	const endMs = Date.now() + 7000;
+	const callUntilEnd = async (call: typeof system.call) => {
+		while (Date.now() < endMs) {
+			await call('/read/1');
+			await sleep(5);
+		}
+	};
+
+	const announceUntilEnd = async () => {
+		while (Date.now() < endMs) {
+			await system.announceServers();
+			await sleep(400);
+		}
+	};
+
+	await Promise.all([announceUntilEnd(), ...[system.call, system.call, callOther, callOther].map(async call => callUntilEnd(call))]);
+	const total = [...received.values()].reduce((sum, count) => sum + count, 0);
+	await waitUntil(async () => sumCounts(service.calls) >= total, 'all starts are reported');
+	assert.equal(sumCounts(service.calls), total);
+	for (const [window, count] of received) {
+		const reported = service.calls.find(({body}) => body['window-id'] === window)!.body.counts!['team-1']!;
+		// Requests of the moment at which the window ends may be on either side: one of each caller.
+		assert.ok(Math.abs(reported - count) <= (count * 0.05) + 4, `window ${window}: ${reported} reported, ${count} received`);
+	}
+
+	t.diagnostic(`${total} requests in ${received.size} windows`);
+});
+
 // Guards against counts that a restarted control host has lost: the entry host sends the last windows again.
 test('windows that end while no control host runs are reported after its restart', async t => {
 	nameTeams(t);
