--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -396,12 +396,11 @@
 					}
 
 					if (head && !head.isNotExecuted && !head.isWrongServer) {
-						if (!isCounted && head.status === HTTP_OK) {
+						const hasForwarded = this.#forward(chunk, server, head.status === HTTP_OK);
+						if (hasForwarded && !isCounted && head.status === HTTP_OK) {
 							isCounted = true;
 							context.starts?.record(this.#call.team, context.starts.readMs());
 						}
-
-						this.#forward(chunk, server, head.status === HTTP_OK);
 					}
 
 					if (this.#splitter?.isOutOfOrder) {
@@ -450,7 +449,8 @@
 		});
 	}
 
-	#forward(chunk: Buffer, server: Announcement, isStream: boolean): void {
+	/** Forwards the events that a chunk completes; returns whether there are any. */
+	#forward(chunk: Buffer, server: Announcement, isStream: boolean): boolean {
 		const {caller, head, route, logFields} = this.#call;
 		if (!this.#hasFirstEvent && isStream) {
 			this.#hasFirstEvent = true;
@@ -473,6 +473,8 @@
 		if (!hasCapacity) {
 			exchange?.pause();
 		}
+
+		return events.length > 0;
 	}
 
 	/** Finds the problem to report after a failed run; undefined to retry. */
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -244,7 +244,7 @@
 test('names on the platform\'s wire are used only in platform/ and deploy/', async () => {
 	// The interface of carawayhoistd has its own header with a name that begins alike.
 	const exceptions = new Set(['src/entry/model.ts: carawayhoist-deadline']);
-	const names = /carawayhoist-(?:attempt|deadline|expect|kv|prompt|token|server|not-)|\/-\/(?:order|report|instances|config|kv)/giv;
+	const names = /carawayhoist-(?:attempt|deadline|expect|kv|prompt|token|server|not-|duty|fencing)|\/-\/(?:order|report|instances|config|kv)/giv;
 	const violations: string[] = [];
 	for (const folder of ['src', 'bench', 'dev', 'fakes']) {
 		const files = await readdir(path.join(ROOT, folder), {recursive: true});
--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {readFile} from 'node:fs/promises';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import path from 'node:path';
 import {test, type TestContext} from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
@@ -59,6 +60,41 @@
 	checkWindows(service.calls);
 });
 
+// Guards against a stream that counts once for each chunk, or not at all at the engine that resumes it.
+test('a stream that is resumed at another engine has a run at each, and one that brings no event has none', async t => {
+	nameTeams(t);
+	const service = await startExternalService(t);
+	// The first and the third run break off, after an event and inside the first one.
+	const breaks = new Map([[1, 'id: 1\ndata: 1\n\n'], [3, 'id: 1\nda']]);
+	let requests = 0;
+	const engine = {
+		service: 'llm', stage: 'decode', intercept(request: IncomingMessage, response: ServerResponse) {
+			const text = breaks.get(++requests);
+			if (text === undefined) {
+				return false;
+			}
+
+			response.writeHead(200, {...createResponseHeaders(request), 'content-type': 'text/event-stream'});
+			response.write(text, () => {
+				response.destroy();
+			});
+			return true;
+		},
+	} as const;
+	const system = await startSystem(t, ['e1', 'e2', 'e3'].map(id => ({id, ...engine})), {duties: createDuties('c1', service.address)});
+	for (const target of ['/ask/1', '/ask/2']) {
+		const {text} = await system.call(target, PROMPT, 'prompt');
+		assert.deepEqual([...text.matchAll(/^id: (\d)/gmv)].map(([, id]) => id), ['1', '2', '3', '4']);
+	}
+
+	assert.equal(requests, 4);
+	const runs = 3;
+	await waitUntil(async () => sumCounts(service.calls) >= runs, 'the runs are reported');
+	const last = service.calls.length;
+	await waitUntil(async () => service.calls.length > last + 1, 'further windows are reported');
+	assert.equal(sumCounts(service.calls), runs);
+});
+
 // Guards against starts that are counted in the wrong window, twice or not at all under load at several entry hosts.
 test('the counts of each window are within 5% of what the servers have received in it', async t => {
 	nameTeams(t);
