--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -11,6 +11,9 @@
 import type {
 	Fact, Feed, Message, RelayingState, Resync,
 } from '../generated/types.js';
+import {ReferenceClock} from '../duties/reference.js';
+import {UsageReporter} from '../duties/reporter.js';
+import {StartCounter} from '../duties/starts.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {ServerDiscovery} from '../membership/discovery.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
@@ -61,6 +64,8 @@
 	readonly maxResponseBytes?: number | undefined;
 	/** Opens connections to backend servers; over this host's network by default. */
 	readonly connectServer?: ServerConnector;
+	/** Length of the windows of usage reports, milliseconds; nothing is counted if absent. */
+	readonly usageWindowMs?: number | undefined;
 };
 
 /** The load balancer checks readiness once per second and sends no more callers after two failed checks. */
@@ -93,6 +98,7 @@
 	readonly #gateway: Gateway;
 	readonly #placementClient: PlacementClient;
 	readonly #confirmation: ConfigurationConfirmation;
+	readonly #usageReporter: UsageReporter | undefined;
 	#routeTable: RouteTable | undefined;
 	#hostCount = 1;
 	#isStopping = false;
@@ -158,7 +164,22 @@
 				this.#subscription.broadcast(this.#createFactMessage(facts));
 			},
 		});
+		const reference = new ReferenceClock();
+		const starts = options.usageWindowMs === undefined
+			? undefined
+			: new StartCounter(options.usageWindowMs, () => reference.read({nowMs: clock.monotonicMs(), wallMs: clock.wallMs()}));
+		this.#usageReporter = starts && new UsageReporter({
+			host: options.host,
+			incarnation: `${clock.wallMs()}-${random()}`,
+			windowMs: options.usageWindowMs!,
+			clock,
+			logger: options.loggers('entry'),
+			starts,
+			reference,
+			listControls: () => this.#subscription.listAddresses(),
+		});
 		const context: ServingContext = {
+			...(starts && {starts}),
 			dataCentre,
 			clock,
 			random,
@@ -247,6 +268,7 @@
 		await this.#waitUntilIdle(abortMs);
 		this.#gateway.abort();
 		await this.#waitUntilIdle(abortMs + FLUSH_MS);
+		this.#usageReporter?.report();
 		await this.#listener.finish(Math.max(0, abortMs + FLUSH_MS - clock.monotonicMs()));
 		this.#logger.info('Shutdown complete.', {unsent: this.#gateway.activeCount, relayed: this.#relayService.activeCount});
 		this.close();
@@ -255,6 +277,7 @@
 	close(): void {
 		this.#gateway.close();
 		this.#confirmation.close();
+		this.#usageReporter?.close();
 		this.#resynchronizer.close();
 		this.#subscription.close();
 		this.#originCopies.close();
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -333,6 +333,7 @@
 		return new Promise(resolve => {
 			let head: ResponseHead | undefined;
 			let otherBytes = 0;
+			let isCounted = false;
 			caller.onEnd(() => {
 				resolve({type: 'broken', hasResponded: false});
 			});
@@ -395,7 +396,11 @@
 					}
 
 					if (head && !head.isNotExecuted && !head.isWrongServer) {
-						this.#forward(chunk, server, head.status === HTTP_OK);
+						const hasForwarded = this.#forward(chunk, server, head.status === HTTP_OK);
+						if (hasForwarded && !isCounted && head.status === HTTP_OK) {
+							isCounted = true;
+							context.starts?.record(this.#call.team, context.starts.readMs());
+						}
 					}
 
 					if (this.#splitter?.isOutOfOrder) {
@@ -444,7 +449,8 @@
 		});
 	}
 
-	#forward(chunk: Buffer, server: Announcement, isStream: boolean): void {
+	/** Forwards the events that a chunk completes; returns whether there are any. */
+	#forward(chunk: Buffer, server: Announcement, isStream: boolean): boolean {
 		const {caller, head, route, logFields} = this.#call;
 		if (!this.#hasFirstEvent && isStream) {
 			this.#hasFirstEvent = true;
@@ -467,6 +473,8 @@
 		if (!hasCapacity) {
 			exchange?.pause();
 		}
+
+		return events.length > 0;
 	}
 
 	/** Finds the problem to report after a failed run; undefined to retry. */
