The number of servers of a service follows its demand

A service with `scaling` gets as many on-demand and spot servers as its load needs, where the settings enable the duty. The decision is a function without I/O; the control host that holds the duties calls it each second and requests the numbers. Control hosts exchange the demand that they schedule once a second, on connections of their own because older versions close those.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -12,6 +12,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import {StandstillDetector} from '../base/standstill.js';
 import type {Random} from '../base/random.js';
+import {CapacityController, type ScalingOptions} from '../capacity/controller.js';
 import {createReplicationLimits, DEFAULT_RESOURCES, type MachineResources} from '../consensus/limits.js';
 import {hasIdentity} from '../consensus/storage.js';
 import {ControlClient} from '../control/client.js';
@@ -24,6 +25,7 @@
 import {ControlService} from '../control/service.js';
 import {PublicationQueue} from '../control/publications.js';
 import {excludesServer, PUBLICATION_NAME} from '../control/state.js';
+import type {DutyCaller} from '../duties/caller.js';
 import type {
 	Announcement, Fact, Message, Publication, Resync, ViewUpdate,
 } from '../generated/types.js';
@@ -64,6 +66,10 @@
 	readonly catchUpMs?: number | undefined;
 	/** Memory and disk of this host, from which the sizes of the log and its queues are derived; has a default. */
 	readonly resources?: MachineResources;
+	/** Calls the external service while this host holds the duties; absent if the settings name none. */
+	readonly dutyCaller?: DutyCaller;
+	/** Adapts the number of servers to the demand; absent if the settings do not list this duty. */
+	readonly scaling?: ScalingOptions;
 };
 
 /** Deadlines of operator requests. Operators try another host after one second without a response. */
@@ -114,6 +120,7 @@
 	readonly #scheduler: Scheduler;
 	readonly #crashes = new CrashTable();
 	readonly #rolePlanner = new RolePlanner();
+	readonly #capacity: CapacityController | undefined;
 	readonly #timer: NodeJS.Timeout;
 	readonly #startedMs: number;
 	readonly #standstill: StandstillDetector;
@@ -183,6 +190,19 @@
 				}
 			},
 		});
+		const {dutyCaller, scaling} = options;
+		this.#capacity = dutyCaller && scaling && new CapacityController({
+			...scaling,
+			caller: dutyCaller,
+			host,
+			clock,
+			logger: this.#logger,
+			listStatuses: () => registry.listStatuses(),
+			listServices: () => this.#routeTable?.config.services ?? [],
+			listEngines: () => this.#scheduler.engines,
+			listPeers: () => this.listControlAddresses().filter(address => !isSameAddress(address, options.peerAddress)),
+			isReady: () => service.holdsLeaderLease && this.#hasHeardAllServers(),
+		});
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, TICK_MS);
@@ -379,6 +399,7 @@
 				const {bodyBytes = 0, connected = []} = message;
 				this.#limitVersionInference();
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
+				this.#capacity?.recordDecision(message, decision);
 				this.#options.metrics.placementDecisions.inc({decision: decision.type});
 				connection.send(decision);
 				break;
@@ -392,6 +413,7 @@
 
 			case 'milestone': {
 				const {id, stage, server, connected} = message;
+				this.#capacity?.recordMilestone(id, stage);
 				const decision = this.#scheduler.recordMilestone(id, stage, {server, connected}, this.#options.clock.monotonicMs());
 				if (decision) {
 					connection.send(decision);
@@ -400,6 +422,11 @@
 				break;
 			}
 
+			case 'poolDemands': {
+				this.#capacity?.mergeDemands(message);
+				break;
+			}
+
 			default: {
 				this.#controlService.receive(message, connection);
 			}
@@ -560,6 +587,7 @@
 		this.#updateVersions();
 		this.#controlClient.updateMembers(this.#controlService.listMembers());
 		this.#updateGauges();
+		this.#capacity?.tick();
 		void this.#planRoles();
 	}
 
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -238,6 +238,7 @@
 		&& a.role === b.role
 		&& a.software === b.software
 		&& a.leaving === b.leaving
+		&& a.spot === b.spot
 		&& a.capacity === b.capacity
 		&& a.services?.join(',') === b.services?.join(',')
 		&& a.models?.join(',') === b.models?.join(',');
--- a/src/routing/planner.ts
+++ b/src/routing/planner.ts
@@ -54,7 +54,7 @@
 	#planPool(service: string, pool: readonly EngineInfo[], {nowMs, isStartup}: PlanningContext): PoolRoleChange[] {
 		const prefillEngines = pool.filter(({role}) => role === ENGINE_ROLES.prefill);
 		const decodeEngines = pool.filter(({role}) => role === ENGINE_ROLES.decode);
-		const wanted = Math.min(pool.length - 1, Math.round(pool.length * PREFILL_SHARE));
+		const wanted = countPrefillTarget(pool.length);
 		const excess = prefillEngines.length - wanted;
 		if (pool.length < MIN_POOL_SIZE || excess === 0) {
 			this.#imbalancedSinceMs.delete(service);
@@ -75,6 +75,18 @@
 	}
 }
 
+/**
+ * Returns the number of prefill engines that a pool should have.
+ *
+ * @example
+ * ```ts
+ * countPrefillTarget(8); // 5
+ * ```
+ */
+export function countPrefillTarget(poolSize: number): number {
+	return Math.min(poolSize - 1, Math.round(poolSize * PREFILL_SHARE));
+}
+
 /** Picks engines one by one, each from the data centre with the most engines left. */
 function pickFromLargestDataCentres(engines: readonly EngineInfo[], count: number): EngineInfo[] {
 	const remaining = [...engines].toSorted((a, b) => a.server.localeCompare(b.server));
--- a/src/routing/routes.ts
+++ b/src/routing/routes.ts
@@ -51,11 +51,25 @@
 	readonly linkMbps: number;
 };
 
+/** Limits and prices of a service whose number of servers is adapted to the demand. */
+export type ScalingSpec = {
+	/** Minimum and maximum number of servers per data centre, spot and on-demand servers together. */
+	readonly min: number;
+	readonly max: number;
+	/** Time until a new server serves, milliseconds. */
+	readonly bootMs: number;
+	/** Price of a spot server as a share of the price of an on-demand server. */
+	readonly spotPrice: number;
+	/** Price of an on-demand server in each data centre; 1 in others. */
+	readonly zonePrices: ReadonlyMap<string, number>;
+};
+
 export type ServiceSpec = {
 	readonly name: string;
 	/** Maximum number of connections that a server accepts from all hosts together. */
 	readonly maxConnections: number;
 	readonly engines?: EnginePool;
+	readonly scaling?: ScalingSpec;
 };
 
 /** Limits on callers' requests and connections. */
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -112,6 +112,11 @@
 		return this.#openRequests.size;
 	}
 
+	/** The engines of all pools. */
+	get engines(): Iterable<EngineState> {
+		return this.#engines.values();
+	}
+
 	/** Places a new request, or again one whose engine failed. */
 	place(received: PlacementRequest, nowMs: number): PlacementDecision {
 		this.#expireRequests(nowMs);
--- a/test/core.ts
+++ b/test/core.ts
@@ -19,7 +19,7 @@
 import {createRandom} from '../src/base/random.js';
 import type {MachineResources} from '../src/consensus/limits.js';
 import {createControlMetrics} from '../src/control/metrics.js';
-import {ControlHost} from '../src/daemon/controlhost.js';
+import {ControlHost, type ControlHostOptions} from '../src/daemon/controlhost.js';
 import type {Address} from '../src/wire/connection.js';
 
 export const VOTERS = 5;
@@ -28,7 +28,7 @@
 const ANNOUNCE_MS = 1200;
 
 /** Starts control hosts in this process and waits until all are members. They are stopped after the test. */
-export async function startCore(t: TestContext, resources?: MachineResources) {
+export async function startCore(t: TestContext, resources?: MachineResources, getOptions: (index: number) => Partial<ControlHostOptions> = () => ({})) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'core-'));
 	const getFolder = (index: number) => path.join(folder, `c${index}`);
 	const hosts = new Map<number, ControlHost>();
@@ -59,6 +59,7 @@
 			announceIntervalMs: ANNOUNCE_MS,
 			catchUpMs: CATCH_UP_MS,
 			...(resources && {resources}),
+			...getOptions(index),
 		});
 		assert.ok(Either.isRight(host));
 		hosts.set(index, host.right);
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -5,7 +5,7 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 /** Folders of src/ from the lowest layer to the highest; a folder may import only itself and lower layers. */
-const LAYERS = ['generated', 'base', 'wire', 'consensus', 'routing', 'control', 'membership', 'serving', 'entry', 'daemon', 'tool'];
+const LAYERS = ['generated', 'base', 'wire', 'consensus', 'routing', 'control', 'duties', 'capacity', 'membership', 'serving', 'entry', 'daemon', 'tool'];
 /** Modules without I/O: they use no sockets, files or timers of Node.js. */
 const MODULES_WITHOUT_IO = [
 	'consensus/replica',
@@ -19,6 +19,13 @@
 	'control/controller',
 	'control/reconfiguration',
 	'control/bootstrap',
+	'capacity/allocation',
+	'capacity/decision',
+	'capacity/demand',
+	'capacity/inventory',
+	'capacity/meter',
+	'capacity/need',
+	'capacity/subjects',
 	'membership/crashes',
 	'membership/directory',
 	'membership/ratelimits',
