--- a/test/announcement.test.ts
+++ b/test/announcement.test.ts
@@ -38,6 +38,24 @@
 	assert.deepEqual(parseAddress('0.0.0.0:80'), {address: '0.0.0.0', port: 80});
 });
 
+// A host of an older version closes a feed in which it finds a field that it does not know.
+test('only announcements of spot servers have the fields of reclaimed servers', () => {
+	const readFields = (fields: object) => {
+		const announcement = decodeOrUndefined({...ENGINE, ...fields})!;
+		return Object.entries(announcement).filter(([name]) => ['spot', 'leavesMs'].includes(name));
+	};
+
+	assert.deepEqual(readFields({}), []);
+	assert.deepEqual(readFields({spot: false}), []);
+	assert.deepEqual(readFields({spot: null, leaves_ms: null}), []);
+	assert.deepEqual(readFields({spot: true}), [['spot', true]]);
+	assert.deepEqual(readFields({spot: true, state: 'draining', leaves_ms: 4999.6}), [['spot', true], ['leavesMs', 5000]]);
+	assert.deepEqual(readFields({leaves_ms: 5000}), [], 'a server that is ready does not leave');
+	for (const leavesMs of [-1, 1e19, '5000', {}]) {
+		assert.deepEqual(readFields({spot: true, state: 'draining', leaves_ms: leavesMs}), [['spot', true]]);
+	}
+});
+
 // Feeds carry all announcements, so one long name would be sent to every host each time.
 test('an announcement with a name of 2 MB is rejected', () => {
 	const name = 'x'.repeat(2_000_000);
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -26,6 +26,31 @@
 	assert.deepEqual(types.filter(type => decodeOrUndefined({...CONFIG, routes: [{...ROUTES[0], type}]})), []);
 });
 
+const SCALING = {
+	min: 1, max: 53, 'boot-s': 4, 'spot-price': 0.18, 'zone-prices': {a: 1, b: 0.8, c: 1.25},
+};
+
+test('limits and prices of servers are read, and absent ones change nothing', () => {
+	const readScaling = (scaling: unknown) => decodeOrUndefined({...CONFIG, services: SERVICES.map(service => ({...service, scaling}))})?.services.at(-1)?.scaling;
+	assert.deepEqual(readScaling(SCALING), {
+		min: 1, max: 53, bootMs: 4000, spotPrice: 0.18, zonePrices: new Map([['a', 1], ['b', 0.8], ['c', 1.25]]),
+	});
+	assert.deepEqual(readScaling({max: 3}), {
+		min: 0, max: 3, bootMs: 4000, spotPrice: 1, zonePrices: new Map(),
+	});
+	for (const absent of [undefined, null]) {
+		assert.ok(decodeOrUndefined({...CONFIG, services: SERVICES.map(service => ({...service, scaling: absent}))})?.services.every(service => !('scaling' in service)));
+	}
+});
+
+// With limits that contradict each other or are no numbers, servers would be removed or ordered without bound.
+test('a configuration is rejected if the limits or prices of servers make no sense', () => {
+	const wrong = [
+		[], 'x', {...SCALING, max: undefined}, {...SCALING, max: 0.5}, {...SCALING, max: -1}, {...SCALING, min: 54}, {...SCALING, min: '1'}, {...SCALING, 'boot-s': -1}, {...SCALING, 'spot-price': 'cheap'}, {...SCALING, 'zone-prices': [1]}, {...SCALING, 'zone-prices': {a: '1'}}, {...SCALING, 'zone-prices': {a: -1}},
+	];
+	assert.deepEqual(wrong.filter(scaling => decodeOrUndefined({...CONFIG, services: SERVICES.map(service => ({...service, scaling}))})), []);
+});
+
 // A timer beyond the range of the runtime's timers fires at once, so every request would be answered 504.
 test('times of a configuration are within the range of timers', () => {
 	const long = 1e300;
