--- a/src/capacity/decision.ts
+++ b/src/capacity/decision.ts
@@ -109,7 +109,8 @@
 /** Lists the largest increase of each data centre, as far as its limit and the availability of servers allow. */
 function listAdditions({zones, scaling}: CapacityInput, wanted: ReadonlyMap<string, KindCounts>): CapacityChange[] {
 	return zones.filter(({isChangeable}) => isChangeable).flatMap(zone => {
-		const space = scaling.max - zone.onDemand.expected - zone.spot.expected;
+		// Servers that are being removed may still be there: a removal without a result may not have taken effect.
+		const space = scaling.max - Math.max(zone.onDemand.expected, zone.onDemand.present) - Math.max(zone.spot.expected, zone.spot.present);
 		const options = Object.values(SERVER_KINDS).map(kind => {
 			const {expected, maxIncrease} = zone[kind];
 			const count = Math.min(space, maxIncrease, wanted.get(zone.zone)![kind] - expected);
--- a/test/scaling.test.ts
+++ b/test/scaling.test.ts
@@ -67,6 +67,15 @@
 	assert.ok(fleet.serving <= 44, `${fleet.serving} servers`);
 });
 
+test('servers that a burst of 2 above the peak of each minute needs are not removed', async () => {
+	const fleet = new ScalingFleet(START);
+	await fleet.run(10_000);
+	await fleet.run(500_000, sinceMs => sinceMs % 30_000 < 5000 ? scaleLoad(2) : STEADY);
+	assert.equal(fleet.shortSeconds, 0);
+	// The peak needs 8 engines of each role. Twice of that at 70% and 90% makes 23 and 18.
+	assert.ok(fleet.serving >= 41 && fleet.serving <= 50, `${fleet.serving} servers`);
+});
+
 test('servers are ordered ahead of a load that grows to the sixfold within a minute', async () => {
 	const fleet = new ScalingFleet(START);
 	await fleet.run(10_000);
@@ -206,7 +215,8 @@
 
 // Guards the limits of the published configuration and of the duties against any order of loads, refusals, losses and reclaims.
 test('whatever happens, requested numbers stay within the limits, and changes are seconds apart', async () => {
-	for (let seed = 1; seed <= 20; seed++) {
+	// In the last two, a number was added beside a removal that had not taken effect.
+	for (const seed of [...Array.from({length: 60}, (_, index) => index + 1), 162, 190]) {
 		const random = createRandom(seed);
 		const scaling = {...SCALING, min: 1 + Math.floor(random() * 3), max: 5 + Math.floor(random() * 30)};
 		const fleet = new ScalingFleet([5, 4, 3], {scaling});
