--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -12,6 +12,7 @@
 import {createProblem, type Problem} from '../base/problem.js';
 import {StandstillDetector} from '../base/standstill.js';
 import type {Random} from '../base/random.js';
+import {CapacityController, type ScalingOptions} from '../capacity/controller.js';
 import {createReplicationLimits, DEFAULT_RESOURCES, type MachineResources} from '../consensus/limits.js';
 import {hasIdentity} from '../consensus/storage.js';
 import {ControlClient} from '../control/client.js';
@@ -68,6 +69,10 @@
 	readonly resources?: MachineResources;
 	/** Duties at an external service; none if absent. */
 	readonly duties?: DutySettings | undefined;
+	/** Calls the external service in place of the one that `duties` names. */
+	readonly dutyCaller?: DutyCaller;
+	/** Adapts the number of servers to the demand; absent if the settings do not list this duty. */
+	readonly scaling?: ScalingOptions | undefined;
 };
 
 /** Deadlines of operator requests. Operators try another host after one second without a response. */
@@ -119,6 +124,7 @@
 	readonly #scheduler: Scheduler;
 	readonly #crashes = new CrashTable();
 	readonly #rolePlanner = new RolePlanner();
+	readonly #capacity: CapacityController | undefined;
 	readonly #timer: NodeJS.Timeout;
 	readonly #startedMs: number;
 	readonly #standstill: StandstillDetector;
@@ -191,6 +197,19 @@
 		this.#duties = options.duties && new ControlDuties({
 			...options.duties, clock, service, logger: options.loggers('control'), takeoverMs: options.leaseMs + TAKEOVER_MARGIN_MS,
 		});
+		const caller = options.dutyCaller ?? this.#duties?.caller;
+		this.#capacity = caller && options.scaling && new CapacityController({
+			...options.scaling,
+			caller,
+			host,
+			clock,
+			logger: this.#logger,
+			listStatuses: () => registry.listStatuses(),
+			listServices: () => this.#routeTable?.config.services ?? [],
+			listEngines: () => this.#scheduler.engines,
+			listPeers: () => this.listControlAddresses().filter(address => !isSameAddress(address, options.peerAddress)),
+			isReady: () => service.holdsLeaderLease && this.#hasHeardAllServers(),
+		});
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, TICK_MS);
@@ -397,6 +416,7 @@
 				const {bodyBytes = 0, connected = []} = message;
 				this.#limitVersionInference();
 				const decision = this.#scheduler.place({...message, bodyBytes, connected}, this.#options.clock.monotonicMs());
+				this.#capacity?.recordDecision(message, decision);
 				this.#options.metrics.placementDecisions.inc({decision: decision.type});
 				connection.send(decision);
 				break;
@@ -410,6 +430,7 @@
 
 			case 'milestone': {
 				const {id, stage, server, connected} = message;
+				this.#capacity?.recordMilestone(id, stage);
 				const decision = this.#scheduler.recordMilestone(id, stage, {server, connected}, this.#options.clock.monotonicMs());
 				if (decision) {
 					connection.send(decision);
@@ -418,6 +439,11 @@
 				break;
 			}
 
+			case 'poolDemands': {
+				this.#capacity?.mergeDemands(message);
+				break;
+			}
+
 			default: {
 				this.#controlService.receive(message, connection);
 			}
@@ -579,6 +605,7 @@
 		this.#updateVersions();
 		this.#controlClient.updateMembers(this.#controlService.listMembers());
 		this.#updateGauges();
+		this.#capacity?.tick();
 		void this.#planRoles();
 	}
 
--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -163,7 +163,7 @@
 test('the successor of a leader whose reports did not arrive sends the same counts with a higher token', async t => {
 	const window = Math.floor(Date.now() / WINDOW_MS) + 15;
 	const service = await startExternalService(t, ({body}) => body['window-id'] === window ? 'reset' : 200);
-	const core = await startCore(t, undefined, host => createDuties(host, service.address));
+	const core = await startCore(t, undefined, index => ({duties: createDuties(`c${index}`, service.address)}));
 	const leader = await core.findLeader();
 	await waitUntil(async () => Date.now() >= window * WINDOW_MS, 'the window begins');
 	const report = (count: number, addresses: readonly Address[]) => {
