--- a/test/teams.test.ts
+++ b/test/teams.test.ts
@@ -2,10 +2,14 @@
 // force. The tests check at their end that no server and no log line has received a key.
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {deflateRawSync} from 'node:zlib';
+import * as Either from 'fp-ts/lib/Either.js';
 import {waitUntil} from '../dev/fleet.js';
+import {Listener} from '../src/wire/connection.js';
 import {CallerConnection, sendBytes} from './caller.js';
+import {SERVICES} from './system.js';
 import {
-	AS_BLUE, AS_RED, assertNoKeys, BLUE, listReceived, listTeams, PLAIN_SERVERS, publish, publishAndWait, RED, ROUTES, SHORT_PROMPT, startTeams, type System,
+	AS_BLUE, AS_RED, assertNoKeys, BLUE, listReceived, listTeams, PLAIN_SERVERS, publish, publishAndWait, RED, ROUTES, SHORT_PROMPT, startTeams, TENANTS, type System,
 } from './teamsystem.js';
 
 test('a request without the key of a team gets 401 and reaches no server; one with a key names its team to the server', async t => {
@@ -176,6 +180,70 @@
 	assertNoKeys(system);
 });
 
+// Control hosts that have restarted know only their snapshots until a leader commits.
+test('a host that has just started answers 503 until a control host with a majority confirms its first teams', async t => {
+	const system = await startTeams(t, PLAIN_SERVERS);
+	await system.stopControl();
+	let version = 5;
+	let hasQuorum = false;
+	const publication = deflateRawSync(JSON.stringify({
+		version: 5, routes: ROUTES, services: [...SERVICES], tenants: TENANTS,
+	}));
+	const control = new Listener((message, connection) => {
+		if (message.type === 'watch') {
+			connection.send({
+				type: 'feed', host: 'c1', whole: true, hasQuorum, isWarm: true, version, sightings: [], members: [], entries: 1, ...(message.version < 5 && {publication}),
+			});
+		}
+	});
+	assert.ok(Either.isRight(await control.listen(system.controlPeer)));
+	t.after(async () => {
+		control.close();
+	});
+	const call = await system.addUnawaitedEntry();
+	const hasApplied = async () => system.entryLines.some(({message}) => message === 'Applied publication 5.');
+	await waitUntil(hasApplied, 'the first configuration has arrived');
+	for (const headers of [{}, AS_RED]) {
+		const answer = await call('/read/1', headers);
+		assert.deepEqual([answer.status, answer.headers['carawayhoist-code']], [503, '3006']);
+	}
+
+	hasQuorum = true;
+	await waitUntil(async () => (await call('/read/1')).status === 401, 'the configuration is confirmed');
+	// Later a majority that knows of a newer version takes nothing back.
+	version = 6;
+	assert.equal((await call('/read/1')).status, 401);
+});
+
+test('under load, requests of 1,100 teams at two hosts carry the team of their key, and wrong keys reach no server', async t => {
+	const system = await startTeams(t, PLAIN_SERVERS);
+	const callOther = await system.addEntry();
+	const listTenants = (round: number) => Array.from({length: 1100}, (_, index) => ({name: `team-${index}`, 'api-keys': [`key-${index}-a`, `key-${index}-${round}`]}));
+	for (const round of [3, 4]) {
+		await publish(system, round, {tenants: listTenants(round)});
+		const message = `Applied publication ${round}.`;
+		await waitUntil(async () => system.entryLines.filter(line => line.message === message).length === 2, 'the teams are in force');
+		await system.announceServers();
+		const results = await Promise.all(Array.from({length: 200}, async (_, index) => {
+			const team = (index * 7) % 1100;
+			// The keys of the round before are no longer in force.
+			const [suffix, isKnown] = ([['a', true], [round, true], [round - 1, false], ['x', false]] as const)[index % 4]!;
+			const path = `/read/${round}-${index}`;
+			const answer = await (index % 3 === 0 ? callOther : system.call)(path, {authorization: `Token key-${team}-${suffix}`});
+			return {
+				path, status: answer.status, expected: isKnown ? 200 : 401, teams: isKnown ? [`team-${team}`] : [],
+			};
+		}));
+		for (const {path, status, expected, teams} of results) {
+			assert.equal(status, expected, path);
+			assert.deepEqual(listTeams(system, path), teams);
+		}
+	}
+
+	assertNoKeys(system);
+	assert.doesNotMatch(JSON.stringify(system.entryLines), /key-\d/v);
+});
+
 /** Counts of requests by team and outcome, and of refusals by reason. */
 async function listCounts({registry}: System): Promise<Record<string, number>> {
 	const counts: Record<string, number> = {};
