Servers that fall silent are replaced at once, and the first notice of a reclaim counts for all spot servers of its data centre

A data centre that is cut off was replaced only when its servers were forgotten after a minute. Announcements come one after the other, so replacements for a reclaimed data centre were ordered in parts.

--- a/src/capacity/decision.ts
+++ b/src/capacity/decision.ts
@@ -54,7 +54,10 @@
 export function decideCapacity(input: CapacityInput): CapacityDecision {
 	const {zones, scaling, demand, pool} = input;
 	const target = chooseTotal(input);
-	const total = Math.min(Math.max(target.total, scaling.min * zones.length), scaling.max * zones.length);
+	const limit = (count: number) => Math.min(Math.max(count, scaling.min * zones.length), scaling.max * zones.length);
+	// Silent servers are still there, but others must serve in their place.
+	const silent = sumKinds(zones, ({present, serving}) => Math.max(0, present - serving));
+	const total = limit(target.total + silent);
 	const survivalNeed = demand && pool ? computeNeed(demand.peak, pool, SURVIVAL_PEAK) : undefined;
 	const survivors = Math.min(total, demand?.isComplete && survivalNeed ? survivalNeed.total : Math.max(survivalNeed?.total ?? 0, Math.ceil(total * UNKNOWN_SURVIVAL_SHARE)));
 	const wanted = allocate(zones, {total, survivors, scaling});
@@ -63,7 +66,7 @@
 		total, survivors, need: survivalNeed, busyZones: new Set(additions.map(({zone}) => zone)),
 	});
 	return {
-		...target, total, survivors, changes: [...additions, ...removals],
+		...target, total: limit(target.total), survivors, changes: [...additions, ...removals],
 	};
 }
 
--- a/src/capacity/subjects.ts
+++ b/src/capacity/subjects.ts
@@ -24,6 +24,11 @@
 /** Servers that appeared without a request may be starting, with others to follow, for this long, milliseconds. */
 const SETTLE_MS = 5000;
 
+/** Spot servers of a data centre that reclaims them. */
+const LOST = {
+	present: 0, serving: 0, expected: 0, prefill: 0, decode: 0, maxIncrease: 0, canShrink: false,
+} as const;
+
 const STATUS = {
 	unavailable: 409, tooMany: 429, clientError: 400, serverError: 500,
 } as const;
@@ -87,11 +92,13 @@
 		return [...zones].map(([zone, counts]) => {
 			const reclaimed = this.#recordReclaim({service, zone}, counts, nowMs);
 			const key = formatKey(service, zone);
+			const spot = this.#describeKind({service, zone, kind: SERVER_KINDS.spot}, counts.spot, nowMs);
 			return {
 				zone,
 				onDemand: this.#describeKind({service, zone, kind: SERVER_KINDS.onDemand}, counts.onDemand, nowMs),
-				spot: this.#describeKind({service, zone, kind: SERVER_KINDS.spot}, counts.spot, nowMs),
-				reclaimed,
+				// All spot servers of a data centre are reclaimed together, but their announcements come one after the other.
+				spot: reclaimed > 0 ? {...spot, ...LOST} : spot,
+				reclaimed: reclaimed > 0 ? reclaimed + spot.present : 0,
 				isChangeable: !this.#isBlocked(key) && nowMs - (this.#changedMs.get(key) ?? Number.NEGATIVE_INFINITY) >= CHANGE_INTERVAL_MS,
 			};
 		});
--- a/test/scaling.test.ts
+++ b/test/scaling.test.ts
@@ -125,6 +125,40 @@
 	assert.ok(fleet.serving >= 18, `${fleet.serving} servers`);
 });
 
+// The servers of a data centre that is cut off are still counted there, since a requested number names all of them.
+test('servers of a data centre that falls silent are replaced elsewhere, and not removed', async () => {
+	const fleet = new ScalingFleet(START);
+	await fleet.run(10_000);
+	await fleet.run(400_000, () => STEADY);
+	const {serving} = fleet;
+	const firstCall = fleet.calls.length;
+	fleet.silentZone = 'a';
+	const lost = fleet.servers.filter(({zone}) => zone === 'a').length;
+	assert.ok(lost > 0);
+	await fleet.run(10_000, () => STEADY);
+	assert.ok(fleet.serving >= serving, `${fleet.serving} of ${serving}`);
+	assert.equal(fleet.shortSeconds, 0);
+	fleet.silentZone = undefined;
+	await fleet.run(200_000, () => STEADY);
+	assert.ok(fleet.serving <= serving + 2, `${fleet.serving} of ${serving}`);
+	assert.ok(fleet.calls.slice(firstCall).length > 0);
+});
+
+// Announcements come one after the other, and new servers take longer to start than the first notice gives.
+test('the first notice of a reclaim counts for all spot servers of the data centre', async () => {
+	const fleet = new ScalingFleet([6, 6, 6]);
+	await fleet.run(60_000);
+	const lost = fleet.count(true, 'b');
+	assert.ok(lost > 1);
+	const firstCall = fleet.calls.length;
+	const first = fleet.servers.find(({zone, isSpot}) => isSpot && zone === 'b')!;
+	first.leavesAtMs = fleet.nowMs + 5000;
+	first.isReclaimed = true;
+	await fleet.run(1500);
+	const added = fleet.calls.slice(firstCall).map(({zone, isSpot, desired}) => desired - fleet.count(isSpot, zone));
+	assert.ok(added.reduce((sum, count) => sum + count, 0) >= lost, `${added.join(', ')} for ${lost}`);
+});
+
 for (const kind of ['spot', 'on-demand'] as const) {
 	test(`if no ${kind} servers are available, those of the other kind serve the load`, async () => {
 		const fleet = new ScalingFleet([6, 6, 6]);
--- a/test/scalingfleet.ts
+++ b/test/scalingfleet.ts
@@ -72,6 +72,8 @@
 	readonly calls: ScaleCallRecord[] = [];
 	isHolder = true;
 	isReady = true;
+	/** Data centre whose servers neither serve nor announce themselves. */
+	silentZone: string | undefined;
 	/** Status of a call's response; the call takes effect with 200, and also with `lost`, whose response does not arrive. */
 	respond: (call: Omit<ScaleCallRecord, 'status'>) => number | 'lost' | undefined = () => 200;
 	load: Load | undefined;
@@ -161,12 +163,12 @@
 				...(server.isReclaimed && {leavesMs: Math.max(0, server.leavesAtMs! - this.nowMs)}),
 			},
 			gone: false,
-			silent: false,
+			silent: server.zone === this.silentZone,
 		}));
 	}
 
 	#listServing(): SimulatedServer[] {
-		return this.servers.filter(({servesMs, leavesAtMs}) => servesMs <= this.nowMs && leavesAtMs === undefined);
+		return this.servers.filter(({servesMs, leavesAtMs, zone}) => servesMs <= this.nowMs && leavesAtMs === undefined && zone !== this.silentZone);
 	}
 
 	async #call(path: string, body: unknown): Promise<number | undefined> {
