--- a/src/capacity/controller.ts
+++ b/src/capacity/controller.ts
@@ -32,6 +32,8 @@
 const MAX_STANDSTILL_MS = 1500;
 /** If more than this share of the servers is silent, this host is more likely to be cut off than the servers to be down. */
 const MAX_SILENT_SHARE = 0.5;
+/** A leader of a new system that is ready within this time has no predecessor whose servers may still be starting, milliseconds. */
+const NEW_SYSTEM_MS = 15_000;
 const MAX_PARALLEL_CALLS = 8;
 const MAX_PEERS = 16;
 
@@ -53,6 +55,8 @@
 	readonly listPeers: () => readonly Address[];
 	/** Whether this host leads and has heard all servers. */
 	readonly isReady: () => boolean;
+	/** Whether the whole system starts for the first time. */
+	readonly isNewSystem: boolean;
 	/** Sends the demand to another control host; on a connection of its own by default, because older versions close it. */
 	readonly send?: (peer: Address, message: PoolDemands) => void;
 };
@@ -64,6 +68,7 @@
 	readonly #history = new DemandHistory();
 	readonly #lastLines = new Map<string, string>();
 	readonly #reclaimedZones = new Set<string>();
+	readonly #startedMs: number;
 	#subjects: ScaleSubjects | undefined;
 	#readySinceMs = Number.POSITIVE_INFINITY;
 	#tickedMs: number;
@@ -72,7 +77,8 @@
 
 	constructor(options: CapacityControllerOptions) {
 		this.#options = options;
-		this.#tickedMs = options.clock.monotonicMs();
+		this.#startedMs = options.clock.monotonicMs();
+		this.#tickedMs = this.#startedMs;
 		this.#meter = new DemandMeter(this.#tickedMs);
 	}
 
@@ -157,7 +163,7 @@
 	#decideAll(subjects: ScaleSubjects, nowMs: number): void {
 		const statuses = this.#options.listStatuses();
 		for (const {name, scaling, engines} of this.#options.listServices()) {
-			if (scaling && nowMs - this.#readySinceMs >= scaling.bootMs + LISTEN_MARGIN_MS) {
+			if (scaling && nowMs - this.#readySinceMs >= this.#getListenMs(scaling)) {
 				const zones = subjects.describeZones(name, countServers(statuses, name, scaling), nowMs);
 				const input: CapacityInput = {
 					scaling, pool: engines, zones, demand: this.#history.summarize(name, scaling.bootMs, nowMs), ...subjects.describeService(name, nowMs),
@@ -167,6 +173,11 @@
 		}
 	}
 
+	#getListenMs({bootMs}: ScalingSpec): number {
+		const isFirst = this.#options.isNewSystem && this.#readySinceMs - this.#startedMs < NEW_SYSTEM_MS;
+		return isFirst ? 0 : bootMs + LISTEN_MARGIN_MS;
+	}
+
 	#decide(subjects: ScaleSubjects, service: string, input: CapacityInput, nowMs: number): void {
 		const {metrics} = this.#options;
 		this.#countReclaims(service, input.zones);
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -202,6 +202,7 @@
 			listEngines: () => this.#scheduler.engines,
 			listPeers: () => this.listControlAddresses().filter(address => !isSameAddress(address, options.peerAddress)),
 			isReady: () => service.holdsLeaderLease && this.#hasHeardAllServers(),
+			isNewSystem,
 		});
 		this.#timer = setInterval(() => {
 			this.#tick();
--- a/test/scaling.test.ts
+++ b/test/scaling.test.ts
@@ -25,6 +25,23 @@
 	}
 });
 
+// Callers of a new system arrive soon, and replacements under load take longer and empty caches.
+test('the first leader of a new system replaces servers without listening for those of a predecessor', async () => {
+	const fleet = new ScalingFleet(START);
+	const {price} = fleet;
+	fleet.controller = fleet.createController(true);
+	await fleet.run(12_000);
+	assert.ok(fleet.lowestServing >= 78, `${fleet.lowestServing} servers`);
+	assert.ok(fleet.price < price * 0.4, `${fleet.price} of ${price}`);
+	// A later leader listens.
+	fleet.isReady = false;
+	await fleet.run(5000);
+	fleet.isReady = true;
+	const firstCall = fleet.calls.length;
+	await fleet.run(5500);
+	assert.equal(fleet.calls.length, firstCall);
+});
+
 // An empty measurement says nothing about the load that is to come.
 test('the number of servers does not fall while no request has been measured, nor after requests have ceased', async () => {
 	const fleet = new ScalingFleet([6, 6, 6]);
--- a/test/scalingfleet.ts
+++ b/test/scalingfleet.ts
@@ -100,7 +100,7 @@
 		this.controller = this.createController();
 	}
 
-	createController(): CapacityController {
+	createController(isNewSystem = false): CapacityController {
 		return new CapacityController({
 			caller: new SimulatedCaller(() => this.isHolder, async (path, body) => this.#call(path, body)),
 			formatCall: formatScaleCall,
@@ -113,6 +113,7 @@
 			listEngines: () => [],
 			listPeers: () => [],
 			isReady: () => this.isReady,
+			isNewSystem,
 		});
 	}
 
