--- a/src/capacity/decision.ts
+++ b/src/capacity/decision.ts
@@ -86,8 +86,7 @@
 		return {total: ordered, isIncrease: true, reason: 'the load needs more servers'};
 	}
 
-	const isLoaded = computeNeed(demand.peak, pool, 1).total >= base * MIN_LOADED_SHARE;
-	if (demand.lateShare > MAX_LATE_SHARE && isLoaded && sinceIncreaseMs >= scaling.bootMs + RELIEF_MS) {
+	if (isOverloaded(demand, pool, base) && sinceIncreaseMs >= scaling.bootMs + RELIEF_MS) {
 		return {total: Math.max(ordered, Math.ceil(base * LATE_INCREASE_FACTOR)), isIncrease: true, reason: 'requests are late'};
 	}
 
@@ -104,6 +103,11 @@
 	return Math.max(computeNeed(peak, pool, factors.peak * growth).total, computeNeed(sustained, pool, factors.sustained * growth).total);
 }
 
+/** Whether requests are late for lack of servers. */
+function isOverloaded(demand: DemandSummary, pool: EnginePool, total: number): boolean {
+	return demand.lateShare > MAX_LATE_SHARE && computeNeed(demand.peak, pool, 1).total >= total * MIN_LOADED_SHARE;
+}
+
 function mayLower(demand: DemandSummary, {sinceIncreaseMs, sinceDecreaseMs}: Pick<CapacityInput, 'sinceIncreaseMs' | 'sinceDecreaseMs'>): boolean {
 	return demand.isComplete && demand.isActive && demand.lateShare <= MAX_LATE_SHARE
 		&& sinceIncreaseMs >= STABLE_AFTER_INCREASE_MS && sinceDecreaseMs >= STABLE_AFTER_DECREASE_MS;
@@ -139,7 +143,7 @@
 	const {zones, scaling, demand, sinceDecreaseMs} = input;
 	const isPaced = demand !== undefined || input.pool === undefined;
 	const isTooEarly = isPaced && sinceDecreaseMs < REMOVAL_INTERVAL_MS;
-	if (isTooEarly || (demand && demand.lateShare > MAX_LATE_SHARE)) {
+	if (isTooEarly || (demand && input.pool && isOverloaded(demand, input.pool, limits.total))) {
 		return [];
 	}
 
--- a/test/capacitydecision.test.ts
+++ b/test/capacitydecision.test.ts
@@ -37,6 +37,24 @@
 	assert.deepEqual(decideCapacity(createInput(tight, {previousTotal: 20, demand: createDemand(load)})).changes.filter(({kind}) => kind === 'onDemand'), []);
 });
 
+// Requests may be late because of slow links or hosts. On-demand servers would then be paid for without an end.
+test('late requests stop removals if the servers are loaded; otherwise servers are still replaced, but not fewer', () => {
+	const zones = ['a', 'b', 'c'].map(zone => createZone(zone, {prefill: 6, decode: 4}, {prefill: 6, decode: 4}));
+	const decide = (inFlight: number) => decideCapacity(createInput(zones, {
+		previousTotal: 30, demand: {
+			...createDemand({
+				prefillLoad: 1, decodeLoad: 0, inFlight, contextTokens: 0,
+			}), lateShare: 0.1,
+		},
+	}));
+	const idle = decide(10);
+	assert.equal(idle.total, 30);
+	assert.ok(idle.changes.some(({from, desired}) => desired < from));
+	const loaded = decide(100);
+	assert.ok(loaded.total > 30);
+	assert.ok(loaded.changes.every(({from, desired}) => desired > from));
+});
+
 test('no more than the limits are wanted, and the cheapest data centres come first', () => {
 	const zones = ['a', 'b', 'c'].map(zone => createZone(zone, {}, {}));
 	const counts = allocate(zones, {total: 30, survivors: 18, scaling: {...SCALING, max: 15}});
