--- a/src/duties/duties.ts
+++ b/src/duties/duties.ts
@@ -50,7 +50,7 @@
 	readonly #options: ControlDutiesOptions;
 	readonly #collector: UsageCollector;
 	readonly #planner: ReportPlanner;
-	readonly #timer: NodeJS.Timeout | undefined;
+	readonly #timer: NodeJS.Timeout;
 
 	constructor(options: ControlDutiesOptions) {
 		this.#options = options;
@@ -60,11 +60,13 @@
 		});
 		this.#collector = new UsageCollector(windowMs);
 		this.#planner = new ReportPlanner(windowMs);
-		if (options.duties.includes(DUTIES.usage)) {
-			this.#timer = setInterval(() => {
+		const reportsUsage = options.duties.includes(DUTIES.usage);
+		this.#timer = setInterval(() => {
+			metrics.isHolder.set(this.caller.isHolder ? 1 : 0);
+			if (reportsUsage) {
 				this.#tick();
-			}, TICK_MS);
-		}
+			}
+		}, TICK_MS);
 	}
 
 	/** Merges the counts of an entry host and acknowledges them. */
@@ -86,7 +88,6 @@
 		const lease = service.readLeaderLease();
 		const records = usage.listRecords();
 		const {isHolder} = this.caller;
-		metrics.isHolder.set(isHolder ? 1 : 0);
 		metrics.openReports.set(records.filter(({isAccepted}) => !isAccepted).length);
 		const effects = this.#planner.tick({
 			nowMs: clock.nowMs,
--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -147,6 +147,8 @@
 		assert.equal((await system.call(`/read/${count}`)).status, 200);
 	}
 
+	// The entry host tries to connect and to send meanwhile, in vain.
+	await sleep(2500);
 	await system.restartControl();
 	await waitUntil(async () => sumCounts(service.calls) === 5, 'the starts are reported');
 	checkWindows(service.calls);
