--- a/src/duties/duties.ts
+++ b/src/duties/duties.ts
@@ -8,6 +8,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type {Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
+import {createProblem, type Problem} from '../base/problem.js';
 import type {ControlService} from '../control/service.js';
 import type {UsageRecord} from '../control/usage.js';
 import type {Command, UsageCounts} from '../generated/types.js';
@@ -42,6 +43,8 @@
 };
 
 const TICK_MS = 100;
+/** Largest counts of one window, uncompressed: 5,000 teams with long names. */
+const MAX_COUNTS_BYTES = 4 * 1024 * 1024;
 
 /** Runs the duties of one control host. Its creator must close it. */
 export class ControlDuties {
@@ -140,7 +143,14 @@
 
 	async #send({window, counts}: UsageRecord): Promise<void> {
 		const {transport, metrics, logger, clock} = this.#options;
-		const {path, body} = transport.createUsageCall(window, JSON.parse(Buffer.from(inflateRawSync(counts)).toString('utf8')));
+		const parsed = parseCounts(counts);
+		if (Either.isLeft(parsed)) {
+			logger.error(`The counts of window ${window} cannot be read: ${parsed.left.text}`, {window});
+			this.#planner.handleOutcome(window, {type: 'no-response'}, clock.monotonicMs());
+			return;
+		}
+
+		const {path, body} = transport.createUsageCall(window, parsed.right);
 		const outcome = await this.caller.tryCall(path, body);
 		this.#planner.handleOutcome(window, outcome, clock.monotonicMs());
 		if (outcome.type !== 'response') {
@@ -174,3 +184,11 @@
 		return Math.round(this.#options.clock.wallMs());
 	}
 }
+
+/** Reads committed counts. Any host may propose commands, so they are not trusted. */
+function parseCounts(counts: Uint8Array): Either.Either<Problem, unknown> {
+	return Either.tryCatch(
+		() => JSON.parse(Buffer.from(inflateRawSync(counts, {maxOutputLength: MAX_COUNTS_BYTES})).toString('utf8')) as unknown,
+		error => createProblem('badRequest', String(error)),
+	);
+}
--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -195,6 +195,21 @@
 	assert.ok(takeover.atMs - lastBefore.atMs >= 1500);
 });
 
+// Guards against a leader that ends, and each of its successors, on a log entry that it cannot read.
+test('counts in the log that cannot be read are passed over', async t => {
+	const service = await startExternalService(t);
+	const core = await startCore(t, undefined, host => createDuties(host, service.address));
+	const leader = await core.findLeader();
+	const window = Math.floor(Date.now() / WINDOW_MS) + 1;
+	sendSeparately(core.addresses[leader]!, {
+		type: 'propose', id: 1, command: {
+			type: 'record-usage', at: 1, window, counts: new Uint8Array([255, 255, 255]),
+		},
+	});
+	await waitUntil(async () => service.calls.some(({body}) => body['window-id']! > window + 1), 'later windows are reported');
+	assert.ok(service.calls.every(({body}) => body['window-id'] !== window));
+});
+
 test('a call brings its status whatever the body of the response, or none if the service is silent, resets or is down', async t => {
 	const service = await startExternalService(t, (_call, count) => ([200, 429, 'reset', 'silence'] as const)[count - 1]!);
 	const transport = new PlatformDutyTransport('c1', service.address);
