--- a/src/duties/duties.ts
+++ b/src/duties/duties.ts
@@ -8,6 +8,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type {Clock} from '../base/clock.js';
 import type {Logger} from '../base/logger.js';
+import {createProblem, type Problem} from '../base/problem.js';
 import type {ControlService} from '../control/service.js';
 import type {UsageRecord} from '../control/usage.js';
 import type {Command, UsageCounts} from '../generated/types.js';
@@ -42,6 +43,8 @@
 };
 
 const TICK_MS = 100;
+/** Largest counts of one window, uncompressed: 5,000 teams with long names. */
+const MAX_COUNTS_BYTES = 4 * 1024 * 1024;
 
 /** Runs the duties of one control host. Its creator must close it. */
 export class ControlDuties {
@@ -50,7 +53,7 @@
 	readonly #options: ControlDutiesOptions;
 	readonly #collector: UsageCollector;
 	readonly #planner: ReportPlanner;
-	readonly #timer: NodeJS.Timeout | undefined;
+	readonly #timer: NodeJS.Timeout;
 
 	constructor(options: ControlDutiesOptions) {
 		this.#options = options;
@@ -60,11 +63,13 @@
 		});
 		this.#collector = new UsageCollector(windowMs);
 		this.#planner = new ReportPlanner(windowMs);
-		if (options.duties.includes(DUTIES.usage)) {
-			this.#timer = setInterval(() => {
+		const reportsUsage = options.duties.includes(DUTIES.usage);
+		this.#timer = setInterval(() => {
+			metrics.isHolder.set(this.caller.isHolder ? 1 : 0);
+			if (reportsUsage) {
 				this.#tick();
-			}, TICK_MS);
-		}
+			}
+		}, TICK_MS);
 	}
 
 	/** Merges the counts of an entry host and acknowledges them. */
@@ -86,7 +91,6 @@
 		const lease = service.readLeaderLease();
 		const records = usage.listRecords();
 		const {isHolder} = this.caller;
-		metrics.isHolder.set(isHolder ? 1 : 0);
 		metrics.openReports.set(records.filter(({isAccepted}) => !isAccepted).length);
 		const effects = this.#planner.tick({
 			nowMs: clock.nowMs,
@@ -139,7 +143,14 @@
 
 	async #send({window, counts}: UsageRecord): Promise<void> {
 		const {transport, metrics, logger, clock} = this.#options;
-		const {path, body} = transport.createUsageCall(window, JSON.parse(Buffer.from(inflateRawSync(counts)).toString('utf8')));
+		const parsed = parseCounts(counts);
+		if (Either.isLeft(parsed)) {
+			logger.error(`The counts of window ${window} cannot be read: ${parsed.left.text}`, {window});
+			this.#planner.handleOutcome(window, {type: 'no-response'}, clock.monotonicMs());
+			return;
+		}
+
+		const {path, body} = transport.createUsageCall(window, parsed.right);
 		const outcome = await this.caller.tryCall(path, body);
 		this.#planner.handleOutcome(window, outcome, clock.monotonicMs());
 		if (outcome.type !== 'response') {
@@ -173,3 +184,11 @@
 		return Math.round(this.#options.clock.wallMs());
 	}
 }
+
+/** Reads committed counts. Any host may propose commands, so they are not trusted. */
+function parseCounts(counts: Uint8Array): Either.Either<Problem, unknown> {
+	return Either.tryCatch(
+		() => JSON.parse(Buffer.from(inflateRawSync(counts, {maxOutputLength: MAX_COUNTS_BYTES})).toString('utf8')) as unknown,
+		error => createProblem('badRequest', String(error)),
+	);
+}
