--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -59,6 +59,8 @@
 	'duties/rate',
 	'duties/planner',
 	'duties/reference',
+	'wire/clientlimits',
+	'wire/clientmemory',
 ];
 const ALLOWED_NODE_MODULES = new Set(['node:zlib', 'node:buffer']);
 
--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -198,7 +198,7 @@
 // Guards against a leader that ends, and each of its successors, on a log entry that it cannot read.
 test('counts in the log that cannot be read are passed over', async t => {
 	const service = await startExternalService(t);
-	const core = await startCore(t, undefined, host => createDuties(host, service.address));
+	const core = await startCore(t, undefined, index => ({duties: createDuties(`c${index}`, service.address)}));
 	const leader = await core.findLeader();
 	const window = Math.floor(Date.now() / WINDOW_MS) + 1;
 	sendSeparately(core.addresses[leader]!, {
