Prefix caching is weighed for each request: homes of beginnings, corrected beliefs, weight of copies

A scheduler that has just started places a beginning that no engine is known to hold at its home by rendezvous hashing, so beginnings are found again after a restart of all schedulers without messages. The times of prefills show which parts were cached: wrong beliefs are corrected and no longer distort the learnt speeds. A further copy of a frequent beginning costs less than one of a rare beginning.

--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -316,8 +316,9 @@
 	}
 
 	/** Returns how many of the request's prefix blocks the engine is expected to have cached. */
-	#expectCachedBlocks(engine: SimulatedEngine, request: TraceRequest, isPrefixOwner = false): number {
-		return this.#host.prefixes.estimateCached(engine.name, listPrefixBlocks(request), isPrefixOwner);
+	#expectCachedBlocks(engine: SimulatedEngine, request: TraceRequest): number {
+		const {prefixes} = this.#host;
+		return Math.round(prefixes.countBelieved(engine.name, listPrefixBlocks(request), false) * prefixes.readHitRate(engine.name));
 	}
 
 	#createCandidate(engine: SimulatedEngine, engines: readonly SimulatedEngine[], request: TraceRequest): Candidate {
@@ -328,7 +329,8 @@
 			dataCentre: 'a',
 			load: this.#host.loads.estimate(engine.name),
 			speed: ENGINE_SPEED,
-			cachedTokens: this.#expectCachedBlocks(engine, request, isPrefixOwner) * 64,
+			cachedTokens: this.#host.prefixes.countBelieved(engine.name, listPrefixBlocks(request), isPrefixOwner) * 64,
+			hitProbability: this.#host.prefixes.readHitRate(engine.name),
 			isPrefixOwner,
 			maxRunning: engine.role === 'decode' ? DECODE_MAX_RUNNING : PREFILL_MAX_RUNNING,
 			kvTokens: KV_CACHE_TOKENS,
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -5,6 +5,7 @@
  */
 import {shuffle, type Random} from '../base/random.js';
 import type {LoadEstimate, WorkSize} from './load.js';
+import {countExpectedTokens} from './reuse.js';
 
 export const ENGINE_ROLES = {prefill: 'prefill', decode: 'decode', mixed: 'mixed'} as const;
 export type EngineRole = keyof typeof ENGINE_ROLES;
@@ -27,8 +28,10 @@
 	readonly dataCentre: string;
 	readonly load: LoadEstimate;
 	readonly speed: EngineSpeed;
-	/** Prompt tokens that its prefix cache probably holds. */
+	/** Prompt tokens that its prefix cache should hold. */
 	readonly cachedTokens: number;
+	/** Probability that it really holds them; 1 by default. */
+	readonly hitProbability?: number;
 	/** Whether this engine owns the prompt's prefix (see `findPrefixOwner`). */
 	readonly isPrefixOwner?: boolean;
 	/** Maximum number of concurrent requests; further ones are queued. */
@@ -128,7 +131,7 @@
  */
 export function estimateCost(shape: RequestShape, candidate: Candidate, options = DEFAULT_CHOICE_OPTIONS): CostEstimate {
 	const {load, speed} = candidate;
-	const cached = options.usePrefixCache ? Math.min(candidate.cachedTokens, shape.promptTokens) : 0;
+	const cached = options.usePrefixCache ? Math.min(countExpected(candidate), shape.promptTokens) : 0;
 	const size: WorkSize = {
 		prefillTokens: shape.promptTokens - cached, outputTokens: shape.outputTokens, promptTokens: shape.promptTokens,
 	};
@@ -176,7 +179,7 @@
 function findBestHit(candidates: readonly Candidate[]): Candidate | undefined {
 	let best = candidates.find(candidate => candidate.isPrefixOwner);
 	for (const candidate of candidates) {
-		if (candidate.cachedTokens > (best?.cachedTokens ?? 0)) {
+		if (countExpected(candidate) > (best ? countExpected(best) : 0)) {
 			best = candidate;
 		}
 	}
@@ -184,6 +187,18 @@
 	return best;
 }
 
+/**
+ * Counts the tokens that a candidate is expected to have cached.
+ *
+ * @example
+ * ```ts
+ * countExpected({...candidate, cachedTokens: 4000, hitProbability: 0.5}); // 2000
+ * ```
+ */
+export function countExpected({cachedTokens, hitProbability = 1}: Candidate): number {
+	return countExpectedTokens({tokens: cachedTokens, probability: hitProbability});
+}
+
 /** Latency targets of a response, milliseconds. */
 export type LatencyTargets = {
 	readonly firstTokenMs: number;
--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -3,10 +3,12 @@
  *
  * @module
  */
+import {CacheBelief, type AssignedPrefill} from './belief.js';
 import {ENGINE_ROLES, type EngineRole} from './choice.js';
-import {KvCacheModel, type PromptPart} from './kvcache.js';
+import type {PromptPart} from './kvcache.js';
 import {PrefillQueue, type PrefillReport} from './queue.js';
 import {DecayingRate} from './rate.js';
+import {hashServer, IS_REUSE_WEIGHED} from './reuse.js';
 import type {PoolSpeed, PrefillModel, PrefillSize} from './speed.js';
 
 /** Identity and configuration of an engine. */
@@ -35,6 +37,10 @@
 	readonly fetchMs: number;
 	/** 0 is the most urgent. */
 	readonly priority: number;
+	/** Engine from which shared parts are fetched; undefined without a fetch. */
+	readonly source?: EngineState | undefined;
+	/** Whether the engine was chosen as the home of a beginning of unknown location. */
+	readonly isHomeGuess?: boolean;
 };
 
 /** Prompt and maximum output of a request. */
@@ -78,10 +84,8 @@
 /** The state of one incarnation of an engine. Performs no I/O; the caller passes the current time. */
 export class EngineState {
 	info: EngineInfo;
-	readonly #cache = new KvCacheModel();
+	readonly #cache: CacheBelief;
 	readonly #prefillQueue = new PrefillQueue();
-	/** For each queued prompt, the parts that it will add to the cache; other engines cannot fetch them yet. */
-	readonly #pendingParts = new Map<string, ReadonlySet<string>>();
 	readonly #running = new Map<string, Run>();
 	#contextTokens = 0;
 	#suspectedAtMs = Number.NEGATIVE_INFINITY;
@@ -91,6 +95,9 @@
 	#lastProgressMs = Number.NEGATIVE_INFINITY;
 	readonly #prefills = new Map<string, PrefillAssignment>();
 	readonly #speed: PoolSpeed;
+	/** Checksum by which it is ranked as the home of beginnings. */
+	readonly homeHash: number;
+	readonly #isReuseWeighed: boolean;
 	/** Moving average of the measured prefill time divided by the pool's. */
 	#slowdown = 1;
 	/** Prefill work assigned per millisecond, by priority. */
@@ -99,9 +106,22 @@
 	readonly #handoffs = new DecayingRate(RATE_WINDOW_MS);
 
 	/** @param speed - Learnt speeds of the engine's pool, to which the measurements of this engine contribute. */
-	constructor(info: EngineInfo, speed: PoolSpeed) {
+	constructor(info: EngineInfo, speed: PoolSpeed, isReuseWeighed = IS_REUSE_WEIGHED) {
 		this.info = info;
 		this.#speed = speed;
+		this.#cache = new CacheBelief(speed.homes);
+		this.#isReuseWeighed = isReuseWeighed;
+		this.homeHash = hashServer(info.server);
+	}
+
+	/** What is believed about its cache. */
+	get cacheBelief(): CacheBelief {
+		return this.#cache;
+	}
+
+	/** Probability that parts which should be cached really are, by recent prefills. */
+	get hitProbability(): number {
+		return this.#cache.hitProbability;
 	}
 
 	get runningCount(): number {
@@ -179,8 +199,7 @@
 
 	/** Counts the tokens of a prompt's leading parts that other engines can fetch now. */
 	countFetchable(parts: readonly PromptPart[]): number {
-		const firstPending = parts.findIndex(({key}) => this.#isPending(key));
-		return this.#cache.countCached(firstPending === -1 ? parts : parts.slice(0, firstPending));
+		return this.#cache.countFetchable(parts);
 	}
 
 	/**
@@ -213,25 +232,27 @@
 		this.#prefills.set(id, task);
 		this.#prefillQueue.add(id, task, nowMs);
 		this.#recordWork(task, nowMs);
-		const missing = size.parts.filter(({key}) => !this.#cache.has(key)).map(({key}) => key);
-		this.#pendingParts.set(id, new Set(missing));
-		this.#cache.record(size.parts, this.info.kvTokens - this.#contextTokens);
+		const {cachedTokens, source, isHomeGuess = false} = task;
+		this.#cache.startPrefill(id, {
+			parts: size.parts, believedTokens: cachedTokens, source: source?.cacheBelief, isHomeGuess,
+		}, this.info.kvTokens - this.#contextTokens);
 	}
 
 	/** Records parts that are cached because of another scheduler's placement. */
 	recordCached(parts: readonly PromptPart[]): void {
-		this.#cache.record(parts, this.info.kvTokens - this.#contextTokens);
+		this.#cache.recordCached(parts, this.info.kvTokens - this.#contextTokens);
 	}
 
 	/** Records that a prefill has completed, and updates the measured speed or overhead. */
 	completePrefill(id: string, nowMs: number): void {
 		this.#lastProgressMs = nowMs;
-		this.#pendingParts.delete(id);
+		const prefill = this.#cache.completePrefill(id);
 		const report = this.#prefillQueue.complete(id, nowMs - this.overheadMs);
 		const assignment = this.#prefills.get(id);
 		this.#prefills.delete(id);
 		if (report && assignment) {
-			this.#updateSpeed(report, assignment);
+			const size = this.#isReuseWeighed && prefill ? this.#inferSize(report, assignment, prefill) : assignment;
+			this.#updateSpeed(report, size, assignment.fetchMs);
 		}
 	}
 
@@ -244,7 +265,7 @@
 		const tokens = promptTokens + outputTokens;
 		this.#contextTokens += tokens - (this.#running.get(id)?.tokens ?? 0);
 		this.#running.set(id, {tokens, dueMs});
-		this.#cache.record(parts, this.info.kvTokens - this.#contextTokens);
+		this.#cache.recordCached(parts, this.info.kvTokens - this.#contextTokens);
 	}
 
 	/** Records the first event of a request. */
@@ -260,8 +281,7 @@
 	endRequest(id: string, nowMs: number): void {
 		this.#prefillQueue.remove(id, nowMs);
 		this.#prefills.delete(id);
-		this.#cache.remove(this.#pendingParts.get(id) ?? []);
-		this.#pendingParts.delete(id);
+		this.#cache.abandonPrefill(id);
 		this.#contextTokens -= this.#running.get(id)?.tokens ?? 0;
 		this.#running.delete(id);
 	}
@@ -272,18 +292,19 @@
 		this.#assignedWork.set(priority, work);
 	}
 
-	#isPending(key: string): boolean {
-		for (const keys of this.#pendingParts.values()) {
-			if (keys.has(key)) {
-				return true;
-			}
-		}
-
-		return false;
+	/** Infers from the time of a prefill how much was cached, and corrects what is believed about the cache. */
+	#inferSize({busyMs, totalMs, wasQueued}: PrefillReport, assignment: PrefillAssignment, prefill: AssignedPrefill): PrefillSize {
+		const promptTokens = assignment.uncachedTokens + assignment.cachedTokens;
+		const cachedTokens = this.#cache.correct(prefill, {
+			elapsedMs: (wasQueued ? busyMs : totalMs) - assignment.fetchMs,
+			resolutionMs: this.overheadMs * MIN_WORK_FACTOR,
+			estimateMs: tokens => this.prefillMs({promptTokens}, tokens),
+		});
+		return {cachedTokens, uncachedTokens: Math.max(1, promptTokens - cachedTokens)};
 	}
 
 	/** Updates the slowdown of this engine and, unless it is slower than the others, the speed of the pool. */
-	#updateSpeed({busyMs, totalMs, wasQueued}: PrefillReport, {uncachedTokens, cachedTokens, fetchMs}: PrefillAssignment): void {
+	#updateSpeed({busyMs, totalMs, wasQueued}: PrefillReport, {uncachedTokens, cachedTokens}: PrefillSize, fetchMs: number): void {
 		const size = {uncachedTokens, cachedTokens};
 		const {overheadMs} = this;
 		const workMs = (wasQueued ? busyMs : totalMs) - fetchMs;
--- a/src/routing/handoff.ts
+++ b/src/routing/handoff.ts
@@ -5,7 +5,7 @@
  */
 import type {Random} from '../base/random.js';
 import {
-	chooseEngine, DEFAULT_CHOICE_OPTIONS, ENGINE_ROLES, type Candidate, type ChoiceOptions, type EngineChoice, type RequestShape,
+	chooseEngine, countExpected, DEFAULT_CHOICE_OPTIONS, ENGINE_ROLES, type Candidate, type ChoiceOptions, type EngineChoice, type RequestShape,
 } from './choice.js';
 
 /** Speed of KV cache transfers between engines. */
@@ -51,7 +51,7 @@
 
 	const first = chooseEngine({...shape, outputTokens: 1}, prefillEngines, random, {...options, respectRoles: false});
 	const singleCandidate = candidates.find(candidate => candidate.server === single.server)!;
-	const uncachedTokens = shape.promptTokens - (options.usePrefixCache ? Math.min(singleCandidate.cachedTokens, shape.promptTokens) : 0);
+	const uncachedTokens = shape.promptTokens - (options.usePrefixCache ? Math.min(countExpected(singleCandidate), shape.promptTokens) : 0);
 	if (!first || uncachedTokens < MIN_HANDOFF_TOKENS) {
 		return {first: single, handsOff: false};
 	}
@@ -76,7 +76,7 @@
 	options: ChoiceOptions = DEFAULT_CHOICE_OPTIONS,
 ): EngineChoice | undefined {
 	const decodeCapable = candidates.filter(candidate => candidate.role !== ENGINE_ROLES.prefill);
-	const usable = (decodeCapable.length > 0 ? decodeCapable : candidates).map(candidate => ({...candidate, cachedTokens: shape.promptTokens}));
+	const usable = (decodeCapable.length > 0 ? decodeCapable : candidates).map(candidate => ({...candidate, cachedTokens: shape.promptTokens, hitProbability: 1}));
 	return chooseEngine(shape, usable, random, {...options, respectRoles: false, usePrefixCache: true});
 }
 
--- a/src/routing/kvcache.ts
+++ b/src/routing/kvcache.ts
@@ -10,10 +10,18 @@
 	readonly tokens: number;
 };
 
+type CachedPart = {
+	tokens: number;
+	/** Number of uses of any part up to its last one. */
+	lastUse: number;
+};
+
 /** The prompt parts in one engine's KV cache, with least-recently-used eviction. */
 export class KvCacheModel {
-	readonly #parts = new Map<string, number>();
+	readonly #parts = new Map<string, CachedPart>();
 	#tokens = 0;
+	/** Increases with each use of a part. */
+	#useCount = 0;
 
 	get tokens(): number {
 		return this.#tokens;
@@ -36,9 +44,12 @@
 	/** Records that a prompt was prefilled, and evicts what no longer fits. */
 	record(parts: readonly PromptPart[], capacityTokens: number): void {
 		for (const {key, tokens} of parts) {
-			this.#tokens += tokens - (this.#parts.get(key) ?? 0);
+			const part = this.#parts.get(key) ?? {tokens: 0, lastUse: 0};
+			this.#tokens += tokens - part.tokens;
+			part.tokens = tokens;
+			part.lastUse = ++this.#useCount;
 			this.#parts.delete(key);
-			this.#parts.set(key, tokens);
+			this.#parts.set(key, part);
 		}
 
 		this.evictTo(capacityTokens);
@@ -46,7 +57,7 @@
 
 	/** Evicts the least recently used parts until the rest fits the capacity. */
 	evictTo(capacityTokens: number): void {
-		for (const [key, tokens] of this.#parts) {
+		for (const [key, {tokens}] of this.#parts) {
 			if (this.#tokens <= capacityTokens) {
 				return;
 			}
@@ -59,8 +70,36 @@
 	/** Removes parts that were recorded in advance but never prefilled. */
 	remove(keys: Iterable<string>): void {
 		for (const key of keys) {
-			this.#tokens -= this.#parts.get(key) ?? 0;
+			this.#tokens -= this.#parts.get(key)?.tokens ?? 0;
+			this.#parts.delete(key);
+		}
+	}
+
+	/** Finds the earliest last use of the leading parts with the given number of tokens, for `evictUsedUntil`. */
+	findEarliestUse(parts: readonly PromptPart[], tokens: number): number {
+		let earliest = Number.POSITIVE_INFINITY;
+		let sum = 0;
+		for (const {key, tokens: partTokens} of parts) {
+			sum += partTokens;
+			if (sum > tokens) {
+				break;
+			}
+
+			earliest = Math.min(earliest, this.#parts.get(key)?.lastUse ?? 0);
+		}
+
+		return earliest;
+	}
+
+	/** Evicts the parts that have not been used since a use: if the engine has evicted the part of that use, it has evicted them too. */
+	evictUsedUntil(use: number): void {
+		for (const [key, {tokens, lastUse}] of this.#parts) {
+			if (lastUse > use) {
+				return;
+			}
+
 			this.#parts.delete(key);
+			this.#tokens -= tokens;
 		}
 	}
 
--- a/src/routing/prefill.ts
+++ b/src/routing/prefill.ts
@@ -5,6 +5,7 @@
  */
 import {estimateMoveCostMs, type RequestOrigin, type ResourceWeights} from './cost.js';
 import type {EngineInfo, EngineState, RequestSize} from './engine.js';
+import {countExpectedTokens} from './reuse.js';
 
 /** How an engine would prefill a prompt. */
 export type PrefillPlan = {
@@ -15,17 +16,29 @@
 	/** Cost to other requests of the cache entries that are evicted, milliseconds. */
 	readonly evictionCostMs: number;
 	/** Engine from which shared parts are fetched; undefined without a fetch. */
-	readonly source: string | undefined;
+	readonly source: EngineState | undefined;
 	/** Time of the fetch, milliseconds. */
 	readonly fetchMs: number;
 	/** Cost of the KV cache that is fetched, milliseconds. */
 	readonly moveCostMs: number;
+	/** Whether the engine is the home of a beginning of unknown location. */
+	readonly isHomeGuess?: boolean;
+	/** Time that the home of a beginning saves if it has it cached, milliseconds. */
+	readonly homeSavingMs?: number;
+};
+
+/** Where a prompt's shared parts may be cached. */
+export type ReuseSituation = {
+	readonly sources: readonly FetchSource[];
+	/** Weight of the memory that a further copy takes, see `BeginningDemand`; 1 for the first one. */
+	readonly copyWeight: number;
+	/** Home of the beginning, if no engine is known to have it cached. */
+	readonly home: EngineState | undefined;
 };
 
 /** An engine from which leading parts of a prompt can be fetched. */
 export type FetchSource = {
-	readonly server: string;
-	readonly dataCentre: string;
+	readonly engine: EngineState;
 	/** Tokens of the leading parts that it can provide. */
 	readonly tokens: number;
 };
@@ -38,7 +51,7 @@
  */
 const EVICTION_WEIGHT = 1;
 /** Minimum number of additional cached tokens for which a fetch is worth its setup time. */
-const MIN_FETCH_TOKENS = 512;
+export const MIN_FETCH_TOKENS = 512;
 /** Fixed time per fetch of shared parts, milliseconds. */
 const FETCH_SETUP_MS = 5;
 
@@ -48,16 +61,16 @@
  *
  * @example
  * ```ts
- * listFetchSources(engines, request); // [{server: 'e3', dataCentre: 'a', tokens: 13300}]
+ * listFetchSources(engines, request); // [{engine: …, tokens: 13300}], e3 in data centre a
  * ```
  */
 export function listFetchSources(engines: readonly EngineState[], {parts}: Pick<RequestSize, 'parts'>): FetchSource[] {
 	const sources = new Map<string, FetchSource>();
 	for (const engine of engines) {
-		const {server, dataCentre} = engine.info;
+		const {dataCentre} = engine.info;
 		const tokens = engine.countFetchable(parts);
 		if (tokens >= MIN_FETCH_TOKENS && tokens > (sources.get(dataCentre)?.tokens ?? 0)) {
-			sources.set(dataCentre, {server, dataCentre, tokens});
+			sources.set(dataCentre, {engine, tokens});
 		}
 	}
 
@@ -69,18 +82,24 @@
  *
  * @example
  * ```ts
- * planPrefill(engine, request, listFetchSources(engines, request), weights);
- * // {workMs: 65, cachedTokens: 13300, evictionCostMs: 0, source: 'e3', fetchMs: 14, moveCostMs: 26}
+ * planPrefill(engine, request, {sources: listFetchSources(engines, request), home: undefined, copyWeight: 1}, weights);
+ * // {workMs: 65, cachedTokens: 13300, evictionCostMs: 0, source: …, fetchMs: 14, moveCostMs: 26}
  * ```
  */
-export function planPrefill(engine: EngineState, request: RequestSize & Pick<RequestOrigin, 'objectiveMs'>, sources: readonly FetchSource[], weights: ResourceWeights): PrefillPlan {
+export function planPrefill(engine: EngineState, request: RequestSize & Pick<RequestOrigin, 'objectiveMs'>, {sources, home, copyWeight}: ReuseSituation, weights: ResourceWeights): PrefillPlan {
 	const cached = engine.countCached(request.parts);
 	const addedTokens = Math.max(0, countSharedTokens(request) - cached);
-	const evictionCostMs = engine.speed.prefill.estimateMs({uncachedTokens: addedTokens, cachedTokens: 0}) * EVICTION_WEIGHT;
+	const evictionCostMs = engine.speed.prefill.estimateMs({uncachedTokens: addedTokens, cachedTokens: 0}) * EVICTION_WEIGHT * copyWeight;
+	const workMs = engine.prefillMs(request, countExpectedTokens({tokens: cached, probability: engine.hitProbability}));
 	let plan: PrefillPlan = {
-		workMs: engine.prefillMs(request, cached), cachedTokens: cached, evictionCostMs, source: undefined, fetchMs: 0, moveCostMs: 0,
+		workMs, cachedTokens: cached, evictionCostMs, source: undefined, fetchMs: 0, moveCostMs: 0,
 	};
-	for (const {server, dataCentre, tokens} of sources) {
+	if (engine === home) {
+		return weighHome(plan, engine, request);
+	}
+
+	for (const {engine: source, tokens} of sources) {
+		const {dataCentre} = source.info;
 		const fetchedTokens = tokens - cached;
 		if (fetchedTokens < MIN_FETCH_TOKENS) {
 			continue;
@@ -91,7 +110,7 @@
 		const moveCostMs = estimateMoveCostMs({bytes: fetchedTokens * engine.info.kvBytesPerToken, from: dataCentre, to: engine.info.dataCentre}, request.objectiveMs, weights);
 		if (workMs + moveCostMs < plan.workMs + plan.moveCostMs) {
 			plan = {
-				workMs, cachedTokens: tokens, evictionCostMs, source: server, fetchMs, moveCostMs,
+				workMs, cachedTokens: tokens, evictionCostMs, source, fetchMs, moveCostMs,
 			};
 		}
 	}
@@ -99,6 +118,17 @@
 	return plan;
 }
 
+/** Weighs that the home of a beginning may have it cached although no placement is known. */
+function weighHome(plan: PrefillPlan, engine: EngineState, request: RequestSize): PrefillPlan {
+	const tokens = countSharedTokens(request);
+	return {
+		...plan,
+		workMs: Math.min(plan.workMs, engine.prefillMs(request, countExpectedTokens({tokens, probability: engine.speed.homes.value}))),
+		homeSavingMs: Math.max(0, plan.workMs - engine.prefillMs(request, tokens)),
+		isHomeGuess: true,
+	};
+}
+
 /** Counts the tokens that other requests may share: all parts but the last, which belongs to the request alone. */
 function countSharedTokens({parts, promptTokens}: RequestSize): number {
 	return Math.max(0, promptTokens - (parts.at(-1)?.tokens ?? promptTokens));
--- a/src/routing/prefix.ts
+++ b/src/routing/prefix.ts
@@ -78,10 +78,15 @@
 		return miss === -1 ? hashes.length : miss;
 	}
 
-	/** Estimates the number of leading blocks cached at a server, corrected by the server's hit rate so far. */
-	estimateCached(server: string, hashes: readonly number[], isPrefixOwner: boolean): number {
-		const expected = isPrefixOwner ? Math.max(this.countSeen(hashes), this.countCached(server, hashes)) : this.countCached(server, hashes);
-		return Math.round(expected * (this.#servers.get(server)?.hitRate ?? 1));
+	/** Counts the leading blocks that should be cached at a server; the owner of a prefix should have all that occurred in earlier prompts. */
+	countBelieved(server: string, hashes: readonly number[], isPrefixOwner: boolean): number {
+		const cached = this.countCached(server, hashes);
+		return isPrefixOwner ? Math.max(this.countSeen(hashes), cached) : cached;
+	}
+
+	/** Share of the blocks that should have been cached at a server which it reported as cached. */
+	readHitRate(server: string): number {
+		return this.#servers.get(server)?.hitRate ?? 1;
 	}
 
 	/** Updates a server's hit rate with the number of blocks that it reports as cached. */
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -16,6 +16,7 @@
 import {
 	LATE_PRIORITY, MILESTONES, type MilestoneDetails, type MilestoneName, type ObservedRequest, type PlacementDecision, type PlacementRequest,
 } from './request.js';
+import {IS_REUSE_WEIGHED} from './reuse.js';
 import {EngineSelector, type EngineSelection} from './selection.js';
 import {PoolSpeed} from './speed.js';
 
@@ -60,6 +61,8 @@
 	readonly limiter?: RateLimiter;
 	/** Time since which all servers are reported to `updateVersions`; absent if some may be missed. */
 	readonly versionsKnownSinceMs?: number;
+	/** Whether the assumed cache state is weighed and corrected, see `reuse.ts`. */
+	readonly isReuseWeighed?: boolean;
 };
 
 /** Schedules the requests of one or more pools. */
@@ -71,11 +74,13 @@
 	readonly #softwareVersions: SoftwareVersions;
 	readonly #selector: EngineSelector;
 	readonly #limiter: RateLimiter | undefined;
+	readonly #isReuseWeighed: boolean;
 
-	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter, versionsKnownSinceMs = Number.POSITIVE_INFINITY}: SchedulerOptions = {}) {
+	constructor({weights = DEFAULT_RESOURCE_WEIGHTS, limiter, versionsKnownSinceMs = Number.POSITIVE_INFINITY, isReuseWeighed = IS_REUSE_WEIGHED}: SchedulerOptions = {}) {
 		this.#limiter = limiter;
+		this.#isReuseWeighed = isReuseWeighed;
 		this.#softwareVersions = new SoftwareVersions(versionsKnownSinceMs);
-		this.#selector = new EngineSelector(this.#engines, weights);
+		this.#selector = new EngineSelector(this.#engines, weights, isReuseWeighed);
 	}
 
 	/** Replaces the set of engines; keeps the state of those whose incarnation is unchanged. */
@@ -92,7 +97,7 @@
 			if (state?.info.incarnation === info.incarnation) {
 				state.info = info;
 			} else {
-				this.#engines.set(info.server, new EngineState(info, this.#getSpeed(info.service)));
+				this.#engines.set(info.server, new EngineState(info, this.#getSpeed(info.service), this.#isReuseWeighed));
 			}
 		}
 	}
@@ -122,6 +127,7 @@
 		}
 
 		this.#recordDemand(resolved, nowMs);
+		this.#selector.recordDemand(resolved, nowMs);
 		const atLimit = this.#listAtLimit(resolved, nowMs);
 		const request = excludeEngines(resolved, atLimit);
 		const initial = this.#selector.select(request, request.priority, nowMs);
@@ -274,9 +280,9 @@
 			this.#consume(charged, nowMs);
 		}
 
-		const {workMs, fetchMs, cachedTokens} = plan;
+		const {workMs, fetchMs, cachedTokens, source, isHomeGuess = false} = plan;
 		engine.startPrefill(request.id, toRequestSize(request), {
-			workMs, fetchMs, cachedTokens, uncachedTokens: Math.max(1, request.promptTokens - cachedTokens), priority: isLate ? LATE_PRIORITY : request.priority,
+			workMs, fetchMs, cachedTokens, uncachedTokens: Math.max(1, request.promptTokens - cachedTokens), priority: isLate ? LATE_PRIORITY : request.priority, source, isHomeGuess,
 		}, nowMs);
 		runner?.startRun(request.id, toRequestSize(request), nowMs + firstEventMs);
 		if (runner) {
@@ -288,7 +294,7 @@
 			id: request.id,
 			reader: reader?.info.server,
 			runner: runner?.info.server,
-			source: plan.source,
+			source: source?.info.server,
 			cachedTokens: plan.cachedTokens,
 			expectedMs: Math.round(firstEventMs),
 			isLate,
--- a/src/routing/selection.ts
+++ b/src/routing/selection.ts
@@ -9,9 +9,12 @@
 } from './cost.js';
 import type {EngineState} from './engine.js';
 import {
-	estimateTransferMs, listFetchSources, planPrefill, type FetchSource, type PrefillPlan,
+	estimateTransferMs, listFetchSources, MIN_FETCH_TOKENS, planPrefill, type PrefillPlan, type ReuseSituation,
 } from './prefill.js';
 import type {PlacementRequest} from './request.js';
+import {
+	BeginningDemand, estimateHomeGainMs, hashBeginning, IS_REUSE_WEIGHED, rankHome,
+} from './reuse.js';
 
 /** Network latency to another data centre, milliseconds. */
 const CROSS_DATA_CENTRE_MS = 2;
@@ -53,7 +56,7 @@
 /** What the options for one placement are evaluated with. */
 type Evaluation = {
 	readonly request: PlacementRequest;
-	readonly fetchSources: readonly FetchSource[];
+	readonly reuse: ReuseSituation;
 	readonly priority: number;
 	readonly nowMs: number;
 };
@@ -74,11 +77,19 @@
 export class EngineSelector {
 	readonly #engines: ReadonlyMap<string, EngineState>;
 	readonly #weights: ResourceWeights;
+	readonly #isReuseWeighed: boolean;
+	readonly #demand = new BeginningDemand();
 
 	/** @param engines - All engines that the scheduler knows, by server; may change. */
-	constructor(engines: ReadonlyMap<string, EngineState>, weights: ResourceWeights) {
+	constructor(engines: ReadonlyMap<string, EngineState>, weights: ResourceWeights, isReuseWeighed = IS_REUSE_WEIGHED) {
 		this.#engines = engines;
 		this.#weights = weights;
+		this.#isReuseWeighed = isReuseWeighed;
+	}
+
+	/** Records that a request was received. */
+	recordDemand({parts}: PlacementRequest, nowMs: number): void {
+		this.#demand.record(parts, nowMs);
 	}
 
 	/** Selects the engines with the lowest cost; undefined if no engine decodes. */
@@ -86,8 +97,11 @@
 		const healthyEngines = this.#listEngines(request).filter(engine => !engine.isSuspected(nowMs));
 		const prefillEngines = healthyEngines.filter(({info}) => info.role === ENGINE_ROLES.prefill);
 		const runners = this.#listRunners(request, nowMs);
+		const sources = listFetchSources(healthyEngines, request);
+		const home = this.#isReuseWeighed && sources.length === 0 ? findHome(prefillEngines.length > 0 ? prefillEngines : runners, request) : undefined;
+		const copyWeight = this.#isReuseWeighed && sources.length > 0 ? this.#demand.weighCopy(request.parts, nowMs) : 1;
 		const evaluation: Evaluation = {
-			request, fetchSources: listFetchSources(healthyEngines, request), priority, nowMs,
+			request, reuse: {sources, home, copyWeight}, priority, nowMs,
 		};
 		const direct = findCheapest(runners.map(engine => this.#evaluateDirect(engine, evaluation)));
 		if (!direct) {
@@ -157,15 +171,16 @@
 		return {...option, costMs: option.costMs + interferenceMs + this.#estimateRunCostMs(engine, evaluation.request, evaluation.nowMs)};
 	}
 
-	#evaluatePrefill(engine: EngineState, {request, fetchSources, priority, nowMs}: Evaluation): PrefillOption {
-		const plan = planPrefill(engine, request, fetchSources, this.#weights);
+	#evaluatePrefill(engine: EngineState, {request, reuse, priority, nowMs}: Evaluation): PrefillOption {
+		const plan = planPrefill(engine, request, reuse, this.#weights);
 		const networkMs = engine.info.dataCentre === request.dataCentre ? 0 : CROSS_DATA_CENTRE_MS;
 		const prefilledMs = engine.overheadMs + engine.waitMs(priority, nowMs) + plan.workMs + networkMs;
 		const overtakingMs = engine.countLowerPriority(priority, nowMs) * plan.workMs * OVERTAKING_WEIGHT;
 		const displacementMs = engine.displacementMs(plan.workMs, nowMs);
 		const resourceMs = plan.moveCostMs + estimateSendCostMs(request, engine.info, this.#weights);
+		const homeGainMs = plan.homeSavingMs === undefined ? 0 : estimateHomeGainMs(plan.homeSavingMs, engine.utilisation(nowMs));
 		return {
-			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + displacementMs + resourceMs,
+			engine, plan, prefilledMs, costMs: prefilledMs + plan.evictionCostMs + overtakingMs + displacementMs + resourceMs - homeGainMs,
 		};
 	}
 
@@ -186,6 +201,25 @@
 	return Math.max(0, engine.failureRate(nowMs) - FAILURE_TOLERANCE) * FAILURE_COST_MS;
 }
 
+/** Finds the home of the beginning that a prompt shares with others; undefined if it shares too little. */
+function findHome(engines: readonly EngineState[], {parts, promptTokens}: PlacementRequest): EngineState | undefined {
+	const beginningHash = hashBeginning(parts);
+	if (beginningHash === undefined || promptTokens - parts.at(-1)!.tokens < MIN_FETCH_TOKENS) {
+		return undefined;
+	}
+
+	let home: EngineState | undefined;
+	let highestRank = Number.NEGATIVE_INFINITY;
+	for (const engine of engines) {
+		const rank = rankHome(engine.homeHash, beginningHash);
+		if (rank > highestRank) {
+			[home, highestRank] = [engine, rank];
+		}
+	}
+
+	return home;
+}
+
 function findCheapest(options: readonly PrefillOption[]): PrefillOption | undefined {
 	let cheapest: PrefillOption | undefined;
 	for (const option of options) {
--- a/src/routing/speed.ts
+++ b/src/routing/speed.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import {HitShare, PRIOR_HOME_SHARE} from './reuse.js';
 
 /** The part of a prompt that an engine prefills. */
 export type PrefillSize = {
@@ -215,6 +216,8 @@
 
 /** Learnt speeds of one pool. */
 export class PoolSpeed {
+	/** Share of the beginnings of unknown location that are cached at their home. */
+	readonly homes = new HitShare(PRIOR_HOME_SHARE);
 	readonly prefill = new PrefillModel();
 	/** Prefill at decode engines; assumed to be slower by a constant factor until it is measured. */
 	readonly decodePrefill = new PrefillModel(() => {
