--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -14,6 +14,7 @@
 	readonly elections: Counter<'reason'>;
 	readonly replacedConnections: Counter;
 	readonly openPlacements: Gauge;
+	readonly reuse: Gauge<'service' | 'outcome'>;
 	readonly usableServers: Gauge;
 	readonly feedEntryHosts: Gauge;
 	readonly isLeader: Gauge;
@@ -55,6 +56,9 @@
 			name: 'carawayhoist_elections_total', help: 'Times that this host became a candidate or the leader, by reason.', labelNames: ['reason'], registers,
 		}),
 		replacedConnections: new Counter({name: 'carawayhoist_peer_connections_replaced_total', help: 'Connections to other control hosts that were replaced because they were silent.', registers}),
+		reuse: new Gauge({
+			name: 'carawayhoist_cached_prefills', help: 'Prefills by what their time showed about the cached parts of the prompt.', labelNames: ['service', 'outcome'], registers,
+		}),
 		openPlacements: new Gauge({name: 'carawayhoist_placed_open', help: 'Streamed requests placed here that have not ended.', registers}),
 		usableServers: new Gauge({name: 'carawayhoist_servers_usable', help: 'Backend servers that take new work.', registers}),
 		feedEntryHosts: new Gauge({name: 'carawayhoist_feed_entry_hosts', help: 'Entry hosts that are fed from here.', registers}),
--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -566,6 +566,12 @@
 	#updateGauges(): void {
 		const {metrics} = this.#options;
 		metrics.openPlacements.set(this.#scheduler.openCount);
+		for (const [service, counts] of this.#scheduler.listReuseCounts()) {
+			for (const [outcome, count] of counts) {
+				metrics.reuse.set({service, outcome}, count);
+			}
+		}
+
 		metrics.usableServers.set(this.registry.listUsable().length);
 		metrics.feedEntryHosts.set(this.#publisher.entryHostCount);
 		metrics.isLeader.set(this.#controlService.holdsLeaderLease ? 1 : 0);
--- a/src/routing/belief.ts
+++ b/src/routing/belief.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {KvCacheModel, type PromptPart} from './kvcache.js';
-import {HitShare, inferCachedTokens} from './reuse.js';
+import {HitShare, inferCachedTokens, type PoolReuse} from './reuse.js';
 
 /**
  * Consecutive prefills without the parts that should have been cached after which older parts count as evicted as well. One alone may be a
@@ -46,13 +46,13 @@
 	readonly #cache = new KvCacheModel();
 	readonly #openPrefills = new Map<string, OpenPrefill>();
 	readonly #hits = new HitShare();
-	readonly #homes: HitShare;
+	readonly #poolReuse: PoolReuse;
 	/** Consecutive prefills without the parts that should have been cached. */
 	#misses = 0;
 
-	/** @param homes - Share of the beginnings that are at their home, in the engine's pool. */
-	constructor(homes: HitShare) {
-		this.#homes = homes;
+	/** @param poolReuse - What the prefills of the engine's pool showed, to which this engine contributes. */
+	constructor(poolReuse: PoolReuse) {
+		this.#poolReuse = poolReuse;
 	}
 
 	/** Probability that parts which should be cached really are, by recent prefills. */
@@ -108,7 +108,7 @@
 			parts, believedTokens, elapsedMs, resolutionMs,
 		}, estimateMs);
 		if (isHomeGuess) {
-			this.#homes.record(cachedTokens > 0);
+			this.#poolReuse.recordHome(cachedTokens > 0);
 		} else if (believedTokens > 0 && estimateMs(0) - estimateMs(believedTokens) > resolutionMs) {
 			(source ?? this).#recordHit(cachedTokens >= believedTokens, prefill as OpenPrefill, source !== undefined);
 		}
@@ -118,6 +118,7 @@
 
 	#recordHit(isHit: boolean, {parts, earliestUse}: OpenPrefill, isFetch: boolean): void {
 		this.#hits.record(isHit);
+		this.#poolReuse.recordBelief(isHit);
 		this.#misses = isHit ? 0 : this.#misses + 1;
 		if (isHit) {
 			return;
--- a/src/routing/engine.ts
+++ b/src/routing/engine.ts
@@ -109,7 +109,7 @@
 	constructor(info: EngineInfo, speed: PoolSpeed, isReuseWeighed = IS_REUSE_WEIGHED) {
 		this.info = info;
 		this.#speed = speed;
-		this.#cache = new CacheBelief(speed.homes);
+		this.#cache = new CacheBelief(speed.reuse);
 		this.#isReuseWeighed = isReuseWeighed;
 		this.homeHash = hashServer(info.server);
 	}
@@ -149,7 +149,7 @@
 
 	/** Failure rate of recent requests, decayed by the time since the last outcome. */
 	failureRate(nowMs: number): number {
-		return this.#failureRate * (0.5 ** ((nowMs - this.#lastOutcomeMs) / FAILURE_HALF_LIFE_MS));
+		return this.#failureRate === 0 ? 0 : this.#failureRate * (0.5 ** ((nowMs - this.#lastOutcomeMs) / FAILURE_HALF_LIFE_MS));
 	}
 
 	/** Prefill work assigned lately as a share of the engine's time; above 1 if it cannot keep up. */
--- a/src/routing/prefill.ts
+++ b/src/routing/prefill.ts
@@ -89,7 +89,7 @@
 export function planPrefill(engine: EngineState, request: RequestSize & Pick<RequestOrigin, 'objectiveMs'>, {sources, home, copyWeight}: ReuseSituation, weights: ResourceWeights): PrefillPlan {
 	const cached = engine.countCached(request.parts);
 	const addedTokens = Math.max(0, countSharedTokens(request) - cached);
-	const evictionCostMs = engine.speed.prefill.estimateMs({uncachedTokens: addedTokens, cachedTokens: 0}) * EVICTION_WEIGHT * copyWeight;
+	const evictionCostMs = addedTokens === 0 ? 0 : engine.speed.prefill.estimateMs({uncachedTokens: addedTokens, cachedTokens: 0}) * EVICTION_WEIGHT * copyWeight;
 	const workMs = engine.prefillMs(request, countExpectedTokens({tokens: cached, probability: engine.hitProbability}));
 	let plan: PrefillPlan = {
 		workMs, cachedTokens: cached, evictionCostMs, source: undefined, fetchMs: 0, moveCostMs: 0,
@@ -123,7 +123,7 @@
 	const tokens = countSharedTokens(request);
 	return {
 		...plan,
-		workMs: Math.min(plan.workMs, engine.prefillMs(request, countExpectedTokens({tokens, probability: engine.speed.homes.value}))),
+		workMs: Math.min(plan.workMs, engine.prefillMs(request, countExpectedTokens({tokens, probability: engine.speed.reuse.homeShare}))),
 		homeSavingMs: Math.max(0, plan.workMs - engine.prefillMs(request, tokens)),
 		isHomeGuess: true,
 	};
--- a/src/routing/rate.ts
+++ b/src/routing/rate.ts
@@ -22,6 +22,6 @@
 
 	/** Returns the amount per millisecond. */
 	rate(nowMs: number): number {
-		return this.#sum * Math.exp((this.#atMs - nowMs) / this.#windowMs) / this.#windowMs;
+		return this.#sum === 0 ? 0 : this.#sum * Math.exp((this.#atMs - nowMs) / this.#windowMs) / this.#windowMs;
 	}
 }
--- a/src/routing/reuse.ts
+++ b/src/routing/reuse.ts
@@ -19,7 +19,7 @@
  * Share of the beginnings of unknown location that are expected to be at their home engine, before anything is observed. After a restart
  * of the schedulers it is higher, after a start of the whole system 0; either shows within some tens of prefills.
  */
-export const PRIOR_HOME_SHARE = 0.5;
+const PRIOR_HOME_SHARE = 0.5;
 /**
  * Weight of placing a beginning that no engine is known to have cached at its home, as a multiple of the time that it saves there. Later
  * schedulers find it there. In the trials a weight under 1 left most beginnings elsewhere, because the cost of connections and remote
@@ -117,6 +117,48 @@
 	return savingMs * HOME_WEIGHT * Math.max(0, 1 - utilisation);
 }
 
+/** What completed prefills showed about what was believed of the caches. */
+export const REUSE_OUTCOMES = {
+	/** The parts that should have been cached, or fetched, were. */
+	hit: 'hit',
+	miss: 'miss',
+	/** A beginning of unknown location was cached at its home. */
+	homeHit: 'home-hit',
+	homeMiss: 'home-miss',
+} as const;
+export type ReuseOutcome = (typeof REUSE_OUTCOMES)[keyof typeof REUSE_OUTCOMES];
+
+/** What a pool's prefills showed about the caches. */
+export class PoolReuse {
+	readonly #homes = new HitShare(PRIOR_HOME_SHARE);
+	readonly #counts = new Map<ReuseOutcome, number>();
+
+	/** Share of the beginnings of unknown location that are cached at their home. */
+	get homeShare(): number {
+		return this.#homes.value;
+	}
+
+	/** Number of prefills by what they showed. */
+	get counts(): ReadonlyMap<ReuseOutcome, number> {
+		return this.#counts;
+	}
+
+	/** Records whether a beginning of unknown location was cached at its home. */
+	recordHome(isHit: boolean): void {
+		this.#homes.record(isHit);
+		this.#count(isHit ? REUSE_OUTCOMES.homeHit : REUSE_OUTCOMES.homeMiss);
+	}
+
+	/** Records whether the parts that should have been cached were. */
+	recordBelief(isHit: boolean): void {
+		this.#count(isHit ? REUSE_OUTCOMES.hit : REUSE_OUTCOMES.miss);
+	}
+
+	#count(outcome: ReuseOutcome): void {
+		this.#counts.set(outcome, (this.#counts.get(outcome) ?? 0) + 1);
+	}
+}
+
 /**
  * How often beginnings are used. Beyond the limit those known for longest are removed: an order by last use would change the map at each
  * request, which took half as long as the whole placement.
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -16,7 +16,7 @@
 import {
 	LATE_PRIORITY, MILESTONES, type MilestoneDetails, type MilestoneName, type ObservedRequest, type PlacementDecision, type PlacementRequest,
 } from './request.js';
-import {IS_REUSE_WEIGHED} from './reuse.js';
+import {IS_REUSE_WEIGHED, type PoolReuse} from './reuse.js';
 import {EngineSelector, type EngineSelection} from './selection.js';
 import {PoolSpeed} from './speed.js';
 
@@ -117,6 +117,11 @@
 		return this.#openRequests.size;
 	}
 
+	/** Numbers of prefills by what they showed about the caches, by service. */
+	listReuseCounts(): ReadonlyArray<readonly [service: string, counts: PoolReuse['counts']]> {
+		return [...this.#speeds].map(([service, {reuse}]) => [service, reuse.counts]);
+	}
+
 	/** Places a new request, or again one whose engine failed. */
 	place(received: PlacementRequest, nowMs: number): PlacementDecision {
 		this.#expireRequests(nowMs);
--- a/src/routing/speed.ts
+++ b/src/routing/speed.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import {HitShare, PRIOR_HOME_SHARE} from './reuse.js';
+import {PoolReuse} from './reuse.js';
 
 /** The part of a prompt that an engine prefills. */
 export type PrefillSize = {
@@ -157,8 +157,12 @@
 		return this.#error;
 	}
 
-	estimateMs(size: PrefillSize, includesOverhead: boolean): number {
-		return dotProduct(this.#toFeatures(size, includesOverhead), this.#coefficients ?? this.#getPriorVector());
+	/** Calculates without an array of features, since each placement needs several estimates for every engine. */
+	estimateMs({uncachedTokens, cachedTokens}: PrefillSize, includesOverhead: boolean): number {
+		const coefficients = this.#coefficients ?? this.#getPriorVector();
+		const pairs = uncachedTokens * (cachedTokens + (uncachedTokens / 2));
+		const overheadMs = includesOverhead ? coefficients[0] : 0;
+		return overheadMs + (uncachedTokens / 1000 * coefficients[1]) + (pairs / 1_000_000 * coefficients[2]) + (Math.ceil(uncachedTokens / this.#chunkTokens) * coefficients[3]);
 	}
 
 	record(sample: PrefillSample): void {
@@ -216,8 +220,8 @@
 
 /** Learnt speeds of one pool. */
 export class PoolSpeed {
-	/** Share of the beginnings of unknown location that are cached at their home. */
-	readonly homes = new HitShare(PRIOR_HOME_SHARE);
+	/** What the prefills showed about the caches. */
+	readonly reuse = new PoolReuse();
 	readonly prefill = new PrefillModel();
 	/** Prefill at decode engines; assumed to be slower by a constant factor until it is measured. */
 	readonly decodePrefill = new PrefillModel(() => {
