--- a/src/routing/reuse.ts
+++ b/src/routing/reuse.ts
@@ -48,8 +48,8 @@
 };
 
 /**
- * Counts the tokens of a prompt that are expected to be cached. The time of a prefill is estimated once with this number: a second estimate
- * for the case that the belief is wrong made placements slower by a half.
+ * Counts the tokens of a prompt that are expected to be cached. The time of a prefill is estimated once with this number, not once for each
+ * case, since each placement needs it for every engine.
  *
  * @example
  * ```ts
@@ -160,8 +160,8 @@
 }
 
 /**
- * How often beginnings are used. Beyond the limit those known for longest are removed: an order by last use would change the map at each
- * request, which took half as long as the whole placement.
+ * How often beginnings are used. Beyond the limit those known for longest are removed, so that a request with a known beginning does not
+ * change the map.
  */
 export class BeginningDemand {
 	readonly #rates = new Map<string, DecayingRate>();
