Settings may hold null where the platform has no value

All processes ended at their start on deployments without an external service: "/duties/address/0 must be string". The platform renders a placeholder without a value as null, not as nothing. The test of the templates now renders both (red before).

--- a/test/usagesystem.test.ts
+++ b/test/usagesystem.test.ts
@@ -230,19 +230,21 @@
 for (const role of ['entry', 'control']) {
 	test(`the settings template of ${role} hosts is valid with and without an external service`, async () => {
 		const template = await readFile(path.join(ROOT, `deploy/${role}.json`), 'utf8');
-		const render = (values: Record<string, unknown>) => {
+		const render = (values: Record<string, unknown>, missing = '') => {
 			const common: Record<string, unknown> = {
 				'node-name': 'n', zone: 'a', ip: '10.0.0.1', 'internal-ports.0': 7000, 'listen.front': '10.0.0.1:80', 'listen.ready-addr': '10.0.0.1:81', 'listen.control': '10.0.0.1:82', 'data-dir': '/d', seeds: [], bootstrap: true, 'heartbeat-ms': 1000, 'bounds.grace-s': 5, 'bounds.lease-ms': 3000, 'bounds.retry-budget-ratio': 0.2, 'bounds.budget-window-s': 10, 'bounds.retry-budget-slack': 10, 'bounds.catch-up-s': 20, ...values,
 			};
-			const text = template.replaceAll(/\{\{([^\|]+)\|json\}\}/gv, (_placeholder, name: string) => name in common ? JSON.stringify(common[name]) : '');
+			const text = template.replaceAll(/\{\{([^\|]+)\|json\}\}/gv, (_placeholder, name: string) => name in common ? JSON.stringify(common[name]) : missing);
 			return validate('PlatformSettings', JSON.parse(text));
 		};
 
 		const without = render({});
 		assert.ok(Either.isRight(without), JSON.stringify(without));
 		assert.deepEqual(without.right.duties, {
-			address: [], list: [], callsPerSecond: [], reportWindowS: [],
+			address: [], list: [], callsPerSecond: [], reportWindowS: [], ...(role === 'control' && {adaptsCapacity: false}),
 		});
+		// Guards against hosts that end at their start: the platform renders a placeholder without a value as null.
+		assert.ok(Either.isRight(render({}, 'null')));
 		const named = render({
 			'cloud.address': '10.0.0.9:90', 'cloud.duties': ['usage', 'scaling'], 'cloud.duty-per-s': 5, 'bounds.report-window-s': 5,
 		});
