--- a/review/7/case.js
+++ b/review/7/case.js
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {Deployment, sleep} from '../parts-2/deployment.js';
+import {sleep} from '../parts-2/deployment.js';
 import {
 	createId, publish, send, waitUntilReady,
 } from '../parts-2/platform.js';
@@ -17,8 +17,7 @@
 const EVENT_INTERVAL_MS = 100;
 const KILL_AFTER_MS = 1000;
 
-const deployment = new Deployment({controls: 1, entries: 2});
-await runCase(new URL('.', import.meta.url), deployment, async (note, isTroubled) => {
+await runCase(new URL('.', import.meta.url), {controls: 3, entries: 5}, async (deployment, note, isTroubled) => {
 	const {server, announcer} = await startModelServer(deployment, 1, (attempt, socket) => {
 		note(`server runs ${attempt}`);
 		writeStream(attempt, socket, () => {
@@ -29,7 +28,7 @@
 	await sleep(2500);
 	announcer.start();
 	await publish(deployment, createConfiguration());
-	await waitUntilReady(deployment, ['entry-1', 'entry-2']);
+	await waitUntilReady(deployment, deployment.listEntries());
 	const answers = Array.from({length: CLIENTS}, async () => {
 		const id = createId();
 		note(`client sends ${id}`);
--- a/review/parts-2/case.js
+++ b/review/parts-2/case.js
@@ -5,24 +5,32 @@
  */
 import fs from 'node:fs';
 import process from 'node:process';
+import {Deployment} from './deployment.js';
 
 const EXIT = {held: 0, broken: 1, notRun: 2};
 /** A case that takes longer could not run. */
 const MAX_MS = 115_000;
 
 /**
- * Runs a case in a deployment. `play` gets a function that adds a line to the record and whether there is trouble, and returns the reasons
+ * Runs a case in a new deployment. `play` gets the deployment, a function that adds a line to the record and whether there is trouble, and returns the reasons
  * why the rule is broken; none if it held.
  */
-export async function runCase(folder, deployment, play) {
+export async function runCase(folder, size, play) {
 	const startedMs = Date.now();
 	const lines = [];
 	const note = text => {
 		lines.push(`${((Date.now() - startedMs) / 1000).toFixed(2)} s  ${text}`);
 	};
 
+	let deployment;
+	let isFinishing = false;
 	const finish = async exitCode => {
-		await deployment.close();
+		if (isFinishing) {
+			return;
+		}
+
+		isFinishing = true;
+		await deployment?.close();
 		fs.writeFileSync(new URL('record.txt', folder), `${lines.join('\n')}\n`);
 		// Connections of stand-ins may still be open.
 		// eslint-disable-next-line unicorn/no-process-exit
@@ -35,12 +43,14 @@
 	};
 
 	const isTroubled = process.env.TROUBLE !== '0';
-	setTimeout(stop, MAX_MS, 'The case took too long.').unref();
+	setTimeout(stop, MAX_MS, 'The case took too long.');
 	process.once('SIGTERM', () => stop('The case was stopped.'));
 	process.once('SIGINT', () => stop('The case was stopped.'));
+	process.once('uncaughtException', error => stop(`The case could not run: ${error.stack}`));
 	note(`Trouble: ${isTroubled ? 'yes' : 'no'}.`);
 	try {
-		const reasons = await play(note, isTroubled);
+		deployment = new Deployment(size);
+		const reasons = await play(deployment, note, isTroubled);
 		for (const reason of reasons) {
 			note(`BROKEN: ${reason}`);
 		}
--- a/review/parts-2/deployment.js
+++ b/review/parts-2/deployment.js
@@ -45,6 +45,9 @@
 		// The process number keeps cases apart that run at the same time.
 		this.network = `127.${20 + (process.pid % 200)}.${Math.trunc(process.pid / 200) % 250}`;
 		this.processes = new Map();
+		/** Other programs that the case has started, such as clients. */
+		this.programs = new Set();
+		this.isClosed = false;
 		this.machines = new Map();
 		for (let index = 1; index <= controls; index++) {
 			this.machines.set(`control-${index}`, {role: ROLES.control, ip: `${this.network}.${index}`, zone: `z${index}`});
@@ -81,8 +84,16 @@
 		return [...this.machines].filter(([, {role}]) => role === ROLES.control).map(([name]) => name);
 	}
 
+	listEntries() {
+		return [...this.machines].filter(([, {role}]) => role === ROLES.entry).map(([name]) => name);
+	}
+
 	/** Starts one machine's process and notes how it ends. */
 	start(name, {isFirst = true} = {}) {
+		if (this.isClosed) {
+			return;
+		}
+
 		const {role} = this.machines.get(name);
 		const file = path.join(this.folder, `${name}.json`);
 		fs.writeFileSync(file, fillTemplate(fs.readFileSync(path.join(ROOT, 'deploy', `${role}.json`), 'utf8'), this.createSettings(name, isFirst)));
@@ -123,6 +134,11 @@
 
 	/** Ends all processes and removes the temporary folder. */
 	async close() {
+		this.isClosed = true;
+		for (const program of this.programs) {
+			program.kill('SIGKILL');
+		}
+
 		for (const running of this.processes.values()) {
 			running.isStopped = true;
 			if (running.end === undefined) {
--- a/review/parts-2/floodcase.js
+++ b/review/parts-2/floodcase.js
@@ -29,7 +29,7 @@
 		throw new Error('An ordinary request is not served in calm.');
 	}
 
-	const client = await startFlood(deployment.front(ENTRY), note, flood);
+	const client = await startFlood(deployment, note, flood);
 	const ordinary = [];
 	const untilMs = Date.now() + flood.holdMs - LAST_MS;
 	while (Date.now() < untilMs) {
@@ -47,9 +47,9 @@
 }
 
 /** Starts the flood and waits until all of it has been sent. */
-async function startFlood(front, note, flood) {
+async function startFlood(deployment, note, flood) {
 	return new Promise(resolve => {
-		const client = startProgram('flood.js', {...front, ...flood}, line => {
+		const client = startProgram(deployment, 'flood.js', {...deployment.front(ENTRY), ...flood}, line => {
 			note(`flood on ${flood.connections} connections: ${line}`);
 			if (line === 'sent') {
 				resolve(client);
--- a/review/parts-2/watch.js
+++ b/review/parts-2/watch.js
@@ -30,8 +30,9 @@
 }
 
 /** Starts a program of this folder with one JSON argument; its output goes line by line to a function. */
-export function startProgram(name, options, onLine) {
+export function startProgram(deployment, name, options, onLine) {
 	const child = spawn(process.execPath, [fileURLToPath(new URL(name, import.meta.url)), JSON.stringify(options)], {stdio: ['ignore', 'pipe', 'inherit']});
+	deployment.programs.add(child);
 	child.stdout.setEncoding('utf8');
 	child.stdout.on('data', text => {
 		for (const line of text.trim().split('\n')) {
