Tell a reset of a server's connection from its end

Cause: libuv reports a reset as the end of the stream if the last bytes arrive in the same turn of the event loop; no error follows, and ServerConnection relied on one. The clients of the project's own interface used the HTTP client's default connections, which take any reset for the end of such a response. Change: watchPeerClose asks for the peer's address in the end event. The kernel knows it after an end, not after a reset. All readers of servers use it: published routes, relays, the own interface (ServerAgent, shared by its two clients), orders and duties. Ruled out: the upload as the cause (the same without one).

--- a/src/control/order.ts
+++ b/src/control/order.ts
@@ -11,6 +11,7 @@
 import net from 'node:net';
 import type {Clock} from '../base/clock.js';
 import type {Announcement} from '../generated/types.js';
+import {watchPeerClose} from '../wire/reset.js';
 import type {OrderReport, SendOrderEffect} from './controller.js';
 import type {OpenOrder} from './state.js';
 
@@ -180,6 +181,7 @@
 }
 
 function writeRequest(socket: net.Socket, request: OrderRequest, resolve: (reply: OrderReply | undefined) => void): void {
+	const peerClose = watchPeerClose(socket);
 	const outgoing = http.request({
 		createConnection: () => socket,
 		method: request.method,
@@ -206,7 +208,7 @@
 			}
 		});
 		response.once('end', () => {
-			resolve(parseReply(response.statusCode ?? 0, text));
+			resolve(peerClose.isReset ? undefined : parseReply(response.statusCode ?? 0, text));
 		});
 	});
 	outgoing.end(request.body);
--- a/src/daemon/carawayhoistd.ts
+++ b/src/daemon/carawayhoistd.ts
@@ -10,7 +10,7 @@
 import {createLoggers} from '../base/logger.js';
 import {createProblem, type Problem} from '../base/problem.js';
 import {VERSION} from '../base/version.js';
-import {formatUrlHost} from '../entry/engine.js';
+import {formatUrlHost} from '../entry/agent.js';
 import {Host} from './host.js';
 import {readSettings, type SettingsFailure} from './settings.js';
 import {holdSignal} from './signals.js';
--- a/src/entry/engine.ts
+++ b/src/entry/engine.ts
@@ -8,8 +8,10 @@
  */
 import type {Buffer} from 'node:buffer';
 import {createParser} from 'eventsource-parser';
-import {Agent, Client, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {Announcement} from '../generated/types.js';
+import type {ServerConnection} from '../serving/serverconnection.js';
+import {isConnectError, ServerAgent, type ServerHandler} from './agent.js';
 
 /** How an attempt ended. */
 export type AttemptResult
@@ -67,8 +69,6 @@
 	cancel(): void;
 };
 
-const IDLE_CONNECTION_MS = 4000;
-const CONNECT_TIMEOUT_MS = 1000;
 const MAX_ERROR_CHARACTERS = 2000;
 /** Most bytes of a stream without a complete event. */
 const MAX_EVENT_BYTES = 1024 * 1024;
@@ -76,14 +76,7 @@
 
 /** HTTP client for engines, with a connection pool. Its creator must close it. */
 export class EngineClient {
-	readonly #agent = new Agent({
-		pipelining: 1,
-		keepAliveTimeout: IDLE_CONNECTION_MS,
-		keepAliveMaxTimeout: IDLE_CONNECTION_MS,
-		connect: {timeout: CONNECT_TIMEOUT_MS},
-		headersTimeout: 0,
-		bodyTimeout: 0,
-	});
+	readonly #agent = new ServerAgent();
 
 	/**
 	 * Starts an attempt.
@@ -95,27 +88,17 @@
 	 * ```
 	 */
 	start(server: Announcement, attempt: AttemptOptions): RunningAttempt {
-		const origin = `http://${formatUrlHost(server.address)}:${server.port}`;
-		const dispatcher = attempt.usesNewConnection ? createUnpooledClient(origin) : this.#agent;
 		const handler = new AttemptHandler(attempt);
-		const options: Dispatcher.DispatchOptions = {
-			origin,
+		const finish = this.#agent.send(server, {
+			id: attempt.id,
 			path: attempt.path,
 			method: 'POST',
-			headers: {
-				'content-type': 'application/json',
-				'x-request-id': attempt.id,
-				'x-priority': String(attempt.priority),
-			},
+			headers: {'content-type': 'application/json', 'x-priority': String(attempt.priority)},
 			body: JSON.stringify(attempt.body),
-			reset: attempt.usesNewConnection,
-		};
-		dispatcher.dispatch(options, handler);
+			usesNewConnection: attempt.usesNewConnection,
+		}, handler);
 		const result = handler.result.then(settled => {
-			if (attempt.usesNewConnection) {
-				void dispatcher.destroy();
-			}
-
+			void finish();
 			return settled;
 		});
 		return {
@@ -126,28 +109,13 @@
 	}
 
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await this.#agent.close();
 	}
 }
 
-/**
- * Formats an IP address as the host of a URL.
- *
- * @example
- * ```ts
- * formatUrlHost('::1'); // '[::1]'
- * ```
- */
-export function formatUrlHost(address: string): string {
-	return address.includes(':') ? `[${address}]` : address;
-}
-
-function createUnpooledClient(origin: string): Client {
-	return new Client(origin, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
-}
-
 /** Handles the response to one attempt as undici delivers it. */
-class AttemptHandler implements Dispatcher.DispatchHandler {
+class AttemptHandler implements ServerHandler {
+	connection: ServerConnection | undefined;
 	readonly result: Promise<AttemptResult>;
 	readonly #attempt: AttemptOptions;
 	readonly #decoder = new TextDecoder();
@@ -227,6 +195,11 @@
 	}
 
 	onResponseEnd(): void {
+		if (this.#status !== 200 && this.connection?.isReset) {
+			this.finish({type: 'broken'});
+			return;
+		}
+
 		if (this.#status !== 200) {
 			const type = REFUSED_STATUSES.has(this.#status) || this.#status >= 500 ? 'refused' : 'rejected';
 			this.finish({type, status: this.#status, text: this.#errorText});
@@ -244,8 +217,7 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
-		const isUnreachable = error.code === 'ECONNREFUSED' || error.code === 'UND_ERR_CONNECT_TIMEOUT' || error.code === 'EHOSTUNREACH';
-		this.finish({type: isUnreachable ? 'unreachable' : 'broken'});
+		this.finish({type: isConnectError(error) ? 'unreachable' : 'broken'});
 	}
 
 	finish(result: AttemptResult): void {
--- a/src/entry/operator.ts
+++ b/src/entry/operator.ts
@@ -21,7 +21,7 @@
 import {
 	parseJson, readHeader, sendJson, sendProblem, type Exchange,
 } from './exchange.js';
-import {formatUrlHost} from './engine.js';
+import {formatUrlHost} from './agent.js';
 import type {RequestJournal} from './journal.js';
 import type {ResourceView, ViewTask} from './view.js';
 
--- a/src/entry/plain.ts
+++ b/src/entry/plain.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import type {Buffer} from 'node:buffer';
-import {Agent, Client, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {ByteCollector} from '../base/bytes.js';
 import type {Announcement} from '../generated/types.js';
-import {formatUrlHost} from './engine.js';
+import type {ServerConnection} from '../serving/serverconnection.js';
+import {isConnectError, ServerAgent, type ServerHandler} from './agent.js';
 
 export type PlainRequest = {
 	readonly id: string;
@@ -33,21 +34,11 @@
 	/** The server may have run the request. */
 		| {readonly type: 'unknown'; readonly text: string};
 
-const CONNECT_TIMEOUT_MS = 1000;
-const IDLE_CONNECTION_MS = 4000;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /** Sends requests to plain servers over a connection pool. Its creator must close it. */
 export class PlainClient {
-	readonly #agent = new Agent({
-		pipelining: 1,
-		keepAliveTimeout: IDLE_CONNECTION_MS,
-		keepAliveMaxTimeout: IDLE_CONNECTION_MS,
-		connect: {timeout: CONNECT_TIMEOUT_MS},
-		headersTimeout: 0,
-		bodyTimeout: 0,
-	});
+	readonly #agent = new ServerAgent();
 
 	/**
 	 * Sends a request once and returns its result.
@@ -59,32 +50,28 @@
 	 * ```
 	 */
 	async send(server: Announcement, request: PlainRequest): Promise<PlainResult> {
-		const origin = `http://${formatUrlHost(server.address)}:${server.port}`;
-		const dispatcher = request.usesNewConnection ? new Client(origin, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0}) : this.#agent;
 		const handler = new PlainHandler(request);
-		dispatcher.dispatch({
-			origin,
+		const finish = this.#agent.send(server, {
+			id: request.id,
 			path: request.path,
 			method: request.method,
-			headers: {...request.headers, 'x-request-id': request.id},
+			headers: request.headers,
 			body: request.body.length > 0 ? request.body : null,
-			reset: request.usesNewConnection,
+			usesNewConnection: request.usesNewConnection,
 		}, handler);
 		const result = await handler.result;
-		if (request.usesNewConnection) {
-			await dispatcher.destroy();
-		}
-
+		await finish();
 		return result;
 	}
 
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await this.#agent.close();
 	}
 }
 
 /** Handles the response to one request as undici delivers it. */
-class PlainHandler implements Dispatcher.DispatchHandler {
+class PlainHandler implements ServerHandler {
+	connection: ServerConnection | undefined;
 	readonly result: Promise<PlainResult>;
 	readonly #request: PlainRequest;
 	readonly #body = new ByteCollector();
@@ -139,6 +126,11 @@
 	}
 
 	onResponseEnd(): void {
+		if (this.connection?.isReset) {
+			this.#fail('The connection was reset before the answer was complete.');
+			return;
+		}
+
 		if (this.#refusal !== undefined) {
 			this.#finish({type: 'not-run', text: this.#refusal});
 			return;
@@ -149,7 +141,7 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
-		if (!this.#hasRequestStarted || CONNECT_ERRORS.has(error.code ?? '')) {
+		if (!this.#hasRequestStarted || isConnectError(error)) {
 			this.#finish({type: 'not-run', text: 'No connection could be made.'});
 			return;
 		}
--- a/src/serving/serverconnection.ts
+++ b/src/serving/serverconnection.ts
@@ -8,6 +8,7 @@
 import {Client, type Dispatcher} from 'undici';
 import type {Address} from '../wire/connection.js';
 import type {ServerConnector} from '../wire/connector.js';
+import {watchPeerClose, type PeerClose} from '../wire/reset.js';
 
 /** Receives whether connections to servers could be established. */
 export interface ConnectionObserver {
@@ -27,10 +28,17 @@
 	readonly onConnection: (connection: ServerConnection) => void;
 };
 
+export type ServerConnectionOptions = {
+	readonly connect: ServerConnector;
+	readonly observer?: ConnectionObserver | undefined;
+	/** Milliseconds; has a default. */
+	readonly connectTimeoutMs?: number;
+};
+
 type ConnectCallback = (...result: [null, net.Socket] | [Error, null]) => void;
 
 /**
- * A connection to a server that records whether it was reset, and which requests it has carried. The library does not report a
+ * A connection to a server that knows whether it was reset, and which requests it has carried. The library does not report a
  * reset, and a response without a content length that is cut off by one would look complete. An earlier response that a server
  * repeats is recognized by its request ID, so a request whose ID the connection has carried already goes to a new connection.
  */
@@ -38,11 +46,12 @@
 	/** The exchange that the received bytes belong to. */
 	exchange: {checkFraming(): void} | undefined;
 	#socket: net.Socket | undefined;
-	#isReset = false;
+	#peerClose: PeerClose | undefined;
 	#requestCount = 0;
 	readonly #idHashes = new Set<number>();
+	readonly #connectTimeoutMs: number;
 
-	constructor(origin: string | URL, options: Client.Options, connect: ServerConnector, observer: ConnectionObserver | undefined) {
+	constructor(origin: string | URL, options: Client.Options, {connect, observer, connectTimeoutMs = CONNECT_TIMEOUT_MS}: ServerConnectionOptions) {
 		super(origin, {
 			...options,
 			connect: ({hostname, port}: {hostname: string; port: string}, callback: ConnectCallback) => {
@@ -59,10 +68,11 @@
 				});
 			},
 		});
+		this.#connectTimeoutMs = connectTimeoutMs;
 	}
 
 	get isReset(): boolean {
-		return this.#isReset;
+		return this.#peerClose?.isReset ?? false;
 	}
 
 	/** Bytes received since the connection was established. */
@@ -92,10 +102,9 @@
 
 	/** Waits until a connection is established. */
 	#handshake(socket: net.Socket, callback: ConnectCallback): void {
-		this.#isReset = false;
 		const timer = setTimeout(() => {
-			socket.destroy(new Error('Connecting to the server timed out.'));
-		}, CONNECT_TIMEOUT_MS);
+			socket.destroy(Object.assign(new Error('Connecting to the server timed out.'), {code: 'ETIMEDOUT'}));
+		}, this.#connectTimeoutMs);
 		const fail = (error: Error) => {
 			clearTimeout(timer);
 			callback(error, null);
@@ -105,9 +114,7 @@
 		socket.once('connect', () => {
 			clearTimeout(timer);
 			socket.removeListener('error', fail);
-			socket.on('error', () => {
-				this.#isReset = true;
-			});
+			this.#peerClose = watchPeerClose(socket);
 			this.#socket = socket;
 			this.#requestCount = 0;
 			this.#idHashes.clear();
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -157,7 +157,7 @@
 		let pool = this.#pools.get(key);
 		if (!pool) {
 			pool = new Pool(`http://${key}`, {
-				factory: (origin, options) => new ServerConnection(origin, options, this.#connect, this.#observer),
+				factory: (origin, options) => new ServerConnection(origin, options, {connect: this.#connect, observer: this.#observer}),
 				connections: maxConnections,
 				pipelining: 1,
 				headersTimeout: 0,
--- a/test/hostileclients.ts
+++ b/test/hostileclients.ts
@@ -50,13 +50,20 @@
 	readonly maxFds: number;
 };
 
-/** Starts a control host, an entry host and a plain server, and waits until a request is answered. All are stopped after the test. */
-export async function startMachines(t: TestContext, stub: Partial<StubBackendOptions> = {}, limits: Record<string, number> = {}) {
+/**
+ * Starts a control host, an entry host, a plain server and perhaps an engine, and waits until a request is answered by the plain one.
+ * All are stopped after the test.
+ */
+export async function startMachines(t: TestContext, stub: Partial<StubBackendOptions> = {}, limits: Record<string, number> = {}, engine?: StubBackendOptions) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'hostile-'));
 	const children: ChildProcess[] = [];
 	const server = new StubBackend({id: 'p1', service: 'plain', ...stub});
+	const servers = engine ? [server, new StubBackend(engine)] : [server];
 	t.after(async () => {
-		server.stop();
+		for (const started of servers) {
+			started.stop();
+		}
+
 		for (const child of children) {
 			child.kill('SIGKILL');
 		}
@@ -84,9 +91,11 @@
 	const entry = await start('h1', ENTRY_FLAGS, {
 		role: 'entry', address: '127.0.0.2', callers: `127.0.0.2:${callers}`, readiness: `127.0.0.2:${readiness}`, resources: {memoryMb: [ENTRY_MACHINE.memoryMb], maxFds: [ENTRY_MACHINE.maxFds]},
 	});
-	await server.start();
+	await Promise.all(servers.map(async started => started.start()));
 	const announce = () => {
-		void server.announce(`127.0.0.1:${operators}`).catch(() => undefined);
+		for (const started of servers) {
+			void started.announce(`127.0.0.1:${operators}`).catch(() => undefined);
+		}
 	};
 
 	const timer = setInterval(announce, 300);
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -9,6 +9,9 @@
 /** Limit on what is read of a response besides its body, with the socket buffers of both sides and one write. */
 const MAX_SENT_BYTES = 16 * 1024 * 1024;
 
+/** More than the buffers of both sides of a connection hold. */
+const UPLOAD_BYTES = 16 * 1024 * 1024;
+
 type Result = {
 	readonly outcome: 'complete' | 'unsent' | 'broken';
 	readonly body: string;
@@ -30,6 +33,28 @@
 	assert.equal((await ask()).outcome, 'broken');
 });
 
+// Guards against a part of a response that counts as whole: Node reports a reset that arrives with the last bytes as an end.
+for (const [name, body] of [['', undefined], [' while the request is still being sent', Buffer.alloc(UPLOAD_BYTES)]] as const) {
+	test(`a response without a content length is broken if its last bytes arrive together with a reset${name}`, async t => {
+		const {ask, port} = await startServer(t, respondOnce(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf');
+			socket.resetAndDestroy();
+		}));
+		for (let index = 0; index < 20; index++) {
+			assert.equal((await ask({...createRequest(port), ...(body && {body})})).outcome, 'broken');
+		}
+	});
+
+	test(`a response without a content length is complete if its last bytes arrive together with the end of the connection${name}`, async t => {
+		const {ask, port} = await startServer(t, respondOnce(socket => {
+			socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall of it');
+		}), {allowHalfOpen: true});
+		for (let index = 0; index < 20; index++) {
+			assert.deepEqual(await ask({...createRequest(port), ...(body && {body})}), {outcome: 'complete', body: 'all of it'});
+		}
+	});
+}
+
 test('a response that is shorter than its content length is broken', async t => {
 	const {ask} = await startServer(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf');
@@ -132,6 +157,17 @@
 	await isClosed;
 });
 
+/** Responds to the first bytes on each connection. */
+function respondOnce(respond: (socket: Socket) => void): (socket: Socket) => void {
+	const answered = new WeakSet<Socket>();
+	return socket => {
+		if (!answered.has(socket)) {
+			answered.add(socket);
+			respond(socket);
+		}
+	};
+}
+
 /** Writes a text again and again, as fast as it is read, until the socket is closed. */
 function sendWithoutEnd(socket: Socket, text: string, onWritten?: (size: number) => void): void {
 	const send = () => {
@@ -154,9 +190,9 @@
 	after(handler: () => void): void;
 };
 
-async function startServer(t: TestContext, onRequest: (socket: Socket) => void) {
+async function startServer(t: TestContext, onRequest: (socket: Socket) => void, options: net.ServerOpts = {}) {
 	let connections = 0;
-	const server = net.createServer(socket => {
+	const server = net.createServer(options, socket => {
 		connections++;
 		socket.on('error', () => undefined);
 		socket.on('data', () => {
