Responses without a length are passed on with one, or in chunks

Cause: Caller repeated the server's framing. The operating system ends the connections of a killed process in the ordinary way, so the end of the connection must not be the mark of a complete response. Change: streamed responses are sent in chunks and buffered ones with their length, whatever marked their end at the server. A client of HTTP/1.0, which cannot read chunks, gets a stream with its length once it is complete, and 502 if it is broken off. The memory for responses counts what is unread by itself (ResponseMemory is the store of a Caller).

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -197,7 +197,9 @@
 			loadTracker: new LoadTracker(),
 			retryBudget: this.#retryBudget,
 			placement: this.#placementClient,
-			responseMemory: new ResponseMemory(options.maxResponseBytes, this.#clients.limits.responseBytes),
+			responseMemory: new ResponseMemory(options.maxResponseBytes, this.#clients.limits.responseBytes, () => {
+				this.#clients.recordRefusal('unread');
+			}),
 			clients: this.#clients,
 			crashes: this.#crashMonitor,
 			availability: this.#availability,
--- a/src/serving/buffer.ts
+++ b/src/serving/buffer.ts
@@ -6,7 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import {BufferPool} from '../base/bufferpool.js';
 import {ByteCollector} from '../base/bytes.js';
-import type {Caller} from './caller.js';
+import type {Caller, ResponseStore} from './caller.js';
 
 /** Default limit of one response. Larger ones are streamed, and a server that sends more is more likely broken. */
 export const DEFAULT_MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -22,23 +22,24 @@
 type UnreadResponse = {
 	readonly caller: Pick<Caller, 'writeProgress' | 'onClose' | 'cut'>;
 	readonly bytes: number;
-	/** Called when the response is cut. */
-	readonly onCut: () => void;
 };
 
 /** The memory for the buffered responses of one host. */
-export class ResponseMemory {
+export class ResponseMemory implements ResponseStore {
 	readonly #maxResponseBytes: number;
 	readonly #maxTotalBytes: number;
+	readonly #onCut: () => void;
 	/** Calls whose response has been sent and whose clients have not read it. */
 	readonly #unread = new Set<UnreadResponse>();
 	/** The buffers that a response has outgrown. */
 	readonly #pool: BufferPool;
 	#usedBytes = 0;
 
-	constructor(maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES, maxTotalBytes = MAX_BUFFERED_BYTES) {
+	/** @param onCut - Called when a response is cut because its client does not read it. */
+	constructor(maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES, maxTotalBytes = MAX_BUFFERED_BYTES, onCut: () => void = () => undefined) {
 		this.#maxResponseBytes = maxResponseBytes;
 		this.#maxTotalBytes = maxTotalBytes;
+		this.#onCut = onCut;
 		this.#pool = new BufferPool(maxTotalBytes * POOL_SHARE);
 	}
 
@@ -55,15 +56,13 @@
 	/**
 	 * Counts a response that has been sent until its client has read it. If there is no memory for further responses, the one is cut
 	 * whose client has read nothing for the longest time.
-	 *
-	 * @param onCut - Called if the response is cut.
 	 */
-	keepUnread(caller: UnreadResponse['caller'], body: Buffer, onCut: () => void): void {
+	keepUnread(caller: UnreadResponse['caller'], body: Buffer): void {
 		if (caller.writeProgress === undefined) {
 			return;
 		}
 
-		const unread = {caller, bytes: body.buffer.byteLength, onCut};
+		const unread = {caller, bytes: body.buffer.byteLength};
 		this.#unread.add(unread);
 		this.#usedBytes += unread.bytes;
 		caller.onClose(() => {
@@ -112,7 +111,7 @@
 		}
 
 		this.#forget(slowest);
-		slowest.onCut();
+		this.#onCut();
 		slowest.caller.cut();
 		return true;
 	}
--- a/src/serving/caller.ts
+++ b/src/serving/caller.ts
@@ -5,8 +5,8 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders, ServerResponse} from 'node:http';
-import * as Either from 'fp-ts/lib/Either.js';
-import type {Problem} from '../base/problem.js';
+import {createProblem, type Problem} from '../base/problem.js';
+import type {ResponseBuffer} from './buffer.js';
 import {endAfterLinger, writeInPieces, type WriteProgress} from './responses.js';
 
 /** How a caller's request ended. */
@@ -22,28 +22,39 @@
 } as const;
 export type CallOutcome = keyof typeof CALL_OUTCOMES;
 
-/** How the end of a response body is marked. */
-export const FRAMINGS = {
-	/** By a content length or chunked encoding. */
-	closed: 'closed',
-	/** By closing the connection. */
-	open: 'open',
-} as const;
-export type Framing = keyof typeof FRAMINGS;
+/** Statuses of responses that have no body. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
+/** The memory for responses that a host keeps whole. */
+export type ResponseStore = {
+	createBuffer(): ResponseBuffer;
+	/** Counts a response that has been sent until its client has read it. */
+	keepUnread(caller: Caller, body: Buffer): void;
+};
+
+/** A streamed response that is kept until it is complete. */
+type HeldResponse = {
+	readonly headers: OutgoingHttpHeaders;
+	readonly buffer: ResponseBuffer;
+};
 
 /** One request of a caller and the response to it. It ends exactly once. */
 export class Caller {
 	readonly request: IncomingMessage;
 	readonly #response: ServerResponse;
+	readonly #store: ResponseStore;
 	readonly #endHandlers: Array<(outcome: CallOutcome) => void> = [];
 	#outcome: CallOutcome | undefined;
 	#problem: Problem | undefined;
-	#framing: Framing = FRAMINGS.closed;
+	#hasStartedResponse = false;
+	/** The response to a client that cannot read chunks, and to which only a length can tell that a response is complete. */
+	#held: HeldResponse | undefined;
 	#writeProgress: WriteProgress | undefined;
 
-	constructor(request: IncomingMessage, response: ServerResponse) {
+	constructor(request: IncomingMessage, response: ServerResponse, store: ResponseStore) {
 		this.request = request;
 		this.#response = response;
+		this.#store = store;
 		const handleClose = () => {
 			this.#end(CALL_OUTCOMES.gone);
 		};
@@ -60,9 +71,9 @@
 		return this.#outcome !== undefined;
 	}
 
-	/** Whether the head of a response has been sent. */
+	/** Whether there is a head of a response, which may be held back until the response is complete. */
 	get hasStartedResponse(): boolean {
-		return this.#response.headersSent;
+		return this.#hasStartedResponse;
 	}
 
 	/** The problem that was reported to the caller if the request failed. */
@@ -101,7 +112,7 @@
 
 	/** Closes the connection without ending the response, whose client does not read it. */
 	cut(): void {
-		this.#breakOff();
+		this.#response.destroy();
 		this.request.socket.destroy();
 	}
 
@@ -110,35 +121,60 @@
 		this.#endHandlers.push(handler);
 	}
 
-	/**
-	 * Sends a complete response.
-	 *
-	 * @param framing - With `open`, the response has no content length and closes the connection, like the server's
-	 * response; nobody can tell whether it is complete.
-	 */
-	respond(status: number, headers: OutgoingHttpHeaders, body: Buffer, framing: Framing = FRAMINGS.closed): void {
+	/** Sends a complete response, with its length. */
+	respond(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
 		if (this.isEnded) {
 			return;
 		}
 
-		this.#applyFraming(framing);
-		this.#response.writeHead(status, framing === FRAMINGS.open ? headers : {...headers, 'content-length': body.length});
+		this.#hasStartedResponse = true;
+		const isBodiless = this.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
+		this.#response.writeHead(status, isBodiless ? headers : {...headers, 'content-length': body.length});
 		this.#writeProgress = writeInPieces(this.#response, body);
 		this.#end(CALL_OUTCOMES.answered);
+		this.#store.keepUnread(this, body);
 	}
 
-	/** Sends the head of a response that is streamed. */
-	startResponse(status: number, headers: OutgoingHttpHeaders, framing: Framing = FRAMINGS.closed): void {
-		if (!this.isEnded) {
-			this.#applyFraming(framing);
+	/**
+	 * Sends the head of a response that is streamed. The body is sent in chunks, whose last one tells that it is complete: the operating
+	 * system closes the connections of a process that ends in the same way as that of a response without a length. A client that cannot
+	 * read chunks gets the response with its length once it is complete.
+	 */
+	startResponse(status: number, headers: OutgoingHttpHeaders): void {
+		if (this.isEnded) {
+			return;
+		}
+
+		this.#hasStartedResponse = true;
+		if (this.#response.useChunkedEncodingByDefault) {
 			this.#response.writeHead(status, headers);
 			this.#response.flushHeaders();
+			return;
 		}
+
+		const buffer = this.#store.createBuffer();
+		this.#response.statusCode = status;
+		this.#held = {headers, buffer};
+		this.onEnd(() => {
+			buffer.release();
+		});
 	}
 
 	/** Writes a chunk. Returns false if the send buffer is full; `onDrain` is called once it has drained. */
 	write(chunk: Buffer, onDrain: () => void): boolean {
-		if (this.isEnded || this.#response.write(chunk)) {
+		if (this.isEnded) {
+			return true;
+		}
+
+		if (this.#held) {
+			if (!this.#held.buffer.append(chunk)) {
+				this.fail(createProblem('serverFailed', 'The response is too large for a client that cannot read chunks.'));
+			}
+
+			return true;
+		}
+
+		if (this.#response.write(chunk)) {
 			return true;
 		}
 
@@ -148,14 +184,21 @@
 
 	/** Ends a streamed response that is complete. */
 	endResponse(): void {
-		if (!this.isEnded) {
-			this.#response.end();
-			this.#end(CALL_OUTCOMES.answered);
+		if (this.isEnded) {
+			return;
+		}
+
+		if (this.#held) {
+			this.respond(this.#response.statusCode, this.#held.headers, this.#held.buffer.read());
+			return;
 		}
+
+		this.#response.end();
+		this.#end(CALL_OUTCOMES.answered);
 	}
 
 	/**
-	 * Ends the request with an error response. If a response has started, closes the connection so that it cannot look
+	 * Ends the request with an error response. If a head has been sent, closes the connection so that the response cannot look
 	 * complete.
 	 */
 	fail(problem: Problem, headers: OutgoingHttpHeaders = {}): void {
@@ -164,8 +207,8 @@
 		}
 
 		this.#problem = problem;
-		if (this.hasStartedResponse) {
-			this.#breakOff();
+		if (this.#response.headersSent) {
+			this.#response.destroy();
 			this.#end(CALL_OUTCOMES.broken);
 			return;
 		}
@@ -187,23 +230,6 @@
 		this.#end(CALL_OUTCOMES.refused);
 	}
 
-	/** Closes the connection. A response without a length would look complete, unless its connection is reset. */
-	#breakOff(): void {
-		if (this.#framing === FRAMINGS.open) {
-			this.#response.socket?.resetAndDestroy();
-		}
-
-		this.#response.destroy();
-	}
-
-	#applyFraming(framing: Framing): void {
-		this.#framing = framing;
-		if (framing === FRAMINGS.open) {
-			this.#response.useChunkedEncodingByDefault = false;
-			this.#response.shouldKeepAlive = false;
-		}
-	}
-
 	#end(outcome: CallOutcome): void {
 		if (this.isEnded) {
 			return;
--- a/src/serving/events.ts
+++ b/src/serving/events.ts
@@ -5,8 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {ByteCollector} from '../base/bytes.js';
-import {FRAMINGS} from './caller.js';
-import type {ResponseHead} from './protocol.js';
+import {FRAMINGS, type ResponseHead} from './protocol.js';
 
 const HTTP_OK = 200;
 const LINE_FEED = 10;
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -80,7 +80,7 @@
 
 			this.#connections.accept(request, response, () => {
 				keepAnnouncedTimeout(this.#server, request, response);
-				caller = new Caller(request, response);
+				caller = new Caller(request, response, options.context.responseMemory);
 				void this.#serve(caller, share, arrivedMs);
 			});
 		});
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -139,12 +139,7 @@
 	}
 
 	#respond(head: ResponseHead, body: Buffer): void {
-		const {caller} = this.#call;
-		const {protocol, responseMemory, clients} = this.#context;
-		caller.respond(head.status, protocol.buildResponseHeaders(head.headers), body, head.framing);
-		responseMemory.keepUnread(caller, body, () => {
-			clients.recordRefusal('unread');
-		});
+		this.#call.caller.respond(head.status, this.#context.protocol.buildResponseHeaders(head.headers), body);
 	}
 
 	#mayRetry(outcome: Outcome): boolean {
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -10,7 +10,6 @@
 import type {RoutingConfig} from '../routing/routes.js';
 import type {PromptPart} from '../routing/kvcache.js';
 import type {Address} from '../wire/connection.js';
-import type {Framing} from './caller.js';
 
 /** A prompt for an engine. */
 export type Prompt = {
@@ -76,11 +75,19 @@
 	= | {readonly type: 'rate'; readonly perSecond: number}
 		| {readonly type: 'unreadable'; readonly text: string};
 
+/** How the end of a server's response is marked. */
+export const FRAMINGS = {
+	/** By a content length or chunked encoding. */
+	closed: 'closed',
+	/** By the end of the connection. */
+	open: 'open',
+} as const;
+export type Framing = keyof typeof FRAMINGS;
+
 /** Status and headers of a server's response. */
 export type ResponseHead = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
-	/** How the end of the response is marked. */
 	readonly framing: Framing;
 	/** ID of the request to which the server responds. */
 	readonly echoedId: string | undefined;
