Responses with a status that HTTP does not know are broken

Orders that were answered 000 counted as refused, calls of duties as answered. Cause: parsers let any three digits pass, and nobody checked the status. Evidence: each reader of responses against 10 statuses and 13 malformed header lines, with three framings, on new and used connections, cut at other places. Statuses: red for all six readers, for callers directly and through a relay. Change: src/wire/status.ts; a response with another status is handled like bytes that cannot be parsed, by every reader and behind a relay.

--- a/src/control/order.ts
+++ b/src/control/order.ts
@@ -12,6 +12,7 @@
 import type {Clock} from '../base/clock.js';
 import type {Announcement} from '../generated/types.js';
 import {watchPeerClose} from '../wire/reset.js';
+import {isFinalStatus} from '../wire/status.js';
 import type {OrderReport, SendOrderEffect} from './controller.js';
 import type {OpenOrder} from './state.js';
 
@@ -194,8 +195,14 @@
 		resolve(undefined);
 	});
 	outgoing.once('response', response => {
+		const {statusCode: status = 0} = response;
+		if (!isFinalStatus(status)) {
+			resolve(undefined);
+			return;
+		}
+
 		if (request.ignoresBody === true) {
-			resolve({status: response.statusCode ?? 0, body: {}});
+			resolve({status, body: {}});
 			return;
 		}
 
@@ -208,7 +215,7 @@
 			}
 		});
 		response.once('end', () => {
-			resolve(peerClose.isReset ? undefined : parseReply(response.statusCode ?? 0, text));
+			resolve(peerClose.isReset ? undefined : parseReply(status, text));
 		});
 	});
 	outgoing.end(request.body);
--- a/src/entry/engine.ts
+++ b/src/entry/engine.ts
@@ -11,6 +11,7 @@
 import type {Dispatcher} from 'undici';
 import type {Announcement} from '../generated/types.js';
 import type {ServerConnection} from '../serving/serverconnection.js';
+import {isFinalStatus, isInterimStatus} from '../wire/status.js';
 import {isConnectError, ServerAgent, type ServerHandler} from './agent.js';
 
 /** How an attempt ended. */
@@ -159,6 +160,15 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		if (isInterimStatus(status)) {
+			return;
+		}
+
+		if (!isFinalStatus(status)) {
+			this.finish({type: 'mismatch', text: `The response has the invalid status ${status}.`});
+			return;
+		}
+
 		this.#status = status;
 		const load = headers['carawayhoist-load'];
 		if (typeof load === 'string') {
--- a/src/entry/plain.ts
+++ b/src/entry/plain.ts
@@ -8,6 +8,7 @@
 import {ByteCollector} from '../base/bytes.js';
 import type {Announcement} from '../generated/types.js';
 import type {ServerConnection} from '../serving/serverconnection.js';
+import {isFinalStatus, isInterimStatus} from '../wire/status.js';
 import {isConnectError, ServerAgent, type ServerHandler} from './agent.js';
 
 export type PlainRequest = {
@@ -103,6 +104,15 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		if (isInterimStatus(status)) {
+			return;
+		}
+
+		if (!isFinalStatus(status)) {
+			this.#fail(`The answer has the invalid status ${status}.`);
+			return;
+		}
+
 		this.#status = status;
 		this.#contentType = String(headers['content-type'] ?? 'application/octet-stream');
 		const echoedId = headers['x-request-id'];
--- a/src/serving/relayclient.ts
+++ b/src/serving/relayclient.ts
@@ -9,6 +9,7 @@
 import type {Logger} from '../base/logger.js';
 import type {Message, RelayControl, RelayFailure} from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
+import {isFinalStatus} from '../wire/status.js';
 import type {ServingMetrics} from './metrics.js';
 import type {
 	AttemptFailure, Exchange, ResponseHandler, UpstreamRequest,
@@ -230,10 +231,19 @@
 	}
 
 	receiveHead(status: number, headers: readonly string[]): void {
-		if (!this.#isEnded) {
+		if (this.#isEnded) {
+			return;
+		}
+
+		if (isFinalStatus(status)) {
 			// The relay does not tell what its connection to the server has carried before.
 			this.#handler.onHead(status, parseHeaders(headers), false);
+			return;
 		}
+
+		// Relays of older versions pass on what their server sends.
+		this.#control('cancel');
+		this.#finish('broken', `The server sent a response with the invalid status ${status}.`);
 	}
 
 	receiveData(bytes: Uint8Array): void {
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -8,6 +8,7 @@
 import {Pool, type Dispatcher} from 'undici';
 import type {Address} from '../wire/connection.js';
 import {connectServer, type ServerConnector} from '../wire/connector.js';
+import {isFinalStatus, isInterimStatus} from '../wire/status.js';
 import {
 	CONNECT_TIMEOUT_MS, ServerConnection, type ConnectionObserver, type ServerDispatchOptions,
 } from './serverconnection.js';
@@ -198,17 +199,17 @@
 			onRequestStart: controller => {
 				this.#start(controller);
 			},
-			onResponseStart: (controller, status, headers) => {
+			onResponseStart: (_controller, status, headers) => {
 				if (this.#isEnded) {
 					return;
 				}
 
-				if (status >= 200) {
+				if (isFinalStatus(status)) {
 					responseHandler.onHead(status, headers, this.#isFirst);
+				} else if (!isInterimStatus(status)) {
+					this.#breakOff(`The server sent a response with the invalid status ${status}.`);
 				} else if (++this.#interimHeads > MAX_INTERIM_HEADS) {
-					const error = new Error(`The server sent more than ${MAX_INTERIM_HEADS} interim responses.`);
-					this.#fail(error);
-					controller.abort(error);
+					this.#breakOff(`The server sent more than ${MAX_INTERIM_HEADS} interim responses.`);
 				}
 			},
 			onResponseData: (_controller, chunk) => {
--- a/test/resets.test.ts
+++ b/test/resets.test.ts
@@ -1,18 +1,14 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import net, {type AddressInfo, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {waitUntil} from '../dev/fleet.js';
-import {sendHttpRequest} from '../src/control/order.js';
-import {EngineClient} from '../src/entry/engine.js';
-import {PlainClient} from '../src/entry/plain.js';
-import type {Announcement} from '../src/generated/types.js';
 import {connectServer} from '../src/wire/connector.js';
 import {startMachines} from './hostileclients.js';
 import {HostNetwork} from './network.js';
 import {formatRequest, sendRaw} from './rawclient.js';
+import {READERS, startServer} from './readers.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
@@ -20,10 +16,6 @@
 const BEGUN = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 const FREEZE_MS = 300;
 
-type TestContext = {
-	after(handler: () => Promise<void> | void): void;
-};
-
 /** How a server ends a response without a length, and whether it is complete then. */
 const ENDS = {
 	'a reset with the last bytes': {isComplete: false, end: (socket: Socket) => socket.resetAndDestroy()},
@@ -35,39 +27,18 @@
 	'an end with the last bytes': {isComplete: true, end: (socket: Socket) => socket.end()},
 } as const;
 
-/** Sends one request and tells whether the response, with status 503, counts as complete. */
-type Reader = (server: Announcement) => Promise<boolean>;
-
-const READERS: Record<string, Reader> = {
-	'plain servers of the own door': async server => readAsPlain(server, false),
-	'plain servers of the own door on new connections': async server => readAsPlain(server, true),
-	async 'engines of the own door'(server) {
-		const client = new EngineClient();
-		const {result} = client.start(server, {
-			id: 'r1.1', path: '/v1/completions', body: {}, offset: 0, firstEventTimeoutMs: 5000, eventTimeoutMs: 5000, usesNewConnection: false, priority: 1, onToken: () => undefined, onBatchEnd: () => undefined, onLoad: () => undefined,
-		});
-		const {type} = await result;
-		await client.close();
-		return type === 'refused';
-	},
-	async orders(server) {
-		const reply = await sendHttpRequest(server, {
-			method: 'POST', path: '/-/order', body: '{}', mayWrite: () => true,
-		});
-		return reply !== undefined;
-	},
-};
-
 // Guards against a part of a response that counts as whole: Node reports a reset that arrives with the last bytes as an end, and the HTTP
-// client takes any other one for an end as well.
-for (const [name, read] of Object.entries(READERS)) {
+// client takes any other one for an end as well. Calls of duties read the head only.
+for (const [name, createReader] of Object.entries(READERS).filter(([reader]) => reader !== 'duties')) {
 	for (const [how, {isComplete, end}] of Object.entries(ENDS)) {
 		test(`a response without a length is ${isComplete ? 'complete' : 'broken'} after ${how} (${name})`, async t => {
 			const server = await startServer(t, (socket, id) => {
 				socket.write(`HTTP/1.1 503 Service Unavailable\r\nx-request-id: ${id}\r\nconnection: close\r\n\r\n{}`);
 				end(socket);
 			});
-			assert.equal(await read(server), isComplete);
+			const reader = createReader();
+			assert.equal(await reader.send(server, 'r1.1'), isComplete);
+			await reader.close();
 		});
 	}
 }
@@ -160,34 +131,6 @@
 	}
 });
 
-async function readAsPlain(server: Announcement, usesNewConnection: boolean): Promise<boolean> {
-	const client = new PlainClient();
-	const result = await client.send(server, {
-		id: 'id-1', method: 'POST', path: '/', headers: {}, body: Buffer.from('x'), timeoutMs: 5000, usesNewConnection,
-	});
-	await client.close();
-	return result.type === 'response';
-}
-
-/** Starts a server that hands each request's socket and ID to a function. */
-async function startServer(t: TestContext, respond: (socket: Socket, id: string) => void): Promise<Announcement> {
-	const server = net.createServer(socket => {
-		socket.on('error', () => undefined);
-		socket.once('data', data => {
-			respond(socket, /x-request-id: (.+)\r\n/iv.exec(data.toString())?.[1] ?? '');
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.after(() => {
-		server.close();
-	});
-	return {
-		server: 's1', kind: 'plain', address: '127.0.0.1', port: (server.address() as AddressInfo).port, incarnation: 1, sequence: 1,
-	};
-}
-
 function writeAndReset(request: IncomingMessage, response: ServerResponse): void {
 	response.socket?.write(formatHead(request) + BEGUN);
 	response.socket?.resetAndDestroy();
