Bound the number of prompt parts that schedulers remember

Cause: the models of the engines' caches evicted by tokens only, so that parts of one token or none were nearly free. Change: KvCacheModel bounds the number of parts, which the scheduler divides among its engines. The demand for beginnings is kept by checksum.

--- a/src/routing/belief.ts
+++ b/src/routing/belief.ts
@@ -55,6 +55,16 @@
 		this.#poolReuse = poolReuse;
 	}
 
+	/** Bounds the number of parts that are remembered. */
+	limitParts(maxParts: number): void {
+		this.#cache.maxParts = maxParts;
+	}
+
+	/** Number of parts that are remembered. */
+	get partCount(): number {
+		return this.#cache.size;
+	}
+
 	/** Probability that parts which should be cached really are, by recent prefills. */
 	get hitProbability(): number {
 		return this.#hits.value;
--- a/src/routing/kvcache.ts
+++ b/src/routing/kvcache.ts
@@ -16,8 +16,16 @@
 	lastUse: number;
 };
 
-/** The prompt parts in one engine's KV cache, with least-recently-used eviction. */
+/** Parts of one engine's KV cache that are remembered unless stated otherwise. */
+const DEFAULT_MAX_PARTS = 4096;
+
+/**
+ * The prompt parts in one engine's KV cache, with least-recently-used eviction. The number of parts is bounded as well, since parts may have
+ * few tokens or none.
+ */
 export class KvCacheModel {
+	/** Maximum number of parts. A lower number takes effect with the next recorded prompt. */
+	maxParts = DEFAULT_MAX_PARTS;
 	readonly #parts = new Map<string, CachedPart>();
 	#tokens = 0;
 	/** Increases with each use of a part. */
@@ -27,6 +35,11 @@
 		return this.#tokens;
 	}
 
+	/** Number of parts that are remembered. */
+	get size(): number {
+		return this.#parts.size;
+	}
+
 	/** Counts the tokens of the leading parts that are cached. A part counts only if all parts before it are cached. */
 	countCached(parts: readonly PromptPart[]): number {
 		let tokens = 0;
@@ -55,10 +68,10 @@
 		this.evictTo(capacityTokens);
 	}
 
-	/** Evicts the least recently used parts until the rest fits the capacity. */
+	/** Evicts the least recently used parts until the rest fits the capacity and the maximum number. */
 	evictTo(capacityTokens: number): void {
 		for (const [key, {tokens}] of this.#parts) {
-			if (this.#tokens <= capacityTokens) {
+			if (this.#tokens <= capacityTokens && this.#parts.size <= this.maxParts) {
 				return;
 			}
 
--- a/src/routing/reuse.ts
+++ b/src/routing/reuse.ts
@@ -164,7 +164,8 @@
  * change the map.
  */
 export class BeginningDemand {
-	readonly #rates = new Map<string, DecayingRate>();
+	/** By the checksum of the beginning, since its key may be long. */
+	readonly #rates = new Map<number, DecayingRate>();
 
 	/** Number of beginnings whose demand is known. */
 	get size(): number {
@@ -173,7 +174,7 @@
 
 	/** Records a request with a beginning. */
 	record(parts: readonly PromptPart[], nowMs: number): void {
-		const key = parts.at(-2)?.key;
+		const key = hashBeginning(parts);
 		if (key === undefined) {
 			return;
 		}
@@ -196,7 +197,8 @@
 	 * requests share the copy of a frequent beginning, whereas the copy of a rare one is evicted before it is used.
 	 */
 	weighCopy(parts: readonly PromptPart[], nowMs: number): number {
-		const uses = (this.#rates.get(parts.at(-2)?.key ?? '')?.rate(nowMs) ?? 0) * DEMAND_WINDOW_MS;
+		const key = hashBeginning(parts);
+		const uses = ((key === undefined ? undefined : this.#rates.get(key))?.rate(nowMs) ?? 0) * DEMAND_WINDOW_MS;
 		return COPY_WEIGHT / Math.max(1, uses);
 	}
 }
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -33,6 +33,10 @@
 const MIN_RETRY_AFTER_MS = 200;
 /** Retry time if no engine is available, milliseconds: engines announce themselves about once a second. */
 const NO_ENGINE_RETRY_MS = 1000;
+/** Prompt parts that are remembered for all engines together, about 30 MB. */
+const MAX_CACHED_PARTS = 262_144;
+/** Parts that are remembered for each engine, however many engines there are. */
+const MIN_CACHED_PARTS = 512;
 
 /** A request that was placed and has not ended. */
 type OpenRequest = {
@@ -92,13 +96,17 @@
 			}
 		}
 
+		const maxParts = Math.max(MIN_CACHED_PARTS, Math.floor(MAX_CACHED_PARTS / engines.length));
 		for (const info of engines) {
-			const state = this.#engines.get(info.server);
+			let state = this.#engines.get(info.server);
 			if (state?.info.incarnation === info.incarnation) {
 				state.info = info;
 			} else {
-				this.#engines.set(info.server, new EngineState(info, this.#getSpeed(info.service), this.#isReuseWeighed));
+				state = new EngineState(info, this.#getSpeed(info.service), this.#isReuseWeighed);
+				this.#engines.set(info.server, state);
 			}
+
+			state.cacheBelief.limitParts(maxParts);
 		}
 	}
 
