Free the heads of refused requests at once

Cause: a request that is refused for lack of memory kept its headers until its response had been sent, while further heads were parsed in the same turn of the event loop. The estimate of a head's memory left out the strings by which Node joins repeated names. Change: ClientGuard.admit drops the headers of what it refuses; a name or value counts 64 bytes beside its text, not 32.

--- a/src/wire/clientguard.ts
+++ b/src/wire/clientguard.ts
@@ -78,8 +78,8 @@
 const LOG_MS = 1000;
 /** Memory of a header line of a few bytes in relation to its bytes on the wire: strings and their places in lists. */
 const HEAD_MEMORY_FACTOR = 16;
-/** Memory of one name or value beside its text. */
-const HEADER_BYTES = 32;
+/** Memory of one name or value beside its text: its string, its places in lists, and the joined values of repeated names. */
+const HEADER_BYTES = 64;
 const REQUEST_BYTES = 4096;
 /** Heads that have not ended may take this part of the memory for requests. */
 const PARTIAL_HEADS_SHARE = 1 / 4;
@@ -144,6 +144,7 @@
 		const headBytes = request.rawHeaders.reduce((sum, text) => sum + (2 * text.length) + HEADER_BYTES, REQUEST_BYTES);
 		if (!share.tryReserve(headBytes, nowMs())) {
 			this.recordRefusal('memory');
+			dropHeaders(request);
 			return undefined;
 		}
 
@@ -259,6 +260,12 @@
 	}
 }
 
+/** Frees the memory of a head that is not needed any more. The request lives on until its response has been sent. */
+function dropHeaders(request: IncomingMessage): void {
+	request.rawHeaders = [];
+	request.headers = {};
+}
+
 /** Finds an address that has more connections than a number. */
 function findCrowdedAddress(connections: ReadonlyMap<Socket, Connection>, maxCount: number): string | undefined {
 	const counts = new Map<string, number>();
--- a/test/hostile.test.ts
+++ b/test/hostile.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {test, type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	checkMachine, Crowd, MAX_BODY_BYTES, MIB, startMachines, type CrowdOptions,
 } from './hostileclients.js';
@@ -9,6 +10,8 @@
 const TINY_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000));
 const TERABYTE = 1e12;
 const HEAD_BYTES = 16_000;
+/** Time in which what clients have sent arrives at a process that stands still. */
+const ARRIVAL_MS = 500;
 
 function createHead(index: number, lines = '', path = '/read/1', method = 'POST'): string {
 	return `${method} ${path} HTTP/1.1\r\nhost: a.example\r\ncarawayhoist-attempt-id: hostile-${index}\r\n${lines}\r\n`;
@@ -60,13 +63,31 @@
 	});
 }
 
+// Guards against an entry host that runs out of memory for heads that arrive at the same time: those of refused requests stayed in memory until
+// their responses had been sent.
+test('an entry host bears heads of many short lines on most of its connections', async t => {
+	const machines = await startMachines(t, {entryMachine: {memoryMb: 272, maxFds: 2870}});
+	const {sockets} = await Crowd.send(t, machines.callers, {count: 1000, script: () => []});
+	machines.entry.child.kill('SIGSTOP');
+	for (const [index, socket] of sockets.entries()) {
+		socket.write(createHead(index, `${fillHead(() => 'ab:cd\r\n')}${CHUNKED}`));
+	}
+
+	await sleep(ARRIVAL_MS);
+	machines.entry.child.kill('SIGCONT');
+	await machines.callOnce();
+	t.diagnostic(await checkMachine('entry host', machines.entry));
+});
+
 // A response stays in memory until its client has read it; clients that do not read at all kept any number of responses.
 test('an entry host bears clients that do not read their responses', async t => {
 	const machines = await startMachines(t, {
-		intercept(request, response) {
-			const isLarge = request.headers['x-large'] !== undefined;
-			response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id'])}).end(Buffer.alloc(isLarge ? 6 * MIB : 2));
-			return true;
+		stub: {
+			intercept(request, response) {
+				const isLarge = request.headers['x-large'] !== undefined;
+				response.writeHead(200, {'carawayhoist-attempt-id': String(request.headers['carawayhoist-attempt-id'])}).end(Buffer.alloc(isLarge ? 6 * MIB : 2));
+				return true;
+			},
 		},
 	});
 	await Crowd.send(t, machines.callers, {count: 60, script: index => [createHead(index, 'x-large: 1\r\n', '/read/1', 'GET')], isReading: false});
--- a/test/hostileclients.ts
+++ b/test/hostileclients.ts
@@ -50,11 +50,18 @@
 	readonly maxFds: number;
 };
 
-/**
- * Starts a control host, an entry host, a plain server and perhaps an engine, and waits until a request is answered by the plain one.
- * All are stopped after the test.
- */
-export async function startMachines(t: TestContext, stub: Partial<StubBackendOptions> = {}, limits: Record<string, number> = {}, engine?: StubBackendOptions) {
+export type MachinesOptions = {
+	/** Options of the plain server. */
+	readonly stub?: Partial<StubBackendOptions>;
+	/** Published limits of clients. */
+	readonly limits?: Record<string, number>;
+	/** An engine that is started as well. */
+	readonly engine?: StubBackendOptions;
+	readonly entryMachine?: typeof ENTRY_MACHINE;
+};
+
+/** Starts a control host, an entry host and the servers, and waits until the plain server answers a request. All are stopped after the test. */
+export async function startMachines(t: TestContext, {stub, limits, engine, entryMachine = ENTRY_MACHINE}: MachinesOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'hostile-'));
 	const children: ChildProcess[] = [];
 	const server = new StubBackend({id: 'p1', service: 'plain', ...stub});
@@ -89,7 +96,7 @@
 		role: 'control', address: '127.0.0.1', operators: `127.0.0.1:${operators}`, dataFolder: path.join(folder, 'data'), resources: {memoryMb: [CONTROL_MACHINE.memoryMb], diskMb: [CONTROL_MACHINE.diskMb], maxFds: [CONTROL_MACHINE.maxFds]},
 	});
 	const entry = await start('h1', ENTRY_FLAGS, {
-		role: 'entry', address: '127.0.0.2', callers: `127.0.0.2:${callers}`, readiness: `127.0.0.2:${readiness}`, resources: {memoryMb: [ENTRY_MACHINE.memoryMb], maxFds: [ENTRY_MACHINE.maxFds]},
+		role: 'entry', address: '127.0.0.2', callers: `127.0.0.2:${callers}`, readiness: `127.0.0.2:${readiness}`, resources: {memoryMb: [entryMachine.memoryMb], maxFds: [entryMachine.maxFds]},
 	});
 	await Promise.all(servers.map(async started => started.start()));
 	const announce = () => {
@@ -111,7 +118,7 @@
 	}, 'the configuration is acknowledged');
 	const machines = {
 		server,
-		entry: {child: entry, ...ENTRY_MACHINE},
+		entry: {child: entry, ...entryMachine},
 		control: {child: control, memoryMb: CONTROL_MACHINE.memoryMb, maxFds: CONTROL_MACHINE.maxFds},
 		callers: {host: '127.0.0.2', port: callers},
 		readiness: {host: '127.0.0.2', port: readiness},
--- a/test/hostilelegal.test.ts
+++ b/test/hostilelegal.test.ts
@@ -44,7 +44,7 @@
 // Guards against limits for hostile clients that refuse requests within the published limits.
 test('requests within the limits are served, in any framing and at any speed', async t => {
 	const maxBytes = 2 * MAX_BODY_BYTES;
-	const machines = await startMachines(t, {}, {'max-body-bytes': maxBytes});
+	const machines = await startMachines(t, {limits: {'max-body-bytes': maxBytes}});
 	const chunked = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
 	const {callers, server} = machines;
 	const check = async (name: string, bytes: number, response: Promise<string>) => {
@@ -79,6 +79,6 @@
 
 // A body that stops must not hold memory and a connection for ever; the limit is the one of idle connections.
 test('a body without a byte for the idle timeout is refused with 408', async t => {
-	const machines = await startMachines(t, {}, {'idle-timeout-ms': 500});
+	const machines = await startMachines(t, {limits: {'idle-timeout-ms': 500}});
 	assert.match(await send(machines.callers, [`${HEAD}content-length: 9\r\n\r\nhalf`]), /^HTTP\/1\.1 408 /v);
 });
--- a/test/resets.test.ts
+++ b/test/resets.test.ts
@@ -100,12 +100,14 @@
 // Guards against streams that end as complete after a part of their events when their entry process stood still while the server reset them.
 test('streams that are reset while their entry process stands still are incomplete for their clients', async t => {
 	const responses = new Set<ServerResponse>();
-	const machines = await startMachines(t, {}, {}, {
-		id: 'd1', service: 'llm', stage: 'decode', intercept(request, response) {
-			responses.add(response);
-			response.socket?.write(formatHead(request));
-			response.socket?.write(BEGUN);
-			return true;
+	const machines = await startMachines(t, {
+		engine: {
+			id: 'd1', service: 'llm', stage: 'decode', intercept(request, response) {
+				responses.add(response);
+				response.socket?.write(formatHead(request));
+				response.socket?.write(BEGUN);
+				return true;
+			},
 		},
 	});
 	const send = async (id: string) => sendRaw(machines.callers, formatRequest('/tell/1', {'carawayhoist-attempt-id': id, ...PROMPT}));
--- a/test/unframed.test.ts
+++ b/test/unframed.test.ts
@@ -27,7 +27,7 @@
 			return true;
 		},
 	};
-	const machines = await startMachines(t, {}, {}, engine);
+	const machines = await startMachines(t, {engine});
 	await waitUntil(async () => {
 		const probe = sendRaw(machines.callers, formatRequest('/tell/0', {'carawayhoist-attempt-id': 'probe', ...PROMPT}));
 		const isBegun = await Promise.race([probe.then(({status}) => status === 200), sleep(FREEZE_MS, 'begun')]);
