The end of a connection does not meet a paused response

Cause: if the last bytes of a response pause it, the server's end of the connection meets a paused parser in the HTTP client, where an assertion fails that nothing catches. A reset has the same effect, since the library takes it for an end. Change: ServerConnection continues a paused response when its connection ends; by then all bytes have been passed on. The empty piece that the library passes on first is dropped, and the code of a reset is replaced.

--- a/src/serving/serverconnection.ts
+++ b/src/serving/serverconnection.ts
@@ -28,6 +28,13 @@
 	readonly onConnection: (connection: ServerConnection) => void;
 };
 
+/** What a connection asks of its exchange. */
+export type ConnectionExchange = {
+	checkFraming(): void;
+	/** Continues reading the response. */
+	resume(): void;
+};
+
 export type ServerConnectionOptions = {
 	readonly connect: ServerConnector;
 	readonly observer?: ConnectionObserver | undefined;
@@ -44,7 +51,7 @@
  */
 export class ServerConnection extends Client {
 	/** The exchange that the received bytes belong to. */
-	exchange: {checkFraming(): void} | undefined;
+	exchange: ConnectionExchange | undefined;
 	#socket: net.Socket | undefined;
 	#peerClose: PeerClose | undefined;
 	#requestCount = 0;
@@ -100,6 +107,17 @@
 		return super.dispatch(options, handler);
 	}
 
+	/**
+	 * Keeps the library from the end of a connection while its response is paused, on which an assertion fails that nothing catches. When
+	 * the connection ends, all bytes have been passed on, so that only the end of the response is left.
+	 */
+	#keepFromPausedEnd(socket: net.Socket): void {
+		socket.once('end', () => {
+			this.exchange?.resume();
+		});
+		socket.on('error', renameReset);
+	}
+
 	/** Waits until a connection is established. */
 	#handshake(socket: net.Socket, callback: ConnectCallback): void {
 		const timer = setTimeout(() => {
@@ -115,6 +133,7 @@
 			clearTimeout(timer);
 			socket.removeListener('error', fail);
 			this.#peerClose = watchPeerClose(socket);
+			this.#keepFromPausedEnd(socket);
 			this.#socket = socket;
 			this.#requestCount = 0;
 			this.#idHashes.clear();
@@ -126,6 +145,13 @@
 	}
 }
 
+/** Replaces the code of a reset, by which the library takes it for the end of a response. */
+function renameReset(error: NodeJS.ErrnoException): void {
+	if (error.code === 'ECONNRESET') {
+		error.code = 'ERR_PEER_RESET';
+	}
+}
+
 function hashId(id: string): number {
 	return createHash('sha256').update(id).digest().readUIntLE(0, ID_HASH_BYTES);
 }
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -213,6 +213,11 @@
 				}
 			},
 			onResponseData: (_controller, chunk) => {
+				// After a pause, the library passes on an empty piece first; a handler that pauses again would stay paused.
+				if (chunk.length === 0) {
+					return;
+				}
+
 				this.#bodyBytes += chunk.length;
 				this.#bodyPieces++;
 				if (this.#isEnded) {
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -55,6 +55,40 @@
 	});
 }
 
+// Guards against a process that ends by itself: the HTTP client asserts that a response is not paused when its connection ends, and nothing
+// catches the error.
+for (const [how, outcome, end] of [
+	['has ended', 'complete', (socket: Socket) => socket.end()],
+	['is reset later', 'broken', (socket: Socket) => {
+		setTimeout(() => socket.resetAndDestroy(), 20);
+	}],
+	['is reset at once', 'broken', (socket: Socket) => socket.resetAndDestroy()],
+] as const) {
+	test(`a response without a content length that its reader has paused is ${outcome} if its connection ${how}`, async t => {
+		const {upstream, port} = await startServer(t, respondOnce(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall of it');
+			end(socket);
+		}));
+		const result = await new Promise<Result>(resolve => {
+			let body = '';
+			const exchange = upstream.send(createRequest(port), {
+				onHead: () => undefined,
+				onData(chunk) {
+					body += chunk.toString();
+					exchange.pause();
+				},
+				onEnd() {
+					resolve({outcome: 'complete', body});
+				},
+				onFailure(failure) {
+					resolve({outcome: failure, body});
+				},
+			});
+		});
+		assert.deepEqual(result, {outcome, body: 'all of it'});
+	});
+}
+
 test('a response that is shorter than its content length is broken', async t => {
 	const {ask} = await startServer(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf');
