Responses with repeated headers are read as one value

Cause: the HTTP client and relays pass on a repeated header as a list, which was read as a string; the error is caught in the HTTP client only. Change: joinRepeatedHeaders gives received headers the form of Node's own, for both. Tests: relay.test.ts, responses with repeated headers, directly and through a relay: red before.

--- a/src/serving/relayclient.ts
+++ b/src/serving/relayclient.ts
@@ -10,6 +10,7 @@
 import type {Message, RelayControl, RelayFailure} from '../generated/types.js';
 import {connect, type Address, type Connection} from '../wire/connection.js';
 import {isFinalStatus} from '../wire/status.js';
+import {joinRepeatedHeaders} from './headers.js';
 import type {ServingMetrics} from './metrics.js';
 import type {
 	AttemptFailure, Exchange, ResponseHandler, UpstreamRequest,
@@ -349,5 +350,5 @@
 		headers[name] = known === undefined ? value : [known, value].flat();
 	}
 
-	return headers;
+	return joinRepeatedHeaders(headers);
 }
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -9,6 +9,7 @@
 import type {Address} from '../wire/connection.js';
 import {connectServer, type ServerConnector} from '../wire/connector.js';
 import {isFinalStatus, isInterimStatus} from '../wire/status.js';
+import {joinRepeatedHeaders} from './headers.js';
 import {
 	CONNECT_TIMEOUT_MS, ServerConnection, type ConnectionObserver, type ServerDispatchOptions,
 } from './serverconnection.js';
@@ -205,7 +206,7 @@
 				}
 
 				if (isFinalStatus(status)) {
-					responseHandler.onHead(status, headers, this.#isFirst);
+					responseHandler.onHead(status, joinRepeatedHeaders(headers), this.#isFirst);
 				} else if (!isInterimStatus(status)) {
 					this.#breakOff(`The server sent a response with the invalid status ${status}.`);
 				} else if (++this.#interimHeads > MAX_INTERIM_HEADS) {
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -94,6 +94,30 @@
 	assert.deepEqual(response.headers['x-list'], ['a', 'b']);
 });
 
+// Guards against an entry process that ends by itself, and against lost responses: repeated headers were read as one string.
+test('responses with repeated headers are passed on, by the host itself and through a relay', async t => {
+	const intercept: StubBackendOptions['intercept'] = (request, response) => {
+		const lines = [
+			'connection: x-hop', 'connection: close', 'x-hop: 1', 'content-type: text/event-stream', 'content-type: text/plain', 'retry-after: 1', 'retry-after: 2', 'x-list: a', 'x-list: b', 'content-length: 15',
+		];
+		response.socket?.end(`HTTP/1.1 200 OK\r\ncarawayhoist-attempt-id: ${String(request.headers['carawayhoist-attempt-id'])}\r\n${lines.join('\r\n')}\r\n\r\nid: 1\ndata: a\n\n`);
+		return true;
+	};
+
+	const {system, callRelays} = await startCutSystem(t, [...PLAIN_SERVERS.map(server => ({...server, intercept})), {
+		id: 'd1', service: 'llm', stage: 'decode', intercept,
+	}]);
+	const prompt = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
+	for (const call of [system.call, callRelays[0]!]) {
+		for (const [path, headers] of [['/read/1', {}], ['/tell/1', prompt]] as const) {
+			await system.announceServers();
+			const response = await call(path, headers);
+			assert.deepEqual([response.status, response.text], [200, 'id: 1\ndata: a\n\n'], path);
+			assert.deepEqual([response.headers['x-list'], response.headers['content-type'], response.headers['x-hop']], [['a', 'b'], 'text/event-stream', undefined], path);
+		}
+	}
+});
+
 test('a relay that stops finishes the requests that it has and declines others', async t => {
 	let finish: (() => void) | undefined;
 	const {system, countReceived} = await startCutSystem(t, PLAIN_SERVERS.map(server => ({
