--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -100,39 +100,42 @@
 	assert.equal(await exitCode, 0);
 });
 
-test('a second SIGTERM does not cut the requests that a host finishes after the first', async t => {
-	const folder = await mkdtemp(path.join(os.tmpdir(), 'program-'));
-	const file = path.join(folder, 'settings.json');
-	const callerPort = await findPort();
-	await writeFile(file, JSON.stringify({
-		host: 'h1', dataCentre: 'a', role: 'entry', address: '127.0.0.1', peerPort: await findPort(), callers: `127.0.0.1:${callerPort}`, readiness: `127.0.0.1:${await findPort()}`, seeds: ['127.0.0.2:80'], firstStart: true, bounds: BOUNDS,
-	}));
-	const child = spawn(process.execPath, [PROGRAM], {env: {[SETTINGS_VARIABLE]: file}, stdio: ['ignore', 'pipe', 'inherit']});
-	let output = '';
-	child.stdout.on('data', (chunk: Uint8Array) => {
-		output += String(chunk);
-	});
-	t.after(async () => {
-		child.kill('SIGKILL');
-		await rm(folder, {recursive: true});
-	});
-	await waitUntil(async () => output.includes('Started as entry host'), 'the host has started');
-	const socket = net.connect({host: '127.0.0.1', port: callerPort});
-	let response = '';
-	socket.on('data', chunk => {
-		response += String(chunk);
+// Guards against requests that are cut by a second signal, or by SIGINT, which ended the process at once.
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	test(`a second SIGTERM does not cut the requests that a host finishes after a first ${signal}`, async t => {
+		const folder = await mkdtemp(path.join(os.tmpdir(), 'program-'));
+		const file = path.join(folder, 'settings.json');
+		const callerPort = await findPort();
+		await writeFile(file, JSON.stringify({
+			host: 'h1', dataCentre: 'a', role: 'entry', address: '127.0.0.1', peerPort: await findPort(), callers: `127.0.0.1:${callerPort}`, readiness: `127.0.0.1:${await findPort()}`, seeds: ['127.0.0.2:80'], firstStart: true, bounds: BOUNDS,
+		}));
+		const child = spawn(process.execPath, [PROGRAM], {env: {[SETTINGS_VARIABLE]: file}, stdio: ['ignore', 'pipe', 'inherit']});
+		let output = '';
+		child.stdout.on('data', (chunk: Uint8Array) => {
+			output += String(chunk);
+		});
+		t.after(async () => {
+			child.kill('SIGKILL');
+			await rm(folder, {recursive: true});
+		});
+		await waitUntil(async () => output.includes('Started as entry host'), 'the host has started');
+		const socket = net.connect({host: '127.0.0.1', port: callerPort});
+		let response = '';
+		socket.on('data', chunk => {
+			response += String(chunk);
+		});
+		// A reset shows as a missing response.
+		socket.on('error', () => undefined);
+		socket.write('POST /book/1 HTTP/1.1\r\nhost: a.example\r\ncarawayhoist-attempt-id: half\r\ncontent-length: 8\r\n\r\nhalf');
+		await fetch(`http://127.0.0.1:${callerPort}/`);
+		child.kill(signal);
+		await waitUntil(async () => output.includes(`Received ${signal}`), 'the first signal is received');
+		child.kill('SIGTERM');
+		child.kill('SIGHUP');
+		await fetch(`http://127.0.0.1:${callerPort}/`).catch(() => undefined);
+		socket.write('rest');
+		await waitUntil(async () => child.exitCode !== null || child.signalCode !== null, 'the process exits');
+		assert.deepEqual([child.exitCode, child.signalCode], [0, null]);
+		assert.match(response, /^HTTP\/1\.1 503 /v);
 	});
-	// A reset shows as a missing response.
-	socket.on('error', () => undefined);
-	socket.write('POST /book/1 HTTP/1.1\r\nhost: a.example\r\ncarawayhoist-attempt-id: half\r\ncontent-length: 8\r\n\r\nhalf');
-	await fetch(`http://127.0.0.1:${callerPort}/`);
-	child.kill('SIGTERM');
-	await waitUntil(async () => output.includes('Received SIGTERM'), 'the first SIGTERM is received');
-	child.kill('SIGTERM');
-	child.kill('SIGHUP');
-	await fetch(`http://127.0.0.1:${callerPort}/`).catch(() => undefined);
-	socket.write('rest');
-	await waitUntil(async () => child.exitCode !== null || child.signalCode !== null, 'the process exits');
-	assert.deepEqual([child.exitCode, child.signalCode], [0, null]);
-	assert.match(response, /^HTTP\/1\.1 503 /v);
-});
+}
