--- a/src/serving/caller.ts
+++ b/src/serving/caller.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {createProblem, type Problem} from '../base/problem.js';
 import type {ResponseBuffer} from './buffer.js';
+import {FRAMINGS, type Framing} from './protocol.js';
 import {endAfterLinger, writeInPieces, type WriteProgress} from './responses.js';
 
 /** How a caller's request ended. */
@@ -35,6 +36,7 @@
 /** A streamed response that is kept until it is complete. */
 type HeldResponse = {
 	readonly headers: OutgoingHttpHeaders;
+	readonly framing: Framing;
 	readonly buffer: ResponseBuffer;
 };
 
@@ -121,13 +123,18 @@
 		this.#endHandlers.push(handler);
 	}
 
-	/** Sends a complete response, with its length. */
-	respond(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
+	/**
+	 * Sends a complete response, with its length.
+	 *
+	 * @param framing - With `open`, the connection ends with the response, like that of the server.
+	 */
+	respond(status: number, headers: OutgoingHttpHeaders, body: Buffer, framing: Framing = FRAMINGS.closed): void {
 		if (this.isEnded) {
 			return;
 		}
 
 		this.#hasStartedResponse = true;
+		this.#applyFraming(framing);
 		const isBodiless = this.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
 		this.#response.writeHead(status, isBodiless ? headers : {...headers, 'content-length': body.length});
 		this.#writeProgress = writeInPieces(this.#response, body);
@@ -139,14 +146,17 @@
 	 * Sends the head of a response that is streamed. The body is sent in chunks, whose last one tells that it is complete: the operating
 	 * system closes the connections of a process that ends in the same way as that of a response without a length. A client that cannot
 	 * read chunks gets the response with its length once it is complete.
+	 *
+	 * @param framing - With `open`, the connection ends with the response, like that of the server.
 	 */
-	startResponse(status: number, headers: OutgoingHttpHeaders): void {
+	startResponse(status: number, headers: OutgoingHttpHeaders, framing: Framing = FRAMINGS.closed): void {
 		if (this.isEnded) {
 			return;
 		}
 
 		this.#hasStartedResponse = true;
 		if (this.#response.useChunkedEncodingByDefault) {
+			this.#applyFraming(framing);
 			this.#response.writeHead(status, headers);
 			this.#response.flushHeaders();
 			return;
@@ -154,7 +164,7 @@
 
 		const buffer = this.#store.createBuffer();
 		this.#response.statusCode = status;
-		this.#held = {headers, buffer};
+		this.#held = {headers, framing, buffer};
 		this.onEnd(() => {
 			buffer.release();
 		});
@@ -189,7 +199,7 @@
 		}
 
 		if (this.#held) {
-			this.respond(this.#response.statusCode, this.#held.headers, this.#held.buffer.read());
+			this.respond(this.#response.statusCode, this.#held.headers, this.#held.buffer.read(), this.#held.framing);
 			return;
 		}
 
@@ -230,6 +240,13 @@
 		this.#end(CALL_OUTCOMES.refused);
 	}
 
+	/** Ends the connection with the response if that of the server ended with it: its caller may read on until then. */
+	#applyFraming(framing: Framing): void {
+		if (framing === FRAMINGS.open) {
+			this.#response.shouldKeepAlive = false;
+		}
+	}
+
 	#end(outcome: CallOutcome): void {
 		if (this.isEnded) {
 			return;
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -139,7 +139,7 @@
 	}
 
 	#respond(head: ResponseHead, body: Buffer): void {
-		this.#call.caller.respond(head.status, this.#context.protocol.buildResponseHeaders(head.headers), body);
+		this.#call.caller.respond(head.status, this.#context.protocol.buildResponseHeaders(head.headers), body, head.framing);
 	}
 
 	#mayRetry(outcome: Outcome): boolean {
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -383,7 +383,7 @@
 					}
 
 					if (!caller.hasStartedResponse) {
-						caller.startResponse(status, context.protocol.buildResponseHeaders(headers));
+						caller.startResponse(status, context.protocol.buildResponseHeaders(headers), head.framing);
 					} else if (!isEventStream(head)) {
 						breakOff(`The response has status ${status} and type ${headers['content-type'] ?? 'none'}, so it does not continue the stream.`);
 					}
