--- a/src/entry/agent.ts
+++ b/src/entry/agent.ts
@@ -41,7 +41,16 @@
 		factory: (origin, options) => new Pool(origin, {...options as Pool.Options, factory: createConnection}),
 	});
 
-	/** Sends a request; returns a function that closes the connection if it is a new one, to be called after the response. */
+	/**
+	 * Sends a request; returns a function that closes the connection if it is a new one, to be called after the response.
+	 *
+	 * @example
+	 * ```ts
+	 * const finish = agent.send(server, {id: 'r1', method: 'GET', path: '/', headers: {}, body: null, usesNewConnection: true}, handler);
+	 * await handler.result;
+	 * await finish();
+	 * ```
+	 */
 	send(server: Announcement, {id, usesNewConnection, ...request}: ServerRequest, handler: ServerHandler): () => Promise<void> {
 		const origin = `http://${formatUrlHost(server.address)}:${server.port}`;
 		const options: ServerDispatchOptions = {
--- a/src/routing/scheduler.ts
+++ b/src/routing/scheduler.ts
@@ -33,7 +33,7 @@
 const MIN_RETRY_AFTER_MS = 200;
 /** Retry time if no engine is available, milliseconds: engines announce themselves about once a second. */
 const NO_ENGINE_RETRY_MS = 1000;
-/** Prompt parts that are remembered for all engines together, about 30 MB. */
+/** Prompt parts that are remembered for all engines together. */
 const MAX_CACHED_PARTS = 262_144;
 /** Parts that are remembered for each engine, however many engines there are. */
 const MIN_CACHED_PARTS = 512;
--- a/src/serving/serverconnection.ts
+++ b/src/serving/serverconnection.ts
@@ -108,10 +108,10 @@
 	}
 
 	/**
-	 * Keeps the library from the end of a connection while its response is paused, on which an assertion fails that nothing catches. When
-	 * the connection ends, all bytes have been passed on, so that only the end of the response is left.
+	 * Handles the end and the reset of a connection before the library does. An assertion of the library fails, and nothing catches it, if
+	 * the response is paused then. When the connection ends, all bytes have been passed on, so that only the end of the response is left.
 	 */
-	#keepFromPausedEnd(socket: net.Socket): void {
+	#prepareEnd(socket: net.Socket): void {
 		socket.once('end', () => {
 			this.exchange?.resume();
 		});
@@ -133,7 +133,7 @@
 			clearTimeout(timer);
 			socket.removeListener('error', fail);
 			this.#peerClose = watchPeerClose(socket);
-			this.#keepFromPausedEnd(socket);
+			this.#prepareEnd(socket);
 			this.#socket = socket;
 			this.#requestCount = 0;
 			this.#idHashes.clear();
