--- a/test/malformedheads.test.ts
+++ b/test/malformedheads.test.ts
@@ -1,20 +1,16 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {Registry} from 'prom-client';
-import {waitUntil} from '../dev/fleet.js';
 import {findPort} from '../dev/ports.js';
 import {createClock} from '../src/base/clock.js';
 import {createSilentLoggers} from '../src/base/logger.js';
 import {createServingMetrics} from '../src/serving/metrics.js';
 import {RelayClient} from '../src/serving/relayclient.js';
 import {Listener} from '../src/wire/connection.js';
-import {connectServer} from '../src/wire/connector.js';
-import {HostNetwork} from './network.js';
 import {formatRequest, sendRaw} from './rawclient.js';
 import {READERS, startServer} from './readers.js';
-import {startSystem} from './system.js';
+import {startRelaySystem} from './relaysystem.js';
 
 const PROMPT = {'carawayhoist-model': 'm', 'carawayhoist-token-counts': '30,80', 'carawayhoist-prompt-prefix': 'aa:10,bb:20'};
 /** Lines behind the malformed ones and the body, by how the end of the body is marked. */
@@ -73,26 +69,17 @@
 
 // Guards against the same answers to callers of every kind of route; the host behind a relay trusts what the relay has read.
 test('a malformed head is no success for callers, by the host itself and through a relay', async t => {
-	const network = await HostNetwork.start();
-	t.after(() => {
-		network.stop();
-	});
 	let isMalformed = false;
 	let lines = '';
-	const intercept = (request: IncomingMessage, response: ServerResponse) => {
+	const {system, cutSecond} = await startRelaySystem(t, (request, response) => {
 		if (!isMalformed) {
 			return false;
 		}
 
 		const id = String(request.headers['carawayhoist-attempt-id']);
-		response.socket?.end(`HTTP/1.1 ${lines}\r\ncarawayhoist-attempt-id: ${id}\r\ncontent-type: text/event-stream\r\ncontent-length: 14\r\n\r\nid: 1\ndata: a\n\n`);
+		response.socket?.end(`HTTP/1.1 ${lines}\r\ncarawayhoist-attempt-id: ${id}\r\ncontent-type: text/event-stream\r\ncontent-length: 15\r\n\r\nid: 1\ndata: a\n\n`);
 		return true;
-	};
-
-	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept}, {id: 'p2', service: 'plain', intercept}, {
-		id: 'd1', service: 'llm', stage: 'decode', intercept,
-	}], {connectServers: [connectServer, network.connect]});
-	const callCut = await system.addEntry();
+	});
 	let count = 0;
 	const assertNoAnswer = async (index: number) => {
 		isMalformed = true;
@@ -109,11 +96,7 @@
 	};
 
 	await assertNoAnswer(0);
-	network.cut({open: 'reset', fresh: 'refused'});
-	await waitUntil(async () => {
-		await system.announceServers();
-		return (await callCut('/read/whole')).status === 200 && system.entryLines.some(({message}) => message.startsWith('This host reaches no server'));
-	}, 'the cut host has a relay');
+	await cutSecond();
 	await assertNoAnswer(1);
 });
 
--- a/test/resets.test.ts
+++ b/test/resets.test.ts
@@ -4,11 +4,10 @@
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {waitUntil} from '../dev/fleet.js';
-import {connectServer} from '../src/wire/connector.js';
 import {startMachines} from './hostileclients.js';
-import {HostNetwork} from './network.js';
 import {formatRequest, sendRaw} from './rawclient.js';
 import {READERS, startServer} from './readers.js';
+import {startRelaySystem, WHOLE_PATH} from './relaysystem.js';
 import type {StubBackendOptions} from './stub.js';
 import {startSystem} from './system.js';
 
@@ -45,23 +44,14 @@
 
 // Guards against a success that ends properly for callers although the server has reset its response in the middle.
 test('a response that is reset with its last bytes is no success, plain and streamed, by the host itself and through a relay', async t => {
-	const network = await HostNetwork.start();
-	t.after(() => {
-		network.stop();
-	});
-	const intercept = (request: IncomingMessage, response: ServerResponse) => {
-		if (request.url === '/read/whole') {
+	const {system, cutSecond} = await startRelaySystem(t, (request, response) => {
+		if (request.url === WHOLE_PATH) {
 			return false;
 		}
 
 		writeAndReset(request, response);
 		return true;
-	};
-
-	const system = await startSystem(t, [{id: 'p1', service: 'plain', intercept}, {id: 'p2', service: 'plain', intercept}, {
-		id: 'd1', service: 'llm', stage: 'decode', intercept,
-	}], {connectServers: [connectServer, network.connect]});
-	const callCut = await system.addEntry();
+	});
 	const assertBroken = async (index: number) => {
 		const {address, port} = system.callerAddresses[index]!;
 		for (const [path, headers, body] of [['/read/1', {}, undefined], ['/book/1', {}, 'seat'], ['/tell/1', PROMPT, 'prompt'], ['/tell/1', {}, undefined]] as const) {
@@ -72,11 +62,7 @@
 	};
 
 	await assertBroken(0);
-	network.cut({open: 'reset', fresh: 'refused'});
-	await waitUntil(async () => {
-		await system.announceServers();
-		return (await callCut('/read/whole')).status === 200 && system.entryLines.some(({message}) => message.startsWith('This host reaches no server'));
-	}, 'the cut host has a relay');
+	await cutSecond();
 	await assertBroken(1);
 });
 
