--- a/review/parts-3/server.js
+++ b/review/parts-3/server.js
@@ -10,6 +10,8 @@
 export class PlainServer {
 	/** Requests that it began to run. */
 	runs = [];
+	/** Whether all answers say that the server leaves. */
+	isLeaving = false;
 	#options;
 	#server;
 	#timer;
@@ -19,7 +21,7 @@
 	/** @param options - `host`, `id`, `service` and `listControls`; `respond` replaces the usual response. */
 	constructor(options) {
 		this.#options = {
-			workMs: 20, state: 'ready', slots: 6, ...options,
+			workMs: 20, slots: 6, ...options,
 		};
 	}
 
@@ -43,13 +45,21 @@
 	}
 
 	/** Sends a heartbeat to the first control host that acknowledges it. */
-	async announce(state = this.#options.state) {
-		this.#options.state = state;
-		const {id, service, slots, listControls} = this.#options;
-		const body = JSON.stringify({
-			service, address: this.address, zone: 'selfoss', version: 'v1', slots, state, 'cold-remaining-ms': 0, sequence: ++this.#sequence, born: this.#born,
+	async announce() {
+		const {id, listControls} = this.#options;
+		await sendToControls(listControls(), `/-/instances/${id}`, this.createHeartbeat());
+	}
+
+	/** Creates the body of the next heartbeat. */
+	createHeartbeat() {
+		const {service, slots} = this.#options;
+		return JSON.stringify({
+			service, address: this.address, zone: 'selfoss', version: 'v1', slots, state: 'ready', 'cold-remaining-ms': 0, sequence: ++this.#sequence, born: this.#born,
 		});
-		await sendToControls(listControls(), `/-/instances/${id}`, body);
+	}
+
+	stopAnnouncing() {
+		clearInterval(this.#timer);
 	}
 
 	async close() {
@@ -82,7 +92,9 @@
 		}
 
 		setTimeout(() => {
-			response.writeHead(200, {'carawayhoist-attempt-id': attempt, 'carawayhoist-server-stamp': `stamp-${id}-${attempt}`, 'content-type': 'text/plain'});
+			response.writeHead(200, {
+				'carawayhoist-attempt-id': attempt, 'carawayhoist-server-stamp': `stamp-${id}-${attempt}`, 'content-type': 'text/plain', ...(this.isLeaving && {'server-leaving': '1'}),
+			});
 			response.end(`answer of ${id} to ${attempt}`);
 		}, workMs);
 	}
