--- a/review/parts-3/deadly.js
+++ b/review/parts-3/deadly.js
@@ -4,7 +4,7 @@
 import {publish} from './server.js';
 import {call} from './system.js';
 
-const ENGINES = 6;
+const DEFAULT_ENGINES = 6;
 const EDGES = 2;
 const CORES = 5;
 const PART_TOKENS = 20;
@@ -26,7 +26,9 @@
 	#engines = [];
 	#shared;
 	#timer;
+	#deadlyEvery;
 	#crashes = [];
+	#sound = [];
 	#answers = new Map();
 	#sent = 0;
 	#inTouchMs = 0;
@@ -45,7 +47,7 @@
 		await system.start({edges: EDGES, cores: CORES});
 		this.#controls = system.list('core').map(machine => system.controlOf(machine));
 		await publish(this.#controls, createEngineConfig(1));
-		for (let index = 0; index < ENGINES; index++) {
+		for (let index = 0; index < (this.#options.engines ?? DEFAULT_ENGINES); index++) {
 			const engine = this.#createEngine(index);
 			await engine.start();
 			this.#engines.push(engine);
@@ -53,16 +55,36 @@
 
 		await system.waitUntilReady();
 		const {sharedParts, deadlyEvery, isDeadly} = this.#options;
-		this.#record(`Prompts of ${sharedParts + 2} parts. One request of ${deadlyEvery + 1} has another last part but one${isDeadly ? ', which crashes servers' : ''}.`);
+		this.#record(`Prompts of ${sharedParts + 2} parts, a sound one each ${SOUND_INTERVAL_MS} ms. Some have another last part but one${isDeadly ? ', which crashes servers' : ''}.`);
+		this.#deadlyEvery = deadlyEvery;
 		let ticks = 0;
 		this.#timer = setInterval(() => {
 			this.#ask(SOUND_PART);
-			if (++ticks % deadlyEvery === 0) {
+			if (++ticks % this.#deadlyEvery === 0) {
 				this.#ask(DEADLY_PART);
 			}
 		}, SOUND_INTERVAL_MS);
 	}
 
+	/** Sends some requests with the deadly part at once, and from then on one with each `every`th sound request. */
+	sendDeadly(count, every) {
+		this.#deadlyEvery = every;
+		for (let index = 0; index < count; index++) {
+			this.#ask(DEADLY_PART);
+		}
+	}
+
+	/** Counts the sound requests that were sent before the first crash, and those from twice `contact-ms` after the fifth or the last one on. */
+	countSound() {
+		const firstMs = this.#crashes[0] ?? Number.POSITIVE_INFINITY;
+		const fromMs = (this.#crashes[CRASHES_BEFORE - 1] ?? this.#crashes.at(-1) ?? 0) + (2 * CONTACT_MS);
+		const count = requests => ({sent: requests.length, begun: requests.filter(({hasBegun}) => hasBegun).length});
+		return {
+			before: count(this.#sound.filter(({endedMs}) => endedMs < firstMs)),
+			after: count(this.#sound.filter(({sentMs}) => sentMs > fromMs)),
+		};
+	}
+
 	/** Notes that all machines have been started again, so that they are not in touch for some time. */
 	noteRestart() {
 		this.#inTouchMs = performance.now() + CONTACT_MS;
@@ -101,6 +123,7 @@
 
 	async #ask(part) {
 		const number = ++this.#sent;
+		const sentMs = performance.now();
 		const edges = this.#system.list('edge');
 		const parts = [...this.#shared, `${part}:${PART_TOKENS}`, `${(0x20_00_00_00 + number).toString(16)}:${OWN_TOKENS}`];
 		const {status, error} = await call({
@@ -115,5 +138,8 @@
 		});
 		const key = `${part === DEADLY_PART ? 'with the part' : 'sound'}: ${status || error}`;
 		this.#answers.set(key, (this.#answers.get(key) ?? 0) + 1);
+		if (part === SOUND_PART) {
+			this.#sound.push({sentMs, endedMs: performance.now(), hasBegun: status === 200});
+		}
 	}
 }
