Refuse only what must contain the cause of crashes, and try again what is refused

Cause: crashes were counted for each prompt part by itself. Parts that were in flight at the same crashes, the sound ones that all prompts share too, were each refused at the fourth crash; crashes within a moment counted as independent; that a part was served a moment before was no evidence; and only a served request cleared a key, while a refused one is never sent. So a wrong refusal removed the only evidence against itself, and nothing ended it by the clock.

Change: a host reports what was in flight at a crash as one fact, with hashes, and says what of it was served in the last ten minutes (hosts that have served a blamed key say so as well). routing/suspects.ts blocks the best explanation: a suspect yields to one with the same crashes or more that was not served before; crashes of one moment count once for what was served or explains a minority of them. Suspects with the same crashes are blocked together, and a request is refused if it contains all of them; of those that contain some, each host sends one at a time until they are told apart. A blocked request is sent again in at most three trials, 4, 20 and 90 s after the last crash, one over all hosts (claims are facts, the lowest wins). A probe that is served or has written for a second clears its keys. Facts expire by the clock. Facts travel as poison facts, since older hosts close connections on unknown messages; theirs are read.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -162,8 +162,10 @@
 			hosts: this.#subscription, localScheduler: this.#localScheduler, localLimiter: this.#localLimiter, clock, originStore: this.#originCopies,
 		});
 		this.#crashMonitor = new CrashMonitor({
+			host: options.host,
 			clock,
 			logger: options.loggers('routing'),
+			metrics,
 			table: this.#crashTable,
 			probe: async address => this.#probeServer(address),
 			publish: facts => {
@@ -307,6 +309,7 @@
 		switch (message.type) {
 			case 'gossip': {
 				mergeCrashFacts(this.#crashTable, message.facts);
+				this.#crashMonitor.refresh();
 				this.#originCopies.updateHolders(message.facts);
 				break;
 			}
--- a/src/membership/crashes.ts
+++ b/src/membership/crashes.ts
@@ -1,38 +1,40 @@
 /**
- * The table of requests that were in flight at servers when these crashed, as all hosts share it.
+ * The table of what was in flight at servers when these crashed, as all hosts share it. `crashfacts.ts` says what its facts mean.
  *
  * The result of merging facts does not depend on the order in which they arrive, apart from what is evicted. Performs no I/O.
  *
  * @module
  */
 import type {Fact, PoisonFact} from '../generated/types.js';
-import {listPoisoned, POISON_LIMIT, type CrashRecord} from '../routing/poison.js';
 
 const RETENTION_MS = 3_600_000;
 const MAX_RECORDS = 2000;
-/** Crashes kept of one request or prompt part; a part that many prompts share is in flight at most of a fleet's crashes. */
-const MAX_CRASHES = 64;
+/** Values kept of one fact. */
+const MAX_VALUES = 64;
+/** Length of all values; reports of crashes under long prompts are large. */
+const MAX_LENGTH = 1_000_000;
 
-/** One crash of a server under a request, with the revisions at which it was recorded and acquitted. */
-type Crash = {
+/** One value of a fact, with the revisions at which it was recorded and acquitted. */
+type Value = {
 	readonly revision: number;
 	acquittedRevision: number | undefined;
 };
 
 type CrashEntry = {
-	readonly crashes: Map<string, Crash>;
+	readonly values: Map<string, Value>;
 	/** Revision of the latest change. */
 	revision: number;
 	/** Wall-clock time of the latest crash, milliseconds. */
 	at: number;
 };
 
-/** Crashes by the fingerprint of the request that was in flight, or by the key of a part of its prompt. */
+/** Facts by their fingerprint. */
 export class CrashTable {
 	readonly #entries = new Map<string, CrashEntry>();
 	#revision = 0;
 	#changes: {readonly since: number; readonly revision: number; readonly facts: readonly PoisonFact[]} | undefined;
-	#poisoned: {readonly revision: number; readonly fingerprints: ReadonlySet<string>} = {revision: 0, fingerprints: new Set()};
+	/** Length of all values. */
+	#length = 0;
 
 	/** Increases with every merged change. */
 	get revision(): number {
@@ -45,20 +47,21 @@
 
 	/** Merges a fact; returns whether anything in it is new. */
 	merge({fingerprint, servers, acquitted = [], at}: PoisonFact): boolean {
-		const entry = this.#entries.get(fingerprint) ?? {crashes: new Map<string, Crash>(), revision: 0, at};
+		const entry = this.#entries.get(fingerprint) ?? {values: new Map<string, Value>(), revision: 0, at};
 		const revision = this.#revision + 1;
 		let isChanged = false;
-		for (const server of [...servers, ...acquitted]) {
-			if (!entry.crashes.has(server)) {
-				entry.crashes.set(server, {revision, acquittedRevision: undefined});
+		for (const text of [...servers, ...acquitted]) {
+			if (!entry.values.has(text)) {
+				entry.values.set(text, {revision, acquittedRevision: undefined});
+				this.#length += text.length;
 				isChanged = true;
 			}
 		}
 
-		for (const server of acquitted) {
-			const crash = entry.crashes.get(server)!;
-			if (crash.acquittedRevision === undefined) {
-				crash.acquittedRevision = revision;
+		for (const text of acquitted) {
+			const value = entry.values.get(text)!;
+			if (value.acquittedRevision === undefined) {
+				value.acquittedRevision = revision;
 				isChanged = true;
 			}
 		}
@@ -67,7 +70,7 @@
 			this.#revision = revision;
 			entry.revision = revision;
 			entry.at = Math.max(entry.at, at);
-			dropOldest(entry.crashes, MAX_CRASHES);
+			this.#dropOldestValues(entry);
 			// Keeps the entries in the order of their last change, for eviction.
 			this.#entries.delete(fingerprint);
 			this.#entries.set(fingerprint, entry);
@@ -84,8 +87,8 @@
 
 	/** Lists the servers whose crash under the request is not explained by another request. */
 	listUnresolved(fingerprint: string): string[] {
-		const crashes = this.#entries.get(fingerprint)?.crashes ?? new Map<string, Crash>();
-		return [...crashes].filter(([, {acquittedRevision}]) => acquittedRevision === undefined).map(([server]) => server);
+		const values = this.#entries.get(fingerprint)?.values ?? new Map<string, Value>();
+		return [...values].filter(([, {acquittedRevision}]) => acquittedRevision === undefined).map(([server]) => server);
 	}
 
 	listFacts(): readonly PoisonFact[] {
@@ -103,37 +106,27 @@
 		return this.#changes.facts;
 	}
 
-	/** Whether a request is known to crash the servers that run it. */
-	isPoisoned(fingerprint: string): boolean {
-		return this.#listPoisoned().has(fingerprint);
-	}
-
-	get hasPoisoned(): boolean {
-		return this.#listPoisoned().size > 0;
-	}
-
-	#listPoisoned(): ReadonlySet<string> {
-		if (this.#poisoned.revision !== this.#revision) {
-			const records = new Map<string, CrashRecord>();
-			for (const [fingerprint, entry] of this.#entries) {
-				if (entry.crashes.size >= POISON_LIMIT) {
-					records.set(fingerprint, createFact(fingerprint, entry, 0));
-				}
+	#evict(nowMs: number): void {
+		for (const [fingerprint, {at, values}] of this.#entries) {
+			if (nowMs - at <= RETENTION_MS && this.#entries.size <= MAX_RECORDS && this.#length <= MAX_LENGTH) {
+				return;
 			}
 
-			this.#poisoned = {revision: this.#revision, fingerprints: listPoisoned(records)};
+			this.#entries.delete(fingerprint);
+			for (const text of values.keys()) {
+				this.#length -= text.length;
+			}
 		}
-
-		return this.#poisoned.fingerprints;
 	}
 
-	#evict(nowMs: number): void {
-		for (const [fingerprint, {at}] of this.#entries) {
-			if (nowMs - at <= RETENTION_MS && this.#entries.size <= MAX_RECORDS) {
+	#dropOldestValues({values}: CrashEntry): void {
+		for (const text of values.keys()) {
+			if (values.size <= MAX_VALUES) {
 				return;
 			}
 
-			this.#entries.delete(fingerprint);
+			values.delete(text);
+			this.#length -= text.length;
 		}
 	}
 }
@@ -150,24 +143,14 @@
 	return isChanged;
 }
 
-function dropOldest(crashes: Map<string, Crash>, limit: number): void {
-	for (const server of crashes.keys()) {
-		if (crashes.size <= limit) {
-			return;
-		}
-
-		crashes.delete(server);
-	}
-}
-
-function createFact(fingerprint: string, {crashes, at}: CrashEntry, revision: number): PoisonFact {
+function createFact(fingerprint: string, {values, at}: CrashEntry, revision: number): PoisonFact {
 	const servers: string[] = [];
 	const acquitted: string[] = [];
-	for (const [server, crash] of crashes) {
-		if (crash.revision > revision || (crash.acquittedRevision ?? 0) > revision) {
-			servers.push(server);
-			if (crash.acquittedRevision !== undefined) {
-				acquitted.push(server);
+	for (const [text, value] of values) {
+		if (value.revision > revision || (value.acquittedRevision ?? 0) > revision) {
+			servers.push(text);
+			if (value.acquittedRevision !== undefined) {
+				acquitted.push(text);
 			}
 		}
 	}
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -136,8 +136,10 @@
 const NO_SERVER_RETRY_SECONDS = 1;
 /** Share of the retry time over which callers are spread. */
 const RETRY_SPREAD = 0.25;
-/** Retry time for callers of a request that crashes servers: another attempt within a minute would be refused as well. */
-const QUARANTINE_RETRY_SECONDS = 60;
+/** Prompt parts in the log line of a failure. */
+const LOGGED_PARTS = 16;
+/** Retry time for callers of a request that crashes servers, unless it is known: another attempt within a minute would be refused as well. */
+const QUARANTINE_RETRY_MS = 60_000;
 
 /**
  * Sends a request to a server.
@@ -200,13 +202,17 @@
 			handler.onHead(receivedStatus, headers, isFirst);
 		},
 		onData(chunk) {
+			if (isSuccess(status)) {
+				tracked.progress();
+			}
+
 			handler.onData(chunk);
 		},
 		onEnd() {
 			if (isClosedByConnection) {
 				// The server may have ended the response, or crashed in the middle of it.
 				tracked.breakOff();
-			} else if (status >= 200 && status < 300) {
+			} else if (isSuccess(status)) {
 				tracked.succeed();
 			} else {
 				tracked.dismiss();
@@ -226,6 +232,10 @@
 	};
 }
 
+function isSuccess(status: number): boolean {
+	return status >= 200 && status < 300;
+}
+
 /** Wraps an exchange so that its cancellation is also reported to the tracker. */
 function reportCancellation(exchange: Exchange, tracked: TrackedAttempt): Exchange {
 	return {
@@ -277,9 +287,9 @@
  * call.caller.fail(createQuarantineProblem(call));
  * ```
  */
-export function createQuarantineProblem(call: Call): Problem {
+export function createQuarantineProblem(call: Call, retryMs = QUARANTINE_RETRY_MS): Problem {
 	call.logFields.fingerprint = call.suspect.getFingerprint();
-	return createProblem('quarantined', undefined, QUARANTINE_RETRY_SECONDS);
+	return createProblem('quarantined', undefined, Math.ceil(retryMs / 1000));
 }
 
 /**
@@ -348,6 +358,6 @@
 		failure,
 		request: call.head.id,
 		fingerprint: failure === 'broken' ? call.suspect.getFingerprint() : undefined,
-		parts: failure === 'broken' ? call.suspect.sharedParts : undefined,
+		parts: failure === 'broken' ? call.head.prompt?.parts.slice(0, LOGGED_PARTS).map(({key}) => key) : undefined,
 	});
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -21,6 +21,8 @@
 	readonly serversReachable: Gauge;
 	readonly relayed: Counter<'direction'>;
 	readonly originLookups: Counter<'outcome'>;
+	readonly blocks: Gauge;
+	readonly probes: Counter<'kind' | 'outcome'>;
 };
 
 /** Histogram buckets, milliseconds: from a simple read to the longest stream. */
@@ -65,5 +67,9 @@
 		originLookups: new Counter({
 			name: 'carawayhoist_stream_origin_lookups_total', help: 'Resumed streams whose origin was looked up at the entry hosts that keep copies, by whether one knew it.', labelNames: ['outcome'], registers,
 		}),
+		blocks: new Gauge({name: 'carawayhoist_crash_blocks', help: 'Groups of suspects for which requests are refused because servers crashed.', registers}),
+		probes: new Counter({
+			name: 'carawayhoist_crash_probes_total', help: 'Requests that were sent although they may crash servers, by kind and outcome.', labelNames: ['kind', 'outcome'], registers,
+		}),
 	};
 }
