Record crashes for all parts of a prompt; send a probe to one server only

Change: the head of a request has the hashes of all its parts but the last, apart from the prompt that schedulers get. Keys that prompts repeat are kept apart from those of single requests. An attempt that ended without a response keeps no body. A probe is not prefilled at another engine first, so a trial reaches one server.

--- a/src/routing/servedkeys.ts
+++ b/src/routing/servedkeys.ts
@@ -8,23 +8,26 @@
 
 /** Time for which a success counts, milliseconds. */
 const RETENTION_MS = 600_000;
-const MAX_KEYS = 32_768;
+/** Keys that are remembered of each kind. */
+const MAX_KEYS = 16_384;
 
-/** Recently served keys, at most a fixed number, the most recently served ones. */
+/** Recently served keys. Those that were served several times are kept apart, so that keys of single requests do not displace them. */
 export class ServedKeys {
-	readonly #servedMs = new Map<number, number>();
+	readonly #once = new Map<number, number>();
+	readonly #repeatedly = new Map<number, number>();
 
 	record(key: number, nowMs: number): void {
-		this.#servedMs.delete(key);
-		this.#servedMs.set(key, nowMs);
-		if (this.#servedMs.size > MAX_KEYS) {
-			const [oldest] = this.#servedMs.keys();
-			this.#servedMs.delete(oldest!);
+		const isRepeated = this.#once.delete(key) || this.#repeatedly.delete(key);
+		const times = isRepeated ? this.#repeatedly : this.#once;
+		times.set(key, nowMs);
+		if (times.size > MAX_KEYS) {
+			const [oldest] = times.keys();
+			times.delete(oldest!);
 		}
 	}
 
 	has(key: number, nowMs: number): boolean {
-		const servedMs = this.#servedMs.get(key);
+		const servedMs = this.#repeatedly.get(key) ?? this.#once.get(key);
 		return servedMs !== undefined && nowMs - servedMs < RETENTION_MS;
 	}
 }
--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -128,6 +128,11 @@
 		return this.#probation.isRefused(request);
 	}
 
+	/** Whether a request is sent although it may crash servers. */
+	isProbe(request: SuspectRequest): boolean {
+		return this.#probation.isProbe(request);
+	}
+
 	/** Reads what was merged into the table. Must be called after each merge, so that the age of facts is known. */
 	refresh(): void {
 		const {table, clock} = this.#options;
@@ -229,7 +234,9 @@
 
 		const endedMs = this.#now();
 		attempts.unanswered = attempts.unanswered.filter(other => endedMs - other.endedMs < UNANSWERED_RETENTION_MS).slice(-MAX_UNANSWERED);
-		attempts.unanswered.push({request, endedMs});
+		// The request itself would keep its body in memory.
+		const fingerprint = request.getFingerprint();
+		attempts.unanswered.push({request: {id: request.id, getFingerprint: () => fingerprint, sharedParts: request.sharedParts}, endedMs});
 	}
 
 	/** Finds out whether a server that broke off a response has crashed. */
--- a/src/serving/engines.ts
+++ b/src/serving/engines.ts
@@ -32,6 +32,18 @@
 	return engines;
 }
 
+/**
+ * Lists the engines that only prefill. A request that may crash servers leaves them out, so that it reaches one server instead of two.
+ *
+ * @example
+ * ```ts
+ * listReaders([{...announcement, server: 'e1', role: 'prefill'}]); // ['e1']
+ * ```
+ */
+export function listReaders(servers: readonly Announcement[]): string[] {
+	return servers.filter(({role}) => role === 'prefill').map(({server}) => server);
+}
+
 /**
  * Lists the software versions of the servers of all services, for each service that a server serves.
  *
--- a/src/serving/gateway.ts
+++ b/src/serving/gateway.ts
@@ -10,7 +10,6 @@
 import {
 	chooseService, ROUTE_KINDS, type CallerLimits, type Route, type RouteTable,
 } from '../routing/routes.js';
-import {hashPart} from '../routing/suspects.js';
 import {CallerConnections} from '../wire/callers.js';
 import {digestKey} from '../teams/digest.js';
 import type {Team} from '../teams/table.js';
@@ -288,8 +287,7 @@
 					});
 					return fingerprint;
 				},
-				// The last part belongs to the request itself.
-				sharedParts: received.head.prompt?.parts.slice(0, -1).map(({key}) => hashPart(key)) ?? [],
+				sharedParts: received.head.sharedParts,
 			},
 			logFields: {servers: [], resumes: received.head.resumedAttempt},
 		});
--- a/src/serving/probation.ts
+++ b/src/serving/probation.ts
@@ -78,6 +78,10 @@
 		return full.length > 0 || (partial.length > 0 && this.#failed.has(request));
 	}
 
+	isProbe(request: SuspectRequest): boolean {
+		return this.#probes.has(request);
+	}
+
 	/** Decides whether a new request may be sent. A trial takes a moment to decide. Whoever is admitted calls `end`. */
 	async admit(request: SuspectRequest): Promise<Admission> {
 		const {full, partial} = this.#options.match(request);
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -28,6 +28,8 @@
 	/** How long the caller will wait, milliseconds; undefined if it sets no deadline. */
 	readonly timeoutMs: number | undefined;
 	readonly prompt: Prompt | undefined;
+	/** Hashes of all parts that the request names and others may share, see `hashPart`; `prompt` describes a limited number of parts. */
+	readonly sharedParts: readonly number[];
 	/** ID of the last event that the caller received of a stream that it resumes. */
 	readonly lastEventId: string | undefined;
 	/** ID of the attempt that brought the first event of that stream. */
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -15,6 +15,7 @@
 import type {
 	ResponseHead, Prompt, KvCacheHandle,
 } from './protocol.js';
+import {listReaders} from './engines.js';
 import {EventSplitter, isEventStream, isUnframedStream} from './events.js';
 import type {PlacementResult} from './placement.js';
 import {sendPrefill} from './prefill.js';
@@ -262,7 +263,7 @@
 			priority,
 			objectiveMs: Math.max(0, arrivedMs + route.objectiveMs - nowMs),
 			patienceMs: Math.max(0, Math.min(deadlineMs, arrivedMs + patienceMs) - nowMs),
-			excluded: [...this.#excluded, ...this.#listUnavailable()],
+			excluded: [...this.#excluded, ...this.#listUnavailable(), ...(this.#context.crashes.isProbe(this.#call.suspect) ? listReaders(this.#context.listServers()) : [])],
 			...this.#createResumption(),
 		};
 	}
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -312,6 +312,7 @@
 				hasRunner = true;
 				return true;
 			},
+			isProbe: () => false,
 		} as unknown as ServingContext['crashes'];
 		await new StreamCall({...context, crashes}, call, {
 			model: 'm', parts: [], promptTokens: 100, outputTokens: 10,
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -71,7 +71,8 @@
 		const server = system.servers.find(other => other.id === id)!;
 		const {port} = server;
 		server.stop();
-		void system.addServer(createFragileEngine(framing)(`${id}+`, crashed, restart), port);
+		// It may crash again before all hosts list it.
+		void Promise.allSettled([system.addServer(createFragileEngine(framing)(`${id}+`, crashed, restart), port)]);
 	};
 
 	const system = await startSystem(t, Array.from({length: count}, (_, index) => createFragileEngine(framing)(`e${index + 1}`, crashed, restart)));
@@ -216,6 +217,23 @@
 	});
 }
 
+// Guards against a part that crashes servers and is never found, because prompts have more parts than hosts used to look at.
+test('a part that crashes engines is refused wherever it stands in a prompt of very many parts', async t => {
+	const {system, crashed, calls} = await startRestartingSystem(t, 5);
+	const startedMs = Date.now();
+	const shared = Array.from({length: 600}, (_, index) => `shared${index}`);
+	const ask = async (index: number, second: string) => calls[index % 2]!(`/ask/${second}/${index}`, createPrompt(...shared, second, `own${index}`), 'prompt');
+	for (let index = 0; index < 8; index++) {
+		await Promise.allSettled([ask(index, 'bad')]);
+		await sleep(PROPAGATION_MS);
+		await system.announceServers();
+		assert.equal((await ask(index, 'good')).status, 200);
+	}
+
+	const trialCount = TRIAL_DELAYS_MS.filter(delayMs => Date.now() - startedMs >= delayMs).length;
+	assert.ok(crashed.size >= 3 && crashed.size <= 4 + trialCount, `${crashed.size} engines crashed`);
+});
+
 /** Sends prompts with a part that crashes engines, in responses with the given framing header, and sound ones beside them. */
 async function assertPartIsRefused(t: Parameters<typeof startSystem>[0], framing: string): Promise<void> {
 	const {system, crashed, calls} = await startRestartingSystem(t, 4, framing);
--- a/test/promptparts.test.ts
+++ b/test/promptparts.test.ts
@@ -8,6 +8,7 @@
 import {PlatformProtocol} from '../platform/protocol.js';
 import {KvCacheModel} from '../src/routing/kvcache.js';
 import {Scheduler} from '../src/routing/scheduler.js';
+import {hashPart} from '../src/routing/suspects.js';
 import {createEngine, createRequest} from './pool.js';
 
 /** Parts in a head of legal size, each in a line of its own. */
@@ -59,6 +60,20 @@
 	assert.equal(parts.reduce((sum, {tokens}) => sum + tokens, 0), PARTS_PER_HEAD * 3);
 });
 
+// Guards against a part that crashes servers and is never found, because the parser skips it or takes it for the request's own.
+test('all parts but the last one are known by their hashes, those without tokens or a key too', () => {
+	const shared = Array.from({length: PARTS_PER_HEAD}, (_, index) => `${index}`);
+	const parse = (text: string) => {
+		const head = new PlatformProtocol().parseRequest({headers: {'carawayhoist-attempt-id': 'id', 'carawayhoist-prompt-prefix': text}} as unknown as IncomingMessage);
+		assert.ok(Either.isRight(head));
+		return head.right.sharedParts;
+	};
+
+	assert.deepEqual(parse([...shared.map(key => `${key}:3`), 'own:1'].join(',')), shared.map(key => hashPart(key)));
+	assert.deepEqual(parse('a:1,b,c:x,:4,d:5:6,own:none,'), ['a', 'b', 'c', '', 'd'].map(key => hashPart(key)));
+	assert.deepEqual(parse(''), []);
+});
+
 // Guards against a host that keeps whole headers for the keys of parts in them.
 test('a long key of a part is shortened, and different ones stay different', () => {
 	const [first, second, same] = ['x', 'y', 'x'].map(letter => parsePrompt(new PlatformProtocol(), `${letter.repeat(15_000)}:10, ab:20`).parts);
