--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -11,6 +11,9 @@
  * @module
  */
 import {hashText} from '../base/hash.js';
+import {
+	findExplanations, REQUEST_LIMIT, type CrashRecord, type Group,
+} from './explanations.js';
 
 /** What one host reports about a crash: hashes of requests and prompt parts. */
 export type CrashReport = {
@@ -53,29 +56,12 @@
 	readonly partial: readonly Block[];
 };
 
-type CrashRecord = {
-	readonly name: string;
-	readonly number: number;
-	at: number;
-	readonly learntMs: number;
-	readonly keys: Set<number>;
-	readonly cleared: Set<number>;
-};
-
 type Suspect = {
 	readonly isRequest: boolean;
 	isServed: boolean;
 	crashes: CrashRecord[];
 };
 
-/** Suspects of one kind that were in flight at the same crashes. */
-type Group = {
-	readonly isRequest: boolean;
-	readonly isServed: boolean;
-	readonly crashes: ReadonlySet<CrashRecord>;
-	readonly keys: Set<number>;
-};
-
 /**
  * Computes the key of a request.
  *
@@ -100,17 +86,6 @@
 	return hashText(`part/${part}`);
 }
 
-/** Crashes after which a request is blocked. */
-export const REQUEST_LIMIT = 2;
-/** The same for requests that were in flight at the same crashes. */
-export const TIED_REQUEST_LIMIT = 4;
-/** Crashes, in different requests, after which a prompt part is blocked. */
-export const PART_LIMIT = 3;
-/** Moments of crashes after which a request or a part is blocked that was served before. */
-export const SERVED_REQUEST_LIMIT = 2;
-export const SERVED_PART_LIMIT = 5;
-/** Crashes within this time, in milliseconds, may have one cause that is no request: power, a rack, a driver. */
-export const MOMENT_MS = 1000;
 /** Time for which crashes are remembered, milliseconds. */
 export const RETENTION_MS = 3_600_000;
 /** Bounds of what is remembered: crashes, and suspects summed over the crashes. */
@@ -308,12 +283,8 @@
 
 	#findBlocks(): Block[] {
 		const groups = this.#groupCandidates();
-		const moments = new Moments(this.#crashes.values());
-		const requests = groups.filter(group => group.isRequest && isBlocked(group, groups, moments));
-		const parts = groups.filter(group => !group.isRequest && isBlocked(group, groups, moments)
-			&& !requests.some(request => isSubset(group.crashes, request.crashes)));
-		const unexplained = requests.filter(request => !parts.some(part => part.crashes.size > request.crashes.size && isSubset(request.crashes, part.crashes)));
-		return [...unexplained.flatMap(request => [...request.keys].map(key => createBlock(new Set([key]), request.crashes))), ...parts.map(part => createBlock(part.keys, part.crashes))];
+		const {requests, parts} = findExplanations(groups, this.#crashes.values());
+		return [...requests.flatMap(request => [...request.keys].map(key => createBlock(new Set([key]), request.crashes))), ...parts.map(part => createBlock(part.keys, part.crashes))];
 	}
 
 	#groupCandidates(): Group[] {
@@ -340,76 +311,10 @@
 	}
 }
 
-/** The crashes by the moments at which they happened. */
-class Moments {
-	readonly #starts = new Map<CrashRecord, number>();
-	readonly #sizes = new Map<number, number>();
-
-	constructor(crashes: Iterable<CrashRecord>) {
-		let startMs = Number.NEGATIVE_INFINITY;
-		for (const crash of [...crashes].filter(({keys}) => keys.size > 0).toSorted((a, b) => a.at - b.at)) {
-			startMs = crash.at - startMs > MOMENT_MS ? crash.at : startMs;
-			this.#starts.set(crash, startMs);
-			this.#sizes.set(startMs, (this.#sizes.get(startMs) ?? 0) + 1);
-		}
-	}
-
-	/**
-	 * Weighs the evidence against a group. If it explains only a minority of a moment's crashes, or was served before, then all its crashes of
-	 * the moment may have had one other cause.
-	 */
-	weigh({crashes, isServed}: Group): number {
-		const counts = new Map<number, number>();
-		for (const crash of crashes) {
-			const startMs = this.#starts.get(crash)!;
-			counts.set(startMs, (counts.get(startMs) ?? 0) + 1);
-		}
-
-		let weight = 0;
-		for (const [startMs, count] of counts) {
-			weight += !isServed && count * 2 >= this.#sizes.get(startMs)! ? count : 1;
-		}
-
-		return weight;
-	}
-}
-
 function listUnresolved(key: number, {crashes}: Suspect): CrashRecord[] {
 	return crashes.filter(({cleared}) => !cleared.has(key));
 }
 
-/** Whether a group is the best explanation, among those of its kind, of enough crashes. */
-function isBlocked(group: Group, groups: readonly Group[], moments: Moments): boolean {
-	return moments.weigh(group) >= findLimit(group)
-		&& !groups.some(other => other.isRequest === group.isRequest && isBetterExplanation(other, group));
-}
-
-function findLimit({isRequest, isServed, keys}: Group): number {
-	if (!isRequest) {
-		return isServed ? SERVED_PART_LIMIT : PART_LIMIT;
-	}
-
-	if (keys.size > 1) {
-		return TIED_REQUEST_LIMIT;
-	}
-
-	return isServed ? SERVED_REQUEST_LIMIT : REQUEST_LIMIT;
-}
-
-/** Whether another group explains all crashes of a group, and more of them or without having been served. */
-function isBetterExplanation(other: Group, group: Group): boolean {
-	if (other.isServed && !group.isServed) {
-		return false;
-	}
-
-	const isStronger = other.crashes.size > group.crashes.size || (group.isServed && !other.isServed);
-	return isStronger && isSubset(group.crashes, other.crashes);
-}
-
-function isSubset(set: ReadonlySet<CrashRecord>, other: ReadonlySet<CrashRecord>): boolean {
-	return set.size <= other.size && [...set].every(crash => other.has(crash));
-}
-
 function createBlock(keys: ReadonlySet<number>, crashes: ReadonlySet<CrashRecord>): Block {
 	const records = [...crashes];
 	return {
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -39,6 +39,7 @@
 	'routing/reachability',
 	'routing/poison',
 	'routing/suspects',
+	'routing/explanations',
 	'routing/trials',
 	'routing/servedkeys',
 	'routing/scheduler',
