Acknowledge that a server leaves once another control host knows it

Cause: the end of a server, and its announcement that it drains, were marked in the memory of one process and acknowledged; the other hosts are told 5 ms later. Class: an acknowledgement that rests on one process.

A peer that closes its side in an orderly way has read everything; the first one is enough, and it tells the entry hosts. If none does within 600 ms, the report is refused with 503 and the server calls the next host. Without other control hosts nothing changes.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -31,6 +31,7 @@
 import type {DutyCaller} from '../duties/caller.js';
 import {ControlDuties, type DutySettings} from '../duties/duties.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
+import {DepartureConfirmation} from '../membership/departures.js';
 import {FeedPublisher} from '../membership/feed.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
 import {DEFAULT_REGISTRY_TIMING, ServerRegistry, type MergeResult} from '../membership/registry.js';
@@ -41,7 +42,9 @@
 import {RolePlanner} from '../routing/planner.js';
 import {listEngines, listServerVersions} from '../serving/engines.js';
 import type {ProtocolAdapter} from '../serving/protocol.js';
-import {Listener, type Address, type Connection} from '../wire/connection.js';
+import {
+	deliver, Listener, type Address, type Connection,
+} from '../wire/connection.js';
 
 export type ControlHostOptions = {
 	readonly host: string;
@@ -117,6 +120,7 @@
 	readonly #publications: PublicationQueue;
 	readonly #publisher: FeedPublisher;
 	readonly #subscription: FeedSubscription;
+	readonly #departures: DepartureConfirmation;
 	readonly #duties: ControlDuties | undefined;
 	readonly #listener: Listener;
 	readonly #rateLimits = new RateLimitTable();
@@ -207,10 +211,11 @@
 			listStatuses: () => registry.listStatuses(),
 			listServices: () => this.#routeTable?.config.services ?? [],
 			listEngines: () => this.#scheduler.engines,
-			listPeers: () => this.listControlAddresses().filter(address => !isSameAddress(address, options.peerAddress)),
+			listPeers: () => this.#listPeers(),
 			isReady: () => service.holdsLeaderLease && this.#hasHeardAllServers(),
 			isNewSystem,
 		});
+		this.#departures = new DepartureConfirmation({host, listPeers: () => this.#listPeers(), deliver});
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, TICK_MS);
@@ -331,6 +336,15 @@
 		return Either.right(undefined);
 	}
 
+	/**
+	 * Waits until another control host knows that a server has left or is leaving, if it does. Its report must not be acknowledged before:
+	 * this process may end at any moment.
+	 */
+	async confirmDeparture(server: string): Promise<Either.Either<Problem, void>> {
+		const status = this.registry.findStatus(server);
+		return status && (status.gone || status.announcement.leaving === true) ? this.#departures.confirm(status) : Either.right(undefined);
+	}
+
 	/**
 	 * Commits a publication to the replicated log, unless the one in force has the same or a higher version. Returns once it
 	 * is committed, so that it cannot be lost any more.
@@ -481,6 +495,12 @@
 		this.#listener.close();
 	}
 
+	/** Lists the addresses of the other control hosts, each once. */
+	#listPeers(): Address[] {
+		const peers = this.listControlAddresses().filter(address => !isSameAddress(address, this.#options.peerAddress));
+		return peers.filter((peer, index) => peers.findIndex(other => isSameAddress(other, peer)) === index);
+	}
+
 	#mergeCrashes(message: Message): void {
 		if (message.type === 'gossip' && mergeCrashFacts(this.#crashes, message.facts)) {
 			this.#publisher.notify();
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -147,6 +147,35 @@
 	connection.finish();
 }
 
+/**
+ * Sends one message on a connection of its own. Returns whether the peer has received it: it closes its side of the connection once it has
+ * read everything, in an orderly way.
+ *
+ * @example
+ * ```ts
+ * await deliver({address: '10.0.0.4', port: 7400}, {type: 'hello', id: 1}, 600); // true
+ * ```
+ */
+export async function deliver(target: Address, message: Message, timeoutMs: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = net.connect({host: target.address, port: target.port});
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, timeoutMs);
+		let isReceived = false;
+		socket.once('end', () => {
+			isReceived = socket.writableFinished;
+		});
+		socket.on('error', () => socket.destroy());
+		socket.once('close', hasError => {
+			clearTimeout(timer);
+			resolve(isReceived && !hasError);
+		});
+		socket.resume();
+		socket.end(encodeFrame(message));
+	});
+}
+
 /** Accepts connections. Closing the listener also closes the connections that it accepted. */
 export class Listener {
 	readonly #server: net.Server;
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
+import net from 'node:net';
 import {test} from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import {waitUntil} from '../dev/fleet.js';
 import {sleep} from '../src/base/clock.js';
+import type {ServerStatus} from '../src/generated/types.js';
+import {DepartureConfirmation} from '../src/membership/departures.js';
+import {deliver, Listener} from '../src/wire/connection.js';
 import {startSystem} from './system.js';
 
 /** An entry host has heard a restarted control host after this time, and has sent what it knows. */
@@ -46,4 +51,71 @@
 	await waitUntil(async () => (await fetch(`http://${system.control}/-/instances/p1`, {method: 'DELETE'})).status === 200, 'the control host has heard all servers');
 });
 
+// Guards against a departure that is lost with the control host that has just acknowledged it.
+for (const {name, isKnown, leave} of [
+	{name: 'end', isKnown: (status?: ServerStatus) => status?.gone === true, leave: async (system: System) => fetch(`http://${system.control}/-/instances/p1`, {method: 'DELETE'})},
+	{name: 'drain', isKnown: (status?: ServerStatus) => status?.announcement.leaving === true, leave: async (system: System) => ({status: await system.servers[0]!.announce(system.control, 'draining')})},
+]) {
+	test(`the ${name} of a server is acknowledged once another control host knows of it`, async t => {
+		const system = await startSystem(t, [{id: 'p1', service: 'plain'}, {id: 'p2', service: 'plain'}]);
+		const other = await system.addControl();
+		await waitUntil(async () => system.listControlPorts().includes(other.port), 'the control hosts know each other');
+		await waitUntil(async () => other.findRegistered('p1') !== undefined, 'the other control host knows the server');
+		await waitUntil(async () => (await leave(system)).status === 200, 'the report is acknowledged');
+		assert.ok(isKnown(other.findRegistered('p1')));
+	});
+}
+
+test('a departure that no other control host confirms is not acknowledged', async () => {
+	const delivered: string[] = [];
+	let isReachable = false;
+	const confirmation = new DepartureConfirmation({
+		host: 'c1',
+		listPeers: () => [{address: '10.0.0.2', port: 1}, {address: '10.0.0.3', port: 1}],
+		async deliver({address}) {
+			delivered.push(address);
+			return isReachable && address === '10.0.0.3';
+		},
+	});
+	const status: ServerStatus = {
+		announcement: {
+			server: 's1', kind: 'plain', address: '10.0.0.9', port: 1, incarnation: 1, sequence: 1,
+		}, gone: true, silent: false,
+	};
+	assert.ok(Either.isLeft(await confirmation.confirm(status)));
+	isReachable = true;
+	assert.ok(Either.isRight(await confirmation.confirm(status)));
+	assert.ok(Either.isRight(await confirmation.confirm(status)));
+	assert.deepEqual(delivered, ['10.0.0.2', '10.0.0.3', '10.0.0.2', '10.0.0.3']);
+});
+
+test('a message counts as delivered only if a process has read it', async t => {
+	const received: string[] = [];
+	const listener = new Listener(({type}) => {
+		received.push(type);
+	});
+	t.after(() => {
+		listener.close();
+	});
+	const port = await listener.listen({address: '127.0.0.1', port: 0});
+	assert.ok(Either.isRight(port));
+	const message = {
+		type: 'resync' as const, host: 'c1', servers: [], origins: [],
+	};
+	assert.ok(await deliver({address: '127.0.0.1', port: port.right}, message, 1000));
+	assert.deepEqual(received, ['resync']);
+	// A process that accepts connections and reads nothing.
+	const frozen = net.createServer({pauseOnConnect: true});
+	t.after(() => {
+		frozen.close();
+	});
+	await new Promise<void>(resolve => {
+		frozen.listen(0, '127.0.0.1', resolve);
+	});
+	assert.ok(!await deliver({address: '127.0.0.1', port: (frozen.address() as net.AddressInfo).port}, message, 200));
+	frozen.close();
+	listener.close();
+	assert.ok(!await deliver({address: '127.0.0.1', port: port.right}, message, 200));
+});
+
 type System = Awaited<ReturnType<typeof startSystem>>;
--- a/test/system.ts
+++ b/test/system.ts
@@ -182,6 +182,8 @@
 		controlRegistry,
 		/** Finds what the control host knows of a server. */
 		findRegistered: (id: string) => control.registry.findStatus(id),
+		/** Ports of the control hosts that the first one knows. */
+		listControlPorts: () => control.listControlAddresses().map(({port}) => port),
 		entryLines: entryLog.lines,
 		servers,
 		get entries() {
@@ -212,7 +214,7 @@
 			const added = {address: '127.0.0.1', port: await findPort()};
 			const host = await startControl(new Registry(), 'c2', added);
 			cleanups.push(async () => host.close());
-			return added;
+			return {...added, findRegistered: (id: string) => host.registry.findStatus(id)};
 		},
 		stopControl,
 		/** Ends the control host and starts it again on its data folder; waits until it takes announcements. */
