Bound the trailers of chunked bodies that do not end

Cause: the HTTP parser keeps the lines of a trailer as strings until the body ends. What is held for clients was counted for heads and bodies, and for heads that have not ended only on connections without an open request; nothing counted a trailer.

Change: of a chunked body, the bytes received after its last data count like a head that has not ended, in the same bound; they are counted in the turn in which they were parsed, since hundreds of connections may be ready at once. A response to a request that is not complete no longer resets what its connection holds.

--- a/src/wire/clientguard.ts
+++ b/src/wire/clientguard.ts
@@ -6,6 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import process from 'node:process';
 import type * as Either from 'fp-ts/lib/Either.js';
 import {Counter, Gauge, type Registry} from 'prom-client';
 import {BufferPool} from '../base/bufferpool.js';
@@ -14,6 +15,7 @@
 import {readBody, type BodyOptions} from './body.js';
 import type {ClientLimits} from './clientlimits.js';
 import {ClientMemory, type EvictionReason, type MemoryShare} from './clientmemory.js';
+import {TrailerEstimate} from './trailers.js';
 import {ReadTurns} from './turns.js';
 
 export type ClientMetrics = {
@@ -61,10 +63,16 @@
 	/** Time since which it has no request. */
 	idleSinceMs: number;
 	hasHadRequest: boolean;
-	/** Bytes received when the last request ended. */
+	/** Bytes received when the last complete request ended. */
 	receivedBytes: number;
-	/** The request that is arriving. */
-	arriving: MemoryShare | undefined;
+	/** The request whose body is arriving. */
+	arriving: ArrivingRequest | undefined;
+};
+
+type ArrivingRequest = {
+	readonly share: MemoryShare;
+	/** The trailer, if the body is chunked. */
+	readonly trailer: TrailerEstimate | undefined;
 };
 
 type ConnectionTable = {
@@ -95,6 +103,8 @@
 	readonly #refused = new Map<RefusalReason, number>();
 	readonly #timer: NodeJS.Timeout;
 	#loggedMs = 0;
+	/** Memory of the heads and trailers that have not ended, at most: it is counted anew from time to time. */
+	#partialBytes = 0;
 
 	constructor(options: ClientGuardOptions) {
 		this.#options = options;
@@ -122,7 +132,10 @@
 					connection.open--;
 					connection.arriving = undefined;
 					connection.idleSinceMs = this.#options.nowMs();
-					connection.receivedBytes = request.socket.bytesRead;
+					// The parser keeps the trailer of a body that has not ended.
+					if (request.complete) {
+						connection.receivedBytes = request.socket.bytesRead;
+					}
 				});
 			}
 		});
@@ -156,9 +169,18 @@
 
 	/** Reads the body of a request that has been admitted. */
 	async readBody(request: IncomingMessage, options: Omit<BodyOptions, 'turn' | 'pool' | 'nowMs'>): Promise<Either.Either<Problem, Buffer | null> | undefined> {
-		const connection = this.#tables.map(({connections}) => connections.get(request.socket)).find(Boolean);
-		if (connection) {
-			connection.arriving = options.share;
+		const table = this.#tables.find(({connections}) => connections.has(request.socket));
+		const connection = table?.connections.get(request.socket);
+		if (table && connection) {
+			const isChunked = request.headers['transfer-encoding'] !== undefined;
+			const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+			connection.arriving = {share: options.share, trailer: isChunked ? new TrailerEstimate(request, connection.receivedBytes + headBytes) : undefined};
+			if (isChunked) {
+				// Runs once what was received together with the head has been parsed, before the next connection is read.
+				process.nextTick(() => {
+					this.#recordPartial(connection, table.connections);
+				});
+			}
 		}
 
 		const body = await readBody(request, {
@@ -201,7 +223,7 @@
 		const crowded = findCrowdedAddress(connections, maxConnections / 2);
 		let victim: Connection | undefined;
 		for (const connection of connections.values()) {
-			if ((connection.open === 0 || connection.arriving?.isSlow(nowMs) === true) && (!victim || comparePriority(connection, victim, crowded) < 0)) {
+			if ((connection.open === 0 || connection.arriving?.share.isSlow(nowMs) === true) && (!victim || comparePriority(connection, victim, crowded) < 0)) {
 				victim = connection;
 			}
 		}
@@ -237,29 +259,41 @@
 		}
 	}
 
-	/** Closes the connections with the largest heads that have not ended, if all of these together take too much memory. */
+	/** Counts what the parser may keep for a request that has just begun. */
+	#recordPartial(connection: Connection, connections: ReadonlyMap<Socket, Connection>): void {
+		this.#partialBytes += estimatePartialBytes(connection);
+		if (this.#partialBytes > this.limits.requestBytes * PARTIAL_HEADS_SHARE) {
+			this.#boundPartialHeads(connections);
+		}
+	}
+
+	/** Closes the connections with the largest heads and trailers that have not ended, if all of these together take too much memory. */
 	#boundPartialHeads(connections: ReadonlyMap<Socket, Connection>): void {
-		const partial = [...connections.values()]
-			.filter(({open}) => open === 0)
-			.map(({socket, receivedBytes}) => ({socket, bytes: (socket.bytesRead - receivedBytes) * HEAD_MEMORY_FACTOR}));
+		const partial = [...connections.values()].map(connection => ({socket: connection.socket, bytes: estimatePartialBytes(connection)}));
 		let bytes = partial.reduce((sum, head) => sum + head.bytes, 0);
 		const maxBytes = this.limits.requestBytes * PARTIAL_HEADS_SHARE;
-		if (bytes <= maxBytes) {
-			return;
-		}
+		if (bytes > maxBytes) {
+			for (const head of partial.toSorted((a, b) => b.bytes - a.bytes)) {
+				if (bytes <= maxBytes) {
+					break;
+				}
 
-		for (const head of partial.toSorted((a, b) => b.bytes - a.bytes)) {
-			if (bytes <= maxBytes) {
-				return;
+				bytes -= head.bytes;
+				this.recordRefusal('head');
+				head.socket.destroy();
 			}
-
-			bytes -= head.bytes;
-			this.recordRefusal('head');
-			head.socket.destroy();
 		}
+
+		this.#partialBytes = bytes;
 	}
 }
 
+/** Estimates the memory of the header lines that the parser keeps for a connection: those of a head, or of a trailer, that has not ended. */
+function estimatePartialBytes({socket, open, receivedBytes, arriving}: Connection): number {
+	const bytes = open === 0 ? socket.bytesRead - receivedBytes : arriving?.trailer?.bytes ?? 0;
+	return bytes * HEAD_MEMORY_FACTOR;
+}
+
 /** Frees the memory of a head that is not needed any more. The request lives on until its response has been sent. */
 function dropHeaders(request: IncomingMessage): void {
 	request.rawHeaders = [];
--- a/test/hostile.test.ts
+++ b/test/hostile.test.ts
@@ -63,6 +63,14 @@
 	});
 }
 
+// Guards against an entry host that runs out of memory for trailers, whose lines the parser keeps until the body ends.
+test('an entry host bears chunked bodies that stop inside a trailer of many short lines', async t => {
+	const machines = await startMachines(t, {entryMachine: {memoryMb: 272, maxFds: 2870}});
+	await Crowd.send(t, machines.callers, {count: 900, script: index => [`${createHead(index, CHUNKED)}4\r\nbody\r\n0\r\n${fillHead(line => `${line.toString(36)}:${line.toString(36)}\r\n`)}`]});
+	await machines.callOnce();
+	t.diagnostic(await checkMachine('entry host', machines.entry));
+});
+
 // Guards against an entry host that runs out of memory for heads that arrive at the same time: those of refused requests stayed in memory until
 // their responses had been sent.
 test('an entry host bears heads of many short lines on most of its connections', async t => {
@@ -102,6 +110,7 @@
 	'bodies in chunks of one byte': {count: 100, script: () => repeat(createPut(CHUNKED), TINY_CHUNKS, 9)},
 	'bodies far over the limit, declared': {count: 40, script: () => repeat(createPut(`content-length: ${TERABYTE}\r\n`), PIECE, 1000)},
 	'chunked bodies without end': {count: 40, script: () => repeat(createPut(CHUNKED), CHUNK, 1000)},
+	'chunked bodies that stop inside a trailer of many short lines': {count: 600, script: index => [createHead(index, CHUNKED), '4\r\nbody\r\n0\r\n', fillHead(() => 'a:b\r\n')]},
 	'idle connections': {count: 600, script: () => []},
 };
 
