Name requests with long IDs by a hash between hosts

Cause: schedulers and entry hosts keep the ID of each stream for a minute, up to 50,000 of them, whatever their length, and send it with each message about the request.

Servers and logs get the ID unchanged. While hosts of the version before run beside new ones, a stream with a longer ID that began at one kind is of unknown origin to the other.

--- a/src/base/hash.ts
+++ b/src/base/hash.ts
@@ -1,8 +1,9 @@
 /**
- * Short hashes of texts, for sets of keys that are kept or sent in large numbers.
+ * Short hashes of texts, for sets of keys that are kept or sent in large numbers, and short forms of identities from outside.
  *
  * @module
  */
+import {createHash} from 'node:crypto';
 
 /** Bytes of a hash. */
 export const HASH_BYTES = 6;
@@ -41,3 +42,19 @@
 	return (mixed ^ (mixed >>> 15)) >>> 0;
 }
 /* eslint-enable no-bitwise */
+
+/** Identities up to this length are kept as they are. */
+const MAX_ID_LENGTH = 64;
+
+/**
+ * Returns an identity, or the hash of a long one, which hosts would otherwise keep and send in full.
+ *
+ * @example
+ * ```ts
+ * shortenId('9c41d07be2a35f68'); // '9c41d07be2a35f68'
+ * shortenId('x'.repeat(15_000)).length; // 43
+ * ```
+ */
+export function shortenId(id: string): string {
+	return id.length > MAX_ID_LENGTH ? createHash('sha256').update(id).digest('base64url') : id;
+}
--- a/src/serving/plaincall.ts
+++ b/src/serving/plaincall.ts
@@ -116,7 +116,7 @@
 			return true;
 		}
 
-		const permit = await placement.requestPermit(service, server, {id: `${head.id} ${++this.#permitCount}`, priority});
+		const permit = await placement.requestPermit(service, server, {id: `${head.key} ${++this.#permitCount}`, priority});
 		if (permit.waitMs === 0) {
 			return true;
 		}
@@ -224,7 +224,7 @@
 	async #attempt(server: Announcement): Promise<Outcome> {
 		const {loadTracker, clock} = this.#context;
 		const {head, logFields} = this.#call;
-		const attemptId = `${head.id} ${this.#triedServers.size}`;
+		const attemptId = `${head.key} ${this.#triedServers.size}`;
 		this.#triedServers.add(server.server);
 		logFields.servers.push(server.server);
 		loadTracker.startRequest(server.server, attemptId, {prefillTokens: 0, outputTokens: 0, promptTokens: 0}, clock.monotonicMs());
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -25,6 +25,8 @@
 export type RequestHead = {
 	/** Request ID that the caller assigned to this attempt. */
 	readonly id: string;
+	/** Names the request between hosts: its ID, or the hash of a long one. */
+	readonly key: string;
 	/** How long the caller will wait, milliseconds; undefined if it sets no deadline. */
 	readonly timeoutMs: number | undefined;
 	readonly prompt: Prompt | undefined;
@@ -32,7 +34,7 @@
 	readonly sharedParts: readonly number[];
 	/** ID of the last event that the caller received of a stream that it resumes. */
 	readonly lastEventId: string | undefined;
-	/** ID of the attempt that brought the first event of that stream. */
+	/** Key of the attempt that brought the first event of that stream. */
 	readonly resumedAttempt: string | undefined;
 };
 
--- a/src/serving/resumption.ts
+++ b/src/serving/resumption.ts
@@ -21,7 +21,7 @@
  */
 export async function findResumedSoftware(context: ServingContext, call: Call): Promise<Either.Either<Problem, string>> {
 	const {placement, dataCentre, clock} = context;
-	const {head: {id, resumedAttempt}, route, service, routeTable, body, priority} = call;
+	const {head: {key: id, resumedAttempt}, route, service, routeTable, body, priority} = call;
 	const {decision} = await placement.place({
 		id,
 		service,
--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -95,7 +95,7 @@
 
 			const outcome = await this.#runAt(runner);
 			if (outcome.type === 'done') {
-				this.#context.placement.reportMilestone(this.#call.head.id, outcome.isServerError ? 'failed' : 'done', outcome.isServerError ? runner.server : undefined);
+				this.#context.placement.reportMilestone(this.#call.head.key, outcome.isServerError ? 'failed' : 'done', outcome.isServerError ? runner.server : undefined);
 				return;
 			}
 
@@ -105,7 +105,7 @@
 
 			this.#mayHaveRun ||= outcome.type === 'broken';
 			this.#mayReuseExcluded = outcome.type === 'broken' && outcome.hasResponded;
-			this.#context.placement.reportMilestone(this.#call.head.id, outcome.type === 'notExecuted' || !this.#isAvailable(runner) ? 'refused' : 'failed', runner.server);
+			this.#context.placement.reportMilestone(this.#call.head.key, outcome.type === 'notExecuted' || !this.#isAvailable(runner) ? 'refused' : 'failed', runner.server);
 			this.#excluded.add(runner.server);
 			const problem = this.#findFinalProblem(outcome);
 			if (problem) {
@@ -114,7 +114,7 @@
 			}
 		}
 
-		this.#context.placement.reportMilestone(this.#call.head.id, 'failed', undefined);
+		this.#context.placement.reportMilestone(this.#call.head.key, 'failed', undefined);
 	}
 
 	/**
@@ -181,7 +181,7 @@
 		const {caller, head, logFields} = this.#call;
 		const reader = this.#findEngine(server);
 		if (reader && !this.#isAvailable(reader)) {
-			placement.reportMilestone(head.id, 'refused', undefined);
+			placement.reportMilestone(head.key, 'refused', undefined);
 			this.#placementCount--;
 			return undefined;
 		}
@@ -192,7 +192,7 @@
 		}
 
 		if (!kvCache) {
-			placement.reportMilestone(head.id, reader && !this.#isAvailable(reader) ? 'refused' : 'failed', server);
+			placement.reportMilestone(head.key, reader && !this.#isAvailable(reader) ? 'refused' : 'failed', server);
 			this.#excluded.add(server);
 			return undefined;
 		}
@@ -252,7 +252,7 @@
 		const nowMs = this.#context.clock.monotonicMs();
 		const patienceMs = Math.max(MIN_PATIENCE_MS, route.objectiveMs * PATIENCE_FACTOR);
 		return {
-			id: head.id,
+			id: head.key,
 			service,
 			dataCentre: this.#context.dataCentre,
 			bodyBytes: this.#call.body?.length ?? 0,
@@ -456,14 +456,14 @@
 		if (!this.#hasFirstEvent && isStream) {
 			this.#hasFirstEvent = true;
 			logFields.firstMs = this.#elapsedMs();
-			this.#context.placement.reportMilestone(head.id, 'first', undefined);
+			this.#context.placement.reportMilestone(head.key, 'first', undefined);
 		}
 
 		const events = this.#splitter && isStream ? this.#splitter.push(chunk) : chunk;
 		if (isStream && events.length > 0 && !this.#isOriginRecorded) {
 			this.#isOriginRecorded = true;
 			this.#software ??= server.software ?? '';
-			const beganWith = head.lastEventId === undefined ? head.id : head.resumedAttempt ?? head.id;
+			const beganWith = head.lastEventId === undefined ? head.key : head.resumedAttempt ?? head.key;
 			this.#context.placement.recordOrigin(beganWith, this.#software, route);
 		}
 
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -381,7 +381,9 @@
 	};
 	const call = {
 		caller, logFields: {servers: []}, arrivedMs: 0, suspect: {getFingerprint: () => 'f'},
-		head: {id: 'a', resumedAttempt: 'begun', lastEventId: '2'}, service: 'llm', body: null, deadlineMs: 3000, priority: 1,
+		head: {
+			id: 'a', key: 'a', resumedAttempt: 'begun', lastEventId: '2',
+		}, service: 'llm', body: null, deadlineMs: 3000, priority: 1,
 		route: {priority: 1, objectiveMs: 600}, routeTable: {findService: () => ({engines})},
 	};
 	return [context as ServingContext, call as unknown as Call];
