A configuration with version 0 is in force

Cause: feeds and watches used 0 for 'no publication', while versions may be 0.

Change: -1 stands for none. Hosts of older versions send 0; their feeds carry no publication then, so nothing is taken for one.

Evidence: the new test of platform.test.ts is red before (the entry host is never ready) and green.

--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -16,6 +16,7 @@
 import {StartCounter} from '../duties/starts.js';
 import {CrashTable, mergeCrashFacts} from '../membership/crashes.js';
 import {ServerDiscovery} from '../membership/discovery.js';
+import {NO_PUBLICATION} from '../membership/feed.js';
 import {RateLimitTable} from '../membership/ratelimits.js';
 import {Resynchronizer} from '../membership/resync.js';
 import {FeedSubscription, inflatePublication} from '../membership/subscription.js';
@@ -138,7 +139,7 @@
 			seeds: options.seeds,
 			clock,
 			logger: options.loggers('membership'),
-			readVersion: () => this.#routeTable?.config.version ?? 0,
+			readVersion: () => this.#routeTable?.config.version ?? NO_PUBLICATION,
 			readRelaying: () => this.#readRelaying(),
 			onFeed: (feed, control) => {
 				this.#handleFeed(feed, control);
@@ -354,12 +355,12 @@
 			this.#relayClient.update(feed.relays);
 		}
 
-		const isNewer = feed.version > (this.#routeTable?.config.version ?? 0);
+		const isNewer = feed.version > (this.#routeTable?.config.version ?? NO_PUBLICATION);
 		if (feed.publication && isNewer) {
 			this.#applyPublication(feed.publication, feed.version, control);
 		}
 
-		this.#confirmation.recordFeed(feed.hasQuorum && feed.version <= (this.#routeTable?.config.version ?? 0));
+		this.#confirmation.recordFeed(feed.hasQuorum && feed.version <= (this.#routeTable?.config.version ?? NO_PUBLICATION));
 
 		if (hasChanges || (feed.publication && isNewer)) {
 			this.#localScheduler.updateEngines(listEngines(this.#discovery.listUsable(), this.#routeTable));
--- a/src/membership/feed.ts
+++ b/src/membership/feed.ts
@@ -23,6 +23,8 @@
 /** Interval of heartbeats in both directions. A subscriber drops a connection after four missed ones. */
 export const FEED_INTERVAL_MS = 300;
 export const HEARTBEAT_TIMEOUT_MS = 1200;
+/** Version in feeds and watches without a publication, whose versions begin with 0. Hosts of older versions send 0. */
+export const NO_PUBLICATION = -1;
 /** Changes within this time are sent in one feed message. */
 const COALESCE_DELAY_MS = 5;
 /** Interval at which the hosts that keep copies are listed again, so that a host which is no longer listed is forgotten, milliseconds. */
@@ -205,7 +207,7 @@
 			whole: subscriber.isNew,
 			hasQuorum: hasQuorum(),
 			isWarm: isWarm(),
-			version: publication?.version ?? 0,
+			version: publication?.version ?? NO_PUBLICATION,
 			sightings: registry.listChangedSince(subscriber.revision, subscriber.role === 'control'),
 			members: listMembers(),
 			entries: this.entryHostCount,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -23,6 +23,14 @@
 	assert.ok(Number(headers['carawayhoist-deadline-ms']) <= 500);
 });
 
+// Guards against an acknowledged configuration that is never in force: hosts took version 0 for none.
+test('a first configuration with version 0 is in force', async t => {
+	const system = await startSystem(t, [{id: 'p1', service: 'plain'}], {configVersion: 0});
+	assert.equal((await system.call('/read/1')).status, 200);
+	const callSecond = await system.addEntry();
+	assert.equal((await callSecond('/read/1')).status, 200);
+});
+
 test('a long prompt is prefilled by one engine and decoded by another', async t => {
 	const system = await startSystem(t, [{id: 'e1', service: 'llm', stage: 'prefill'}, {id: 'e2', service: 'llm', stage: 'decode'}]);
 	const answer = await system.call('/ask/1', LONG_PROMPT, 'prompt');
--- a/test/system.ts
+++ b/test/system.ts
@@ -58,6 +58,8 @@
 	readonly findPort?: () => Promise<number>;
 	readonly clock?: Clock;
 	readonly duties?: DutySettings;
+	/** Version of the first configuration. */
+	readonly configVersion?: number;
 };
 
 type TestContext = {
@@ -68,7 +70,7 @@
  * Starts one control host, one entry host and the servers, and waits until the entry host knows all servers. After the test,
  * everything that was started is stopped, also if the start failed.
  */
-export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, routeTimeoutMs, graceMs = 1000, connectServers = [], findPort = findOwnPort, clock = createClock(), duties}: SystemOptions = {}) {
+export async function startSystem(t: TestContext, options: readonly StubBackendOptions[], {maxResponseBytes, routeTimeoutMs, graceMs = 1000, connectServers = [], findPort = findOwnPort, clock = createClock(), duties, configVersion = 1}: SystemOptions = {}) {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'site-'));
 	const cleanups: Array<() => Promise<void> | void> = [async () => rm(folder, {recursive: true, force: true})];
 	t.after(async () => {
@@ -142,7 +144,7 @@
 	const address = `${operators.address}:${operators.port}`;
 	await waitUntil(async () => {
 		const routes = ROUTES.map(route => routeTimeoutMs === undefined ? route : {...route, 'timeout-ms': routeTimeoutMs});
-		const body = JSON.stringify({version: 1, routes, services: SERVICES});
+		const body = JSON.stringify({version: configVersion, routes, services: SERVICES});
 		return (await fetch(`http://${address}/-/config`, {method: 'PUT', body})).status === 200;
 	}, 'the first configuration is accepted');
 	for (const server of servers) {
