Later reports on a crash do not move it to another moment

Cause: the time of a crash was that of the latest report, also of one that only cleared suspects; crashes of several moments could then count as one. Such reports now bear the time of the crash. The new test of crashes.test.ts is red without that.

--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -106,6 +106,11 @@
 	#blocksByKey = new Map<number, Block[]>();
 	#isStale = false;
 
+	/** Finds the wall-clock time of a crash, milliseconds. Later reports on it must not move it to another moment. */
+	findTime(crash: string): number | undefined {
+		return this.#crashes.get(crash)?.at;
+	}
+
 	/** Number of suspects, summed over the crashes. */
 	get occurrences(): number {
 		return this.#occurrences;
--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -344,7 +344,7 @@
 
 	#publishReport(crash: string, report: Partial<CrashReport>): void {
 		this.#publish([createReportFact({
-			requests: [], parts: [], served: [], cleared: [], ...report, crash, at: this.#options.clock.wallMs(),
+			requests: [], parts: [], served: [], cleared: [], ...report, crash, at: this.#index.findTime(crash) ?? this.#options.clock.wallMs(),
 		})]);
 	}
 
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -158,6 +158,21 @@
 	assert.ok(!monitor.isQuarantined(createRequest('new', ['shared'])));
 });
 
+// Guards against crashes that count as one moment because other suspects were cleared of them at the same time.
+test('what is cleared of crashes does not change when they happened', () => {
+	const {monitor, advance} = createMonitor('refused');
+	monitor.track(SERVER, createRequest('before', ['turned bad'])).succeed();
+	for (const server of ['e1', 'e2', 'e3', 'e4', 'e5']) {
+		monitor.track({...SERVER, server}, createRequest(`at ${server}`, ['turned bad', 'sound']));
+		monitor.checkServers(() => INCARNATION_STATES.replaced);
+		advance(5000);
+	}
+
+	monitor.track({...SERVER, server: 'e9'}, createRequest('after', ['sound'])).succeed();
+	assert.ok(monitor.isQuarantined(createRequest('new', ['turned bad'])));
+	assert.ok(!monitor.isQuarantined(createRequest('new', ['sound'])));
+});
+
 // Guards against refusals that nothing can end, and against trials of several hosts at once.
 test('of two hosts one sends a blocked request in a trial, and its success ends the refusal on both', async () => {
 	const hosts = createConnectedMonitors();
