Trials: several blocks at once, none used up by a request that was not sent; facts expire by each host's own clock

Found when reading the change again, each with a test: - A request that two blocks refuse was never tried, so it could stay refused for an hour if no request came that one of them refuses alone. - A trial whose connection was refused counted as used, and the next one came 20 s later. - That a suspect was served was lost if that report arrived before the one that blames it. - The age of facts was taken from the time of day of their hosts, which may jump.

--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -502,7 +502,7 @@
 	}
 
 	#mergeCrashes(message: Message): void {
-		if (message.type === 'gossip' && mergeCrashFacts(this.#crashes, message.facts)) {
+		if (message.type === 'gossip' && mergeCrashFacts(this.#crashes, message.facts, this.#options.clock.monotonicMs())) {
 			this.#publisher.notify();
 		}
 	}
@@ -615,6 +615,7 @@
 	#tick(): void {
 		this.#limitVersionInference();
 
+		this.#crashes.expire(this.#options.clock.monotonicMs());
 		const silentServers = this.registry.expire(this.#options.clock.monotonicMs());
 		if (silentServers.length > 0) {
 			this.#logger.warn(`Servers stopped announcing themselves: ${silentServers.join(', ')}.`, {servers: silentServers});
--- a/src/daemon/entryhost.ts
+++ b/src/daemon/entryhost.ts
@@ -309,7 +309,7 @@
 	#receive(message: Message, control: string): void {
 		switch (message.type) {
 			case 'gossip': {
-				mergeCrashFacts(this.#crashTable, message.facts);
+				mergeCrashFacts(this.#crashTable, message.facts, this.#options.clock.monotonicMs());
 				this.#crashMonitor.refresh();
 				this.#originCopies.updateHolders(message.facts);
 				break;
--- a/src/membership/crashes.ts
+++ b/src/membership/crashes.ts
@@ -26,6 +26,8 @@
 	revision: number;
 	/** Wall-clock time of the latest crash, milliseconds. */
 	at: number;
+	/** When this host learnt the latest change, milliseconds of the monotonic clock. */
+	learntMs: number;
 };
 
 /** Facts by their fingerprint. */
@@ -46,8 +48,10 @@
 	}
 
 	/** Merges a fact; returns whether anything in it is new. */
-	merge({fingerprint, servers, acquitted = [], at}: PoisonFact): boolean {
-		const entry = this.#entries.get(fingerprint) ?? {values: new Map<string, Value>(), revision: 0, at};
+	merge({fingerprint, servers, acquitted = [], at}: PoisonFact, nowMs: number): boolean {
+		const entry = this.#entries.get(fingerprint) ?? {
+			values: new Map<string, Value>(), revision: 0, at, learntMs: nowMs,
+		};
 		const revision = this.#revision + 1;
 		let isChanged = false;
 		for (const text of [...servers, ...acquitted]) {
@@ -70,16 +74,32 @@
 			this.#revision = revision;
 			entry.revision = revision;
 			entry.at = Math.max(entry.at, at);
+			entry.learntMs = nowMs;
 			this.#dropOldestValues(entry);
 			// Keeps the entries in the order of their last change, for eviction.
 			this.#entries.delete(fingerprint);
 			this.#entries.set(fingerprint, entry);
-			this.#evict(at);
+			this.expire(nowMs);
 		}
 
 		return isChanged;
 	}
 
+	/** Drops what was learnt too long ago, and the oldest facts beyond the bounds. */
+	expire(nowMs: number): void {
+		for (const [fingerprint, {learntMs, values}] of this.#entries) {
+			if (nowMs - learntMs <= RETENTION_MS && this.#entries.size <= MAX_RECORDS && this.#length <= MAX_LENGTH) {
+				return;
+			}
+
+			this.#entries.delete(fingerprint);
+			this.#changes = undefined;
+			for (const text of values.keys()) {
+				this.#length -= text.length;
+			}
+		}
+	}
+
 	findFact(fingerprint: string): PoisonFact | undefined {
 		const entry = this.#entries.get(fingerprint);
 		return entry && createFact(fingerprint, entry, 0);
@@ -106,19 +126,6 @@
 		return this.#changes.facts;
 	}
 
-	#evict(nowMs: number): void {
-		for (const [fingerprint, {at, values}] of this.#entries) {
-			if (nowMs - at <= RETENTION_MS && this.#entries.size <= MAX_RECORDS && this.#length <= MAX_LENGTH) {
-				return;
-			}
-
-			this.#entries.delete(fingerprint);
-			for (const text of values.keys()) {
-				this.#length -= text.length;
-			}
-		}
-	}
-
 	#dropOldestValues({values}: CrashEntry): void {
 		for (const text of values.keys()) {
 			if (values.size <= MAX_VALUES) {
@@ -132,10 +139,10 @@
 }
 
 /** Merges the facts about crashes among those of a message; returns whether any was new. */
-export function mergeCrashFacts(table: CrashTable, facts: readonly Fact[]): boolean {
+export function mergeCrashFacts(table: CrashTable, facts: readonly Fact[], nowMs: number): boolean {
 	let isChanged = false;
 	for (const fact of facts) {
-		if (fact.type === 'poison' && table.merge(fact)) {
+		if (fact.type === 'poison' && table.merge(fact, nowMs)) {
 			isChanged = true;
 		}
 	}
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -158,7 +158,7 @@
 			}
 
 			case 'poison': {
-				return this.#crashes.merge(fact) ? FACT_MERGE_RESULTS.urgent : FACT_MERGE_RESULTS.none;
+				return this.#crashes.merge(fact, nowMs) ? FACT_MERGE_RESULTS.urgent : FACT_MERGE_RESULTS.none;
 			}
 		}
 	}
--- a/src/routing/explanations.ts
+++ b/src/routing/explanations.ts
@@ -14,6 +14,8 @@
 	readonly learntMs: number;
 	readonly keys: Set<number>;
 	readonly cleared: Set<number>;
+	/** Keys that were served not long before. */
+	readonly served: Set<number>;
 };
 
 /** Suspects of one kind that were in flight at the same crashes. */
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -38,8 +38,10 @@
 
 /** Suspects that requests are refused for. */
 export type Block = {
-	/** Identifies the suspects and their crashes. */
+	/** Identifies the suspects and their crashes on this host. */
 	readonly id: string;
+	/** The smallest of the keys, which names the block on all hosts. */
+	readonly key: number;
 	/** A request is refused if it contains all of these. */
 	readonly keys: ReadonlySet<number>;
 	/** The crashes that they explain. */
@@ -120,7 +122,7 @@
 	add({crash, at, requests, parts, served, cleared}: CrashReport, nowMs: number): void {
 		this.#expire(nowMs);
 		const record = this.#crashes.get(crash) ?? {
-			name: crash, number: this.#nextNumber++, at, learntMs: nowMs, keys: new Set<number>(), cleared: new Set<number>(),
+			name: crash, number: this.#nextNumber++, at, learntMs: nowMs, keys: new Set<number>(), cleared: new Set<number>(), served: new Set<number>(),
 		};
 		this.#crashes.set(crash, record);
 		record.at = Math.max(record.at, at);
@@ -128,6 +130,10 @@
 			record.cleared.add(key);
 		}
 
+		for (const key of served) {
+			record.served.add(key);
+		}
+
 		for (const key of requests) {
 			this.#addSuspect(key, record, true);
 		}
@@ -218,7 +224,7 @@
 
 		const suspect = this.#suspects.get(key) ?? {isRequest, isServed: false, crashes: []};
 		this.#suspects.set(key, suspect);
-		suspect.isServed ||= record.cleared.has(key);
+		suspect.isServed ||= record.cleared.has(key) || record.served.has(key);
 		suspect.crashes.push(record);
 		record.keys.add(key);
 		this.#occurrences++;
@@ -322,8 +328,14 @@
 
 function createBlock(keys: ReadonlySet<number>, crashes: ReadonlySet<CrashRecord>): Block {
 	const records = [...crashes];
+	let key = Number.POSITIVE_INFINITY;
+	for (const other of keys) {
+		key = Math.min(key, other);
+	}
+
 	return {
-		id: `${Math.min(...keys)} ${keys.size} ${records.map(({number}) => number).toSorted((a, b) => a - b).join(' ')}`,
+		key,
+		id: `${key} ${keys.size} ${records.map(({number}) => number).toSorted((a, b) => a - b).join(' ')}`,
 		keys,
 		crashes: records.map(({name}) => name),
 		learntMs: Math.max(...records.map(({learntMs}) => learntMs)),
--- a/src/serving/context.ts
+++ b/src/serving/context.ts
@@ -224,7 +224,7 @@
 			if (failure === 'broken') {
 				tracked.breakOff();
 			} else {
-				tracked.dismiss();
+				tracked.miss();
 			}
 
 			handler.onFailure(failure, error);
--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -14,7 +14,7 @@
 import {INCARNATION_STATES, type IncarnationState} from '../membership/registry.js';
 import {ServedKeys} from '../routing/servedkeys.js';
 import {
-	hashRequest, RETENTION_MS, SuspectIndex, type Block, type CrashReport, type RequestKeys,
+	hashRequest, SuspectIndex, type Block, type CrashReport, type RequestKeys,
 } from '../routing/suspects.js';
 import {TrialSchedule} from '../routing/trials.js';
 import type {Address} from '../wire/connection.js';
@@ -37,8 +37,10 @@
 	progress(): void;
 	/** The server sent a complete success. */
 	succeed(): void;
-	/** The server sent another complete response, or did not receive the request. */
+	/** The server sent another complete response. */
 	dismiss(): void;
+	/** The server did not receive the request. */
+	miss(): void;
 	/** The connection was closed before the response was known to be complete. */
 	breakOff(): void;
 	/** The response was not awaited any longer. */
@@ -135,7 +137,7 @@
 
 	/** Reads what was merged into the table. Must be called after each merge, so that the age of facts is known. */
 	refresh(): void {
-		const {table, clock} = this.#options;
+		const {table} = this.#options;
 		if (table.revision === this.#revision) {
 			return;
 		}
@@ -147,10 +149,10 @@
 			const claims = readClaims(fact);
 			if (claims) {
 				this.#schedule.merge(claims, nowMs);
-			} else if (clock.wallMs() - fact.at < RETENTION_MS) {
-				for (const report of readReports(fact)) {
-					this.#index.add(report, nowMs);
-				}
+			}
+
+			for (const report of readReports(fact)) {
+				this.#index.add(report, nowMs);
 			}
 		}
 
@@ -180,6 +182,10 @@
 				this.#acquit(request);
 			},
 			dismiss: end,
+			miss: () => {
+				end();
+				this.#probation.recordUnsent(request);
+			},
 			breakOff: () => {
 				end();
 				this.#probation.recordFailure(request);
@@ -199,6 +205,7 @@
 	/** Checks the servers of recent attempts against what is announced now. */
 	checkServers(findIncarnationState: (server: Announcement) => IncarnationState): void {
 		const nowMs = this.#now();
+		this.#options.table.expire(nowMs);
 		for (const [key, attempts] of this.#servers) {
 			const state = findIncarnationState(attempts.server);
 			if (state === INCARNATION_STATES.replaced) {
@@ -326,8 +333,10 @@
 		const blocks = this.#index.listBlocks(this.#now());
 		const {logger, metrics} = this.#options;
 		metrics.blocks.set(blocks.length);
-		const added = blocks.filter(({id}) => !this.#loggedBlocks.some(other => other.id === id));
-		const removed = this.#loggedBlocks.filter(({id}) => !blocks.some(other => other.id === id));
+		const known = new Set(this.#loggedBlocks.map(({id}) => id));
+		const current = new Set(blocks.map(({id}) => id));
+		const added = blocks.filter(({id}) => !known.has(id));
+		const removed = this.#loggedBlocks.filter(({id}) => !current.has(id));
 		this.#loggedBlocks = blocks;
 		if (added.length > 0 || removed.length > 0) {
 			logger.warn(`Requests are refused that contain all suspects of one of ${blocks.length} blocks.`, {
@@ -349,7 +358,7 @@
 	}
 
 	#publish(facts: readonly PoisonFact[]): void {
-		const news = facts.filter(fact => this.#options.table.merge(fact));
+		const news = facts.filter(fact => this.#options.table.merge(fact, this.#now()));
 		if (news.length > 0) {
 			this.#options.publish(news);
 			this.refresh();
--- a/src/serving/probation.ts
+++ b/src/serving/probation.ts
@@ -33,18 +33,30 @@
 	readonly kind: ProbeKind;
 	readonly blocks: readonly Block[];
 	readonly startedMs: number;
-	/** The claim of a trial. */
-	readonly claim?: string;
+	/** The claims of a trial, by the keys of its blocks. */
+	readonly claims?: ReadonlyMap<number, string>;
 	/** Monotonic time at which its response began, milliseconds. */
 	respondedMs?: number;
 	isSent: boolean;
 };
 
+/** A trial that may be claimed from a time on. */
+type TrialPlan = {
+	/** The block whose claims decide which host sends the request. */
+	readonly key: number;
+	/** Rounds by the keys of all blocks. */
+	readonly rounds: ReadonlyMap<number, number>;
+	/** Monotonic time, milliseconds. */
+	readonly dueMs: number;
+};
+
 /** Whether a request may be sent to servers, and if not, when its caller should come back. */
 export type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryMs: number};
 
 /** Time in which the claims of a round reach all hosts, milliseconds. */
 const CLAIM_SETTLE_MS = 150;
+/** Longer wait of a request that several blocks refuse, milliseconds. */
+const SEVERAL_BLOCKS_DELAY_MS = 2000;
 /** A response that has gone on for this long was not crashed by what the request contains, milliseconds. */
 const SURVIVAL_MS = 1000;
 /** A test that takes longer does not hold back the next one, milliseconds. */
@@ -85,11 +97,8 @@
 	/** Decides whether a new request may be sent. A trial takes a moment to decide. Whoever is admitted calls `end`. */
 	async admit(request: SuspectRequest): Promise<Admission> {
 		const {full, partial} = this.#options.match(request);
-		const [block] = full;
-		if (block) {
-			// A trial of a request that several blocks refuse could clear only one of them.
-			const isTried = full.length === 1 && await this.#tryTrial(block, request);
-			return isTried ? ADMITTED : {isAdmitted: false, retryMs: this.#estimateRetryMs(block)};
+		if (full.length > 0) {
+			return await this.#tryTrial(full, request) ? ADMITTED : {isAdmitted: false, retryMs: this.#estimateRetryMs(full)};
 		}
 
 		if (partial.length === 0) {
@@ -115,6 +124,14 @@
 		}
 	}
 
+	/** Records that the server did not receive the request. */
+	recordUnsent(request: SuspectRequest): void {
+		const probe = this.#probes.get(request);
+		if (probe) {
+			probe.isSent = false;
+		}
+	}
+
 	/** Records that a part of a success was received; returns whether a probe has survived by that. */
 	recordProgress(request: SuspectRequest): boolean {
 		const probe = this.#probes.get(request);
@@ -153,37 +170,66 @@
 		}
 	}
 
-	async #tryTrial(block: Block, request: SuspectRequest): Promise<boolean> {
-		const {host, match, publish, schedule} = this.#options;
-		const key = getTrialKey(block);
-		const next = schedule.findNextRound(key, block.learntMs);
-		if (next === undefined || next.dueMs > this.#now() || this.#claiming.has(key)) {
+	async #tryTrial(blocks: readonly Block[], request: SuspectRequest): Promise<boolean> {
+		const trial = this.#planTrial(blocks);
+		if (!trial || trial.dueMs > this.#now() || this.#claiming.has(trial.key)) {
 			return false;
 		}
 
-		const {round} = next;
+		const {match, schedule} = this.#options;
+		const {key, rounds} = trial;
+		const claims = this.#createClaims(rounds);
 		this.#claiming.add(key);
-		const claim = `${round}/${host}/${++this.#claimCount}`;
-		publish({key, claims: [claim], released: []});
+		this.#publishClaims(claims, false);
 		await sleep(CLAIM_SETTLE_MS);
 		this.#claiming.delete(key);
-		const isWinner = schedule.findWinner(key, round) === claim;
+		const isWinner = schedule.findWinner(key, rounds.get(key)!) === claims.get(key);
 		const {full} = match(request);
-		if (isWinner && full.length === 1 && getTrialKey(full[0]!) === key) {
-			this.#start(request, {kind: PROBE_KINDS.trial, blocks: full, claim});
+		if (isWinner && full.length === blocks.length && full.every(block => claims.has(block.key))) {
+			this.#start(request, {kind: PROBE_KINDS.trial, blocks: full, claims});
 			return true;
 		}
 
-		publish({key, claims: [claim], released: [claim]});
+		this.#publishClaims(claims, true);
 		return full.length === 0;
 	}
 
-	#estimateRetryMs(block: Block): number {
-		const next = this.#options.schedule.findNextRound(getTrialKey(block), block.learntMs);
-		return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, (next?.dueMs ?? Number.POSITIVE_INFINITY) - this.#now()));
+	/** Plans a trial of a request that all of these blocks refuse; undefined if one of them has no round left. */
+	#planTrial(blocks: readonly Block[]): TrialPlan | undefined {
+		const rounds = new Map<number, number>();
+		// Requests that a single block refuses clear it, or prove it, sooner.
+		const delayMs = blocks.length > 1 ? SEVERAL_BLOCKS_DELAY_MS : 0;
+		let dueMs = Number.NEGATIVE_INFINITY;
+		for (const {key, learntMs} of blocks) {
+			const next = this.#options.schedule.findNextRound(key, learntMs);
+			if (!next) {
+				return undefined;
+			}
+
+			rounds.set(key, next.round);
+			dueMs = Math.max(dueMs, next.dueMs + delayMs);
+		}
+
+		return {key: [...rounds.keys()].toSorted((a, b) => a - b)[0]!, rounds, dueMs};
+	}
+
+	#createClaims(rounds: ReadonlyMap<number, number>): Map<number, string> {
+		const number = ++this.#claimCount;
+		return new Map([...rounds].map(([key, round]) => [key, `${round}/${this.#options.host}/${number}`]));
+	}
+
+	#publishClaims(claims: ReadonlyMap<number, string>, isReleased: boolean): void {
+		for (const [key, claim] of claims) {
+			this.#options.publish({key, claims: [claim], released: isReleased ? [claim] : []});
+		}
 	}
 
-	#start(request: SuspectRequest, probe: Pick<Probe, 'kind' | 'blocks' | 'claim'>): void {
+	#estimateRetryMs(blocks: readonly Block[]): number {
+		const dueMs = this.#planTrial(blocks)?.dueMs ?? Number.POSITIVE_INFINITY;
+		return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, dueMs - this.#now()));
+	}
+
+	#start(request: SuspectRequest, probe: Pick<Probe, 'kind' | 'blocks' | 'claims'>): void {
 		this.#probes.set(request, {...probe, startedMs: this.#now(), isSent: false});
 		this.#options.logger.info(`Request is sent in a ${probe.kind} although it may crash servers.`, {request: request.id, suspects: probe.blocks.map(block => formatSuspects(block))});
 	}
@@ -194,12 +240,12 @@
 			return;
 		}
 
-		const {logger, metrics, publish} = this.#options;
+		const {logger, metrics} = this.#options;
 		this.#probes.delete(request);
 		metrics.probes.inc({kind: probe.kind, outcome});
 		logger.info(`The ${probe.kind} of a request that may crash servers has ended: ${outcome}.`, {request: request.id, suspects: probe.blocks.map(block => formatSuspects(block))});
-		if (probe.claim !== undefined && !probe.isSent) {
-			publish({key: getTrialKey(probe.blocks[0]!), claims: [probe.claim], released: [probe.claim]});
+		if (probe.claims && !probe.isSent) {
+			this.#publishClaims(probe.claims, true);
 		}
 	}
 
@@ -208,11 +254,6 @@
 	}
 }
 
-/** The key under which the trials of a block are claimed. */
-function getTrialKey({keys}: Block): number {
-	return Math.min(...keys);
-}
-
 /**
  * Names the suspects of a block in log lines, in the same way on all hosts.
  *
@@ -222,5 +263,5 @@
  * ```
  */
 export function formatSuspects(block: Block): string {
-	return `${getTrialKey(block).toString(36)} of ${block.keys.size}`;
+	return `${block.key.toString(36)} of ${block.keys.size}`;
 }
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -21,12 +21,12 @@
 	const facts = [createFact('f', ['a#1']), createFact('f', ['b#1']), createFact('f', ['a#1'], ['a#1']), createFact('g', ['a#1'])];
 	const first = new CrashTable();
 	const second = new CrashTable();
-	assert.ok(mergeCrashFacts(first, facts));
-	assert.ok(mergeCrashFacts(second, facts.toReversed()));
-	assert.ok(!mergeCrashFacts(second, facts));
+	assert.ok(mergeCrashFacts(first, facts, 0));
+	assert.ok(mergeCrashFacts(second, facts.toReversed(), 0));
+	assert.ok(!mergeCrashFacts(second, facts, 0));
 	assert.deepEqual(first.findFact('f'), second.findFact('f'));
 	const {revision} = first;
-	first.merge(createFact('f', ['c#1']));
+	first.merge(createFact('f', ['c#1']), 0);
 	assert.deepEqual(first.listChangedSince(revision), [createFact('f', ['c#1'], [])]);
 	assert.deepEqual(first.listChangedSince(first.revision), []);
 });
@@ -34,7 +34,7 @@
 test('of a part that is in flight at most crashes only the latest are kept', () => {
 	const table = new CrashTable();
 	for (let index = 0; index < 200; index++) {
-		table.merge(createFact('part/popular', [`s${index}#1`], [`s${index}#1`]));
+		table.merge(createFact('part/popular', [`s${index}#1`], [`s${index}#1`]), 0);
 	}
 
 	assert.equal(table.findFact('part/popular')?.servers.length, 64);
@@ -226,10 +226,41 @@
 		host.advance(TRIAL_DELAYS_MS[0] + 1);
 		const request = createRequest('f');
 		assert.ok((await host.monitor.admit(request)).isAdmitted);
+		if (round > 2) {
+			host.monitor.track(SERVER, request).miss();
+		}
+
 		host.monitor.endRequest(request);
 	}
 });
 
+// Guards against requests that stay refused because two blocks refuse them, and no request that one of these refuses alone comes any more.
+test('a request that several blocks refuse is sent in a trial, and its success ends them all', async () => {
+	const host = createMonitor('refused');
+	for (const [server, parts] of [['e1', ['a']], ['e2', ['a', 'b']], ['e3', ['a', 'b']], ['e4', ['b']]] as const) {
+		host.monitor.track({...SERVER, server}, createRequest(server, [...parts]));
+		host.monitor.checkServers(() => INCARNATION_STATES.replaced);
+		host.advance(5000);
+	}
+
+	host.advance(5000);
+	const request = createRequest('new', ['a', 'b']);
+	assert.ok(host.monitor.isQuarantined(createRequest('other', ['a'])));
+	assert.ok(host.monitor.isQuarantined(createRequest('other', ['b'])));
+	assert.ok((await host.monitor.admit(request)).isAdmitted);
+	host.monitor.track(SERVER, request).succeed();
+	assert.ok(!host.monitor.isQuarantined(createRequest('other', ['a', 'b'])));
+});
+
+test('facts that nobody has told for an hour are forgotten, whatever their hosts took for the time of day', () => {
+	const table = new CrashTable();
+	table.merge(createFact('f', ['a#1'], undefined, 9e12), 0);
+	table.merge(createFact('g', ['a#1']), 1000);
+	assert.equal(table.listFacts().length, 2);
+	table.expire(3_600_500);
+	assert.deepEqual(table.listFacts().map(({fingerprint}) => fingerprint), ['g']);
+});
+
 // Guards against a burst of requests with one of several tied parts.
 test('a host sends one request at a time that contains some of the parts with the same crashes', async () => {
 	const {monitor, advance} = createMonitor('refused');
@@ -292,7 +323,7 @@
 	const monitor = Object.assign(crashMonitor, {
 		/** Merges facts of another host. */
 		receive(facts: readonly PoisonFact[]) {
-			mergeCrashFacts(table, facts);
+			mergeCrashFacts(table, facts, nowMs);
 			crashMonitor.refresh();
 		},
 	});
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -69,6 +69,10 @@
 	const crashed = new Set<string>();
 	const restart = (id: string) => {
 		const server = system.servers.find(other => other.id === id)!;
+		if (!server.isRunning) {
+			return;
+		}
+
 		const {port} = server;
 		server.stop();
 		// It may crash again before all hosts list it.
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -124,6 +124,16 @@
 	}), {seed: 65, numRuns: 15});
 });
 
+test('what was served counts whichever report arrives first', () => {
+	const index = createIndex([]);
+	index.add(createReport('s0', {served: ['shared']}), 0);
+	for (let server = 0; server < 5; server++) {
+		index.add(createReport(`s${server}`, {parts: ['shared'], at: 50 * server}), 0);
+	}
+
+	assert.equal(matchParts(index, ['shared']), 'none');
+});
+
 test('the number of crashes is bounded', () => {
 	const index = createIndex([]);
 	for (let number = 0; number < MAX_CRASHES + 100; number++) {
