A request that is refused meanwhile is not prefilled

Cause: streams were checked before they were sent to an engine that decodes, not before their prefill. After a trial had crashed its engine, the next placement had a reader, which prefilled the prompt before the request was refused.

Change: the check comes before each placement and before each prefill as well.

Evidence: traced with the entry hosts' logs (the arrivals came 36 ms after the crashes, at prefill engines); the new test of poison.test.ts is red before (three prefills instead of two) and green. The test of origins.test.ts that counted the check as proof of a runner now counts the second one.

--- a/src/serving/streamcall.ts
+++ b/src/serving/streamcall.ts
@@ -82,14 +82,8 @@
 	async run(): Promise<void> {
 		const {caller} = this.#call;
 		while (!caller.isEnded) {
-			const runner = await this.#place();
-			if (!runner || caller.isEnded) {
-				break;
-			}
-
-			// An engine may have crashed under another attempt of this request meanwhile.
-			if (this.#context.crashes.isQuarantined(this.#call.suspect)) {
-				caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createQuarantineProblem(this.#call));
+			const runner = this.#failQuarantined() ? undefined : await this.#place();
+			if (!runner || caller.isEnded || this.#failQuarantined()) {
 				break;
 			}
 
@@ -117,6 +111,16 @@
 		this.#context.placement.reportMilestone(this.#call.head.key, 'failed', undefined);
 	}
 
+	/** Fails the request if engines have crashed meanwhile under it, or under what its prompt contains; returns whether they have. */
+	#failQuarantined(): boolean {
+		const isQuarantined = this.#context.crashes.isQuarantined(this.#call.suspect);
+		if (isQuarantined) {
+			this.#call.caller.fail(this.#mayHaveRun ? createProblem('serverFailed') : createQuarantineProblem(this.#call));
+		}
+
+		return isQuarantined;
+	}
+
 	/**
 	 * Places the request and prefills it at the reader, if there is one; returns the runner, or undefined if the call
 	 * has ended.
@@ -133,6 +137,10 @@
 			this.#logPlacement(placed);
 			this.#noteOrigin(placed.decision);
 			if (placed.decision.type === 'assignment' && placed.decision.reader !== undefined) {
+				if (this.#failQuarantined()) {
+					return undefined;
+				}
+
 				placed = await this.#prefill(placed.decision.reader, placed.decision.expectedMs ?? 0);
 			}
 
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -306,18 +306,16 @@
 	for (const software of ['v1', 'v2']) {
 		const {client} = createClient({c1: control}, {localScheduler: createScheduler([])});
 		const [context, call] = createResumedCall(client, true, [{...createEngine('d1', 'decode', {software}), services: ['llm']} as unknown as Announcement]);
-		let hasRunner = false;
+		let checkCount = 0;
 		const crashes = {
-			isQuarantined() {
-				hasRunner = true;
-				return true;
-			},
+			// Checked before the request is placed, and again once it has a runner.
+			isQuarantined: () => ++checkCount > 1,
 			isProbe: () => false,
 		} as unknown as ServingContext['crashes'];
 		await new StreamCall({...context, crashes}, call, {
 			model: 'm', parts: [], promptTokens: 100, outputTokens: 10,
 		}).run();
-		assert.equal(hasRunner, software === 'v1');
+		assert.equal(checkCount > 1, software === 'v1');
 		assert.ok(call.caller.isEnded);
 	}
 });
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -221,6 +221,34 @@
 	});
 }
 
+// Guards against trials that reach several servers: one that prefills, or one that prefills again after another has crashed.
+test('a request that crashes engines reaches one server in a trial', async t => {
+	const crashed = new Set<string>();
+	const stop = (id: string) => {
+		system.servers.find(server => server.id === id)!.stop();
+	};
+
+	const system = await startSystem(t, [
+		{id: 'p1', service: 'llm', stage: 'prefill'},
+		...['e1', 'e2', 'e3', 'e4'].map(id => createFragileEngine(CHUNKED)(id, crashed, stop)),
+	]);
+	const ask = async () => Promise.allSettled([system.call('/ask/bad', {
+		'carawayhoist-model': 'm', 'carawayhoist-token-counts': '20000,80', 'carawayhoist-prompt-prefix': 'first:15000,bad:10,own:4990',
+	}, 'prompt')]);
+	await ask();
+	assert.equal(crashed.size, 2);
+	const reader = system.servers[0]!;
+	const prefillCount = reader.receivedRequests.length;
+	assert.ok(prefillCount > 0);
+	for (const startedMs = Date.now(); Date.now() - startedMs < TRIAL_DELAYS_MS[0] + PROPAGATION_MS;) {
+		await sleep(PROPAGATION_MS);
+		await system.announceServers();
+	}
+
+	await ask();
+	assert.deepEqual({crashes: crashed.size, prefills: reader.receivedRequests.length}, {crashes: 3, prefills: prefillCount});
+});
+
 // Guards against a part that crashes servers and is never found, because prompts have more parts than hosts used to look at.
 test('a part that crashes engines is refused wherever it stands in a prompt of very many parts', async t => {
 	const {system, crashed, calls} = await startRestartingSystem(t, 5);
