Claims of trials that were not used do not use up the bound of claims

While servers are away for long, each trial claims and releases again; after 64 claims no further one was kept, so there were no trials any more. The new test of suspects.test.ts shows it: the 65th claim does not win before.

--- a/src/routing/trials.ts
+++ b/src/routing/trials.ts
@@ -44,9 +44,10 @@
 	merge({key, claims, released}: TrialClaims, nowMs: number): void {
 		const record = this.#records.get(key) ?? {claims: new Map<string, {isReleased: boolean}>(), learntMs: nowMs};
 		for (const claim of claims) {
-			if (!record.claims.has(claim) && record.claims.size < MAX_CLAIMS) {
+			if (!record.claims.has(claim)) {
 				record.claims.set(claim, {isReleased: false});
 				record.learntMs = nowMs;
+				dropReleased(record);
 			}
 		}
 
@@ -93,6 +94,19 @@
 	}
 }
 
+/** Drops the oldest claims that were not used, beyond the bound. */
+function dropReleased({claims}: ClaimRecord): void {
+	for (const [claim, {isReleased}] of claims) {
+		if (claims.size <= MAX_CLAIMS) {
+			return;
+		}
+
+		if (isReleased) {
+			claims.delete(claim);
+		}
+	}
+}
+
 function countUsedRounds({claims}: ClaimRecord): number {
 	const rounds = new Set<number>();
 	for (const [claim, {isReleased}] of claims) {
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -4,6 +4,7 @@
 import {
 	hashPart, hashRequest, MAX_CRASHES, MAX_OCCURRENCES, RETENTION_MS, SuspectIndex, type CrashReport,
 } from '../src/routing/suspects.js';
+import {TrialSchedule} from '../src/routing/trials.js';
 
 const LATER_MS = 10_000;
 
@@ -134,6 +135,21 @@
 	assert.equal(matchParts(index, ['shared']), 'none');
 });
 
+// Guards against trials that end for good because servers were away for long and many claims were not used.
+test('claims that were not used do not use up the trials', () => {
+	const schedule = new TrialSchedule();
+	schedule.merge({key: 1, claims: ['1/h1/1'], released: []}, 0);
+	for (let number = 1; number < 200; number++) {
+		const claim = `2/h${number % 15}/${number}`;
+		assert.equal(schedule.findNextRound(1, 0)?.round, 2);
+		schedule.merge({key: 1, claims: [claim], released: []}, number);
+		assert.equal(schedule.findWinner(1, 2), claim);
+		schedule.merge({key: 1, claims: [claim], released: [claim]}, number);
+	}
+
+	assert.equal(schedule.findWinner(1, 1), '1/h1/1');
+});
+
 test('the number of crashes is bounded', () => {
 	const index = createIndex([]);
 	for (let number = 0; number < MAX_CRASHES + 100; number++) {
