Blocked requests are tried early only after several servers crashed at one moment

Such a trial is for refusals that are wrong because the servers crashed for no request, and that shows: three servers or more crash at one moment and none at another.

--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -12,7 +12,7 @@
  */
 import {hashText} from '../base/hash.js';
 import {
-	findExplanations, REQUEST_LIMIT, type CrashRecord, type Group,
+	findExplanations, MOMENT_MS, REQUEST_LIMIT, type CrashRecord, type Group,
 } from './explanations.js';
 
 /** What one host reports about a crash: hashes of requests and prompt parts. */
@@ -48,6 +48,8 @@
 	readonly crashes: readonly string[];
 	/** When this host learnt of the latest of the crashes, milliseconds of the monotonic clock. */
 	readonly learntMs: number;
+	/** Whether several servers crashed at one moment and none at another: the cause may be no request. */
+	readonly isSudden: boolean;
 };
 
 /** The blocks that apply to a request. */
@@ -93,6 +95,8 @@
 /** Bounds of what is remembered: crashes, and suspects summed over the crashes. */
 export const MAX_CRASHES = 512;
 export const MAX_OCCURRENCES = 65_536;
+/** A request with its retry crashes two servers at one moment. */
+const SUDDEN_CRASHES = 3;
 /** Groups that are compared with each other, those of most crashes. */
 const MAX_GROUPS = 256;
 
@@ -328,6 +332,7 @@
 
 function createBlock(keys: ReadonlySet<number>, crashes: ReadonlySet<CrashRecord>): Block {
 	const records = [...crashes];
+	const times = records.map(({at}) => at);
 	let key = Number.POSITIVE_INFINITY;
 	for (const other of keys) {
 		key = Math.min(key, other);
@@ -339,5 +344,6 @@
 		keys,
 		crashes: records.map(({name}) => name),
 		learntMs: Math.max(...records.map(({learntMs}) => learntMs)),
+		isSudden: records.length >= SUDDEN_CRASHES && Math.max(...times) - Math.min(...times) <= MOMENT_MS,
 	};
 }
--- a/src/serving/probation.ts
+++ b/src/serving/probation.ts
@@ -200,13 +200,13 @@
 		// Requests that a single block refuses clear it, or prove it, sooner.
 		const delayMs = blocks.length > 1 ? SEVERAL_BLOCKS_DELAY_MS : 0;
 		let dueMs = Number.NEGATIVE_INFINITY;
-		for (const {key, learntMs} of blocks) {
-			const next = this.#options.schedule.findNextRound(key, learntMs);
+		for (const block of blocks) {
+			const next = this.#options.schedule.findNextRound(block);
 			if (!next) {
 				return undefined;
 			}
 
-			rounds.set(key, next.round);
+			rounds.set(block.key, next.round);
 			dueMs = Math.max(dueMs, next.dueMs + delayMs);
 		}
 
