--- a/src/daemon/controlhost.ts
+++ b/src/daemon/controlhost.ts
@@ -342,7 +342,16 @@
 	 */
 	async confirmDeparture(server: string): Promise<Either.Either<Problem, void>> {
 		const status = this.registry.findStatus(server);
-		return status && (status.gone || status.announcement.leaving === true) ? this.#departures.confirm(status) : Either.right(undefined);
+		if (!status || !(status.gone || status.announcement.leaving === true)) {
+			return Either.right(undefined);
+		}
+
+		const confirmation = await this.#departures.confirm(status);
+		if (Either.isLeft(confirmation)) {
+			this.#logger.warn(`The departure of server ${server} is not acknowledged: no other control host has confirmed it.`, {server, gone: status.gone});
+		}
+
+		return confirmation;
 	}
 
 	/**
