--- a/src/serving/crashes.ts
+++ b/src/serving/crashes.ts
@@ -318,7 +318,7 @@
 		}
 	}
 
-	/** Tells the other hosts which suspects of blocks this host has served. */
+	/** Tells the other hosts which suspects of blocks this host has served, so that they do not count as the likely cause. */
 	#contestBlocks(): void {
 		const nowMs = this.#now();
 		for (const {keys, crashes} of this.#index.listBlocks(nowMs)) {
